The whole path, thin, as separate processes

Routers, stand-ins of the platform, engines, plain services and the rating service, wagtailwayctl check and apply, and a demo that counts at both ends.

Before: nothing. Conclusion: the path stands; failures are not yet injected.

--- /dev/null
+++ b/packages/platform/src/platformClient.ts
@@ -0,0 +1,139 @@
+/** Client of the platform's versioned object API and of its list of instances. */
+import { Agent } from 'node:http'
+import {
+  Err,
+  Ok,
+  type Conflict,
+  type ObjectKind,
+  type ObjectList,
+  type ObjectStore,
+  type Result,
+  type StoredObject,
+  type Unavailable,
+} from '@wagtailway/core'
+import {
+  conflictSchema,
+  instanceListSchema,
+  objectListSchema,
+  objectSchema,
+  type Instance,
+} from './messages.js'
+import { requestJson, type JsonResponse } from './requestJson.js'
+
+export interface PlatformClientOptions {
+  /** Base URL such as `http://127.0.0.1:7000`. */
+  readonly url: string
+  /**
+   * Deadline of a call, in milliseconds; a watch gets its waiting time on top.
+   * @default 2_000
+   */
+  readonly timeoutMs?: number
+  /** Called once for each call, for counting. */
+  readonly onCall?: (operation: string) => void
+}
+
+type CallResult = Result<JsonResponse, Unavailable>
+
+/**
+ * Object store over HTTP.
+ *
+ * @example
+ * const client = PlatformClient.create({ url: 'http://127.0.0.1:7000' })
+ * const config = await client.get('config', 'current')
+ * client.close()
+ */
+export class PlatformClient implements ObjectStore {
+  readonly #agent = new Agent({ keepAlive: true })
+  readonly #timeoutMs: number
+
+  private constructor(private readonly opts: PlatformClientOptions) {
+    this.#timeoutMs = opts.timeoutMs ?? 2_000
+  }
+
+  static create(opts: PlatformClientOptions): PlatformClient {
+    return new PlatformClient(opts)
+  }
+
+  async get(
+    kind: ObjectKind,
+    name: string,
+  ): Promise<Result<StoredObject | undefined, Unavailable>> {
+    const called = await this.#call('get', 'GET', objectPath(kind, name))
+    if (called.err) return called
+    if (called.val.status === 404) return Ok(undefined)
+    return Ok(objectSchema.parse(called.val.body))
+  }
+
+  async list(kind: ObjectKind, prefix: string): Promise<Result<ObjectList, Unavailable>> {
+    const path = `/v1/objects/${kind}?prefix=${encodeURIComponent(prefix)}`
+    const called = await this.#call('list', 'GET', path)
+    return called.err ? called : Ok(objectListSchema.parse(called.val.body))
+  }
+
+  async put(
+    kind: ObjectKind,
+    name: string,
+    value: unknown,
+    ifRevision: number,
+  ): Promise<Result<StoredObject, Conflict | Unavailable>> {
+    const path = `${objectPath(kind, name)}?ifRevision=${ifRevision}`
+    const called = await this.#call('put', 'PUT', path, value)
+    if (called.err) return called
+    if (called.val.status === 409) {
+      const { revision } = conflictSchema.parse(called.val.body)
+      return Err({ type: 'conflict', revision })
+    }
+    return Ok(objectSchema.parse(called.val.body))
+  }
+
+  async watch(
+    kind: ObjectKind,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<Result<ObjectList, Unavailable>> {
+    const path = `/v1/watch/${kind}?afterRevision=${afterRevision}&waitMs=${waitMs}`
+    const called = await this.#call('watch', 'GET', path, undefined, waitMs)
+    return called.err ? called : Ok(objectListSchema.parse(called.val.body))
+  }
+
+  /** The platform's list of live and leaving instances, which lags behind. */
+  async instances(): Promise<Result<Instance[], Unavailable>> {
+    const called = await this.#call('instances', 'GET', '/v1/instances')
+    return called.err ? called : Ok(instanceListSchema.parse(called.val.body).instances)
+  }
+
+  close(): void {
+    this.#agent.destroy()
+  }
+
+  async #call(
+    operation: string,
+    method: 'GET' | 'PUT',
+    path: string,
+    body?: unknown,
+    waitMs = 0,
+  ): Promise<CallResult> {
+    this.opts.onCall?.(operation)
+    try {
+      const res = await requestJson({
+        method,
+        url: `${this.opts.url}${path}`,
+        timeoutMs: this.#timeoutMs + waitMs,
+        agent: this.#agent,
+        ...(body === undefined ? {} : { body }),
+      })
+      if (res.status >= 500) return unavailable(`The platform answered ${res.status}.`)
+      return Ok(res)
+    } catch (err) {
+      return unavailable(err instanceof Error ? err.message : String(err))
+    }
+  }
+}
+
+function unavailable(message: string): CallResult {
+  return Err({ type: 'unavailable', message })
+}
+
+function objectPath(kind: ObjectKind, name: string): string {
+  return `/v1/objects/${kind}/${encodeURIComponent(name)}`
+}
--- /dev/null
+++ b/packages/platform/src/requestJson.ts
@@ -0,0 +1,73 @@
+/** One JSON call over Node's http client, with a deadline. */
+import { request, type Agent } from 'node:http'
+
+export interface JsonRequest {
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'
+  readonly url: string
+  readonly body?: unknown
+  /** Deadline of the whole call, in milliseconds. */
+  readonly timeoutMs: number
+  readonly agent?: Agent
+  readonly headers?: Readonly<Record<string, string>>
+}
+
+export interface JsonResponse {
+  readonly status: number
+  /** Parsed body; `undefined` if it is empty. */
+  readonly body: unknown
+}
+
+/**
+ * Sends a request and reads the JSON answer; rejects on transport errors and timeouts.
+ *
+ * @example
+ * const { status, body } = await requestJson({ method: 'GET', url, timeoutMs: 1_000 })
+ */
+export function requestJson(req: JsonRequest): Promise<JsonResponse> {
+  return new Promise((resolve, reject) => {
+    const payload = req.body === undefined ? undefined : JSON.stringify(req.body)
+    const headers = {
+      ...req.headers,
+      ...(payload === undefined
+        ? {}
+        : {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(payload),
+          }),
+    }
+    const options = {
+      method: req.method,
+      headers,
+      ...(req.agent && { agent: req.agent }),
+    }
+    const outgoing = request(req.url, options, (res) => {
+      const parts: Buffer[] = []
+      res.on('data', (part: Buffer) => parts.push(part))
+      res.on('error', fail)
+      res.on('close', () => {
+        if (!res.complete)
+          fail(new Error(`${req.url} closed before the end of the answer`))
+      })
+      res.on('end', () => {
+        clearTimeout(timer)
+        try {
+          const text = Buffer.concat(parts).toString()
+          const body: unknown = text === '' ? undefined : JSON.parse(text)
+          resolve({ status: res.statusCode ?? 0, body })
+        } catch (err) {
+          fail(err)
+        }
+      })
+    })
+    const fail = (err: unknown): void => {
+      clearTimeout(timer)
+      outgoing.destroy()
+      reject(err instanceof Error ? err : new Error(String(err)))
+    }
+    const timer = setTimeout(() => {
+      fail(new Error(`${req.url} did not answer within ${req.timeoutMs} ms`))
+    }, req.timeoutMs)
+    outgoing.on('error', fail)
+    outgoing.end(payload)
+  })
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/wagtailway/v1/peer_pb.js'
--- /dev/null
+++ b/packages/router/src/backend/chatMessages.ts
@@ -0,0 +1,31 @@
+/** Bodies of the chat completions API, as far as the router reads them. */
+import { z } from 'zod'
+
+/** A caller's request; fields that are not read pass through unchanged. */
+export const chatRequestSchema = z.looseObject({
+  model: z.string().min(1).max(200),
+  messages: z.array(z.looseObject({ role: z.string() })).min(1),
+  stream: z.boolean().optional(),
+})
+
+export const usageSchema = z.looseObject({
+  prompt_tokens: z.number().int().nonnegative(),
+  completion_tokens: z.number().int().nonnegative(),
+})
+
+export const completionSchema = z.looseObject({
+  choices: z
+    .array(z.looseObject({ message: z.looseObject({ content: z.string().nullish() }) }))
+    .min(1),
+  usage: usageSchema,
+})
+
+export const chunkSchema = z.looseObject({
+  choices: z.array(z.looseObject({ finish_reason: z.string().nullish() })),
+  usage: usageSchema.nullish(),
+})
+
+export type ChatRequest = z.infer<typeof chatRequestSchema>
+export type Usage = z.infer<typeof usageSchema>
+export type Completion = z.infer<typeof completionSchema>
+export type Chunk = z.infer<typeof chunkSchema>
--- /dev/null
+++ b/packages/router/src/peers/peerClients.ts
@@ -0,0 +1,48 @@
+/** Clients of other entry instances, one connection pool for all. */
+import { Agent } from 'node:http'
+import { createClient, type Client } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { PeerService } from '@wagtailway/protocol'
+
+export type PeerClient = Client<typeof PeerService>
+
+/**
+ * Creates and keeps a client for each address.
+ *
+ * @example
+ * const clients = PeerClients.create()
+ * await clients.of('10.0.0.5:7001').exchange({})
+ */
+export class PeerClients {
+  readonly #agent = new Agent({ keepAlive: true })
+  readonly #clients = new Map<string, PeerClient>()
+
+  static create(): PeerClients {
+    return new PeerClients()
+  }
+
+  of(address: string): PeerClient {
+    const known = this.#clients.get(address)
+    if (known) return known
+    const transport = createConnectTransport({
+      httpVersion: '1.1',
+      baseUrl: `http://${address}`,
+      nodeOptions: { agent: this.#agent },
+    })
+    const client = createClient(PeerService, transport)
+    this.#clients.set(address, client)
+    return client
+  }
+
+  /** Forgets clients of addresses that are gone. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const address of this.#clients.keys()) {
+      if (!addresses.has(address)) this.#clients.delete(address)
+    }
+  }
+
+  close(): void {
+    this.#agent.destroy()
+    this.#clients.clear()
+  }
+}
--- /dev/null
+++ b/packages/router/src/peers/peerServer.ts
@@ -0,0 +1,47 @@
+/** Serves other entry instances over connect-es. */
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { ServiceImpl } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { PeerService } from '@wagtailway/protocol'
+
+/**
+ * HTTP server of the peer service.
+ *
+ * @example
+ * const server = await PeerServer.create({ host: '127.0.0.1', port: 0, service })
+ */
+export class PeerServer {
+  private constructor(private readonly server: Server) {}
+
+  static async create(opts: {
+    host: string
+    port: number
+    service: Partial<ServiceImpl<typeof PeerService>>
+  }): Promise<PeerServer> {
+    const handler = connectNodeAdapter({
+      routes: (router) => router.service(PeerService, opts.service),
+    })
+    const server = createServer(handler)
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(opts.port, opts.host, resolve)
+    })
+    return new PeerServer(server)
+  }
+
+  get address(): string {
+    const { address, port } = this.server.address() as AddressInfo
+    return `${address}:${port}`
+  }
+
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve()
+      })
+    })
+    this.server.closeAllConnections()
+    await closed
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/completeOnce.ts
@@ -0,0 +1,132 @@
+/** One attempt of a chat completion at one backend server. */
+import {
+  Err,
+  Ok,
+  refuse,
+  type Candidate,
+  type Refusal,
+  type Result,
+} from '@wagtailway/core'
+import { readAnswer } from '../backend/backendClient.js'
+import type { Backend } from '../backend/backendTable.js'
+import {
+  completionSchema,
+  type ChatRequest,
+  type Chunk,
+  type Usage,
+} from '../backend/chatMessages.js'
+import { readStream } from '../backend/readStream.js'
+import { ANSWER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
+import { EventStream } from '../http/eventStream.js'
+import { sendJson } from '../http/sendAnswer.js'
+import type { RouterNode } from '../routerNode.js'
+import type { Call } from './call.js'
+
+const HTTP_OK = 200
+const MS_PER_SECOND = 1_000
+
+/** A whole answer; of a streamed one everything but the end has been sent. */
+export interface Answer {
+  readonly usage: Usage
+  readonly text: string
+  /** Sends what was held back until the answer was recorded. */
+  readonly finish: () => Promise<void>
+}
+
+/** Calls the backend server and checks its answer; streams it on if nothing can follow. */
+export async function completeOnce(
+  node: RouterNode,
+  call: Call,
+  chat: ChatRequest,
+  candidate: Candidate,
+  backend: Backend,
+  isLast: boolean,
+): Promise<Result<Answer, Refusal>> {
+  const streamed = chat.stream === true
+  const called = await node.client.call({
+    address: backend.instance.address,
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: { 'content-type': 'application/json', [REQUEST_ID_HEADER]: call.requestId },
+    body: JSON.stringify({ ...chat, model: candidate.key }),
+    progressTimeoutMs: node.cfg.progressTimeoutMs,
+    signal: call.signal,
+  })
+  if (called.err) return called
+  const { res, status } = called.val
+  if (status !== HTTP_OK) {
+    res.resume()
+    const message = `The backend server answered ${status}.`
+    return Err(refuse('backend_failed', 'unknown', message))
+  }
+  call.res.setHeader(ANSWER_HEADERS.version, candidate.key)
+  if (!streamed) return readPlain(call, await readAnswer(res))
+  return readStreamed(node, call, res, isLast)
+}
+
+function readPlain(call: Call, body: Result<Buffer, Refusal>): Result<Answer, Refusal> {
+  if (body.err) return body
+  const parsed = completionSchema.safeParse(parseJson(body.val))
+  if (!parsed.success) {
+    const message = 'The backend server did not answer with a chat completion.'
+    return Err(refuse('backend_invalid', 'unknown', message))
+  }
+  const completion = parsed.data
+  return Ok({
+    usage: completion.usage,
+    text: completion.choices[0]?.message.content ?? '',
+    finish: () => {
+      sendJson(call.res, HTTP_OK, completion)
+      return Promise.resolve()
+    },
+  })
+}
+
+async function readStreamed(
+  node: RouterNode,
+  call: Call,
+  res: Parameters<typeof readStream>[0],
+  isLast: boolean,
+): Promise<Result<Answer, Refusal>> {
+  const stream = EventStream.create(call.res)
+  const held: Chunk[] = []
+  let text = ''
+  let first = true
+  const end = await readStream(res, async (chunk) => {
+    text += contentOf(chunk)
+    if (!isLast) {
+      held.push(chunk)
+      return
+    }
+    if (first) observeFirstToken(node, call)
+    first = false
+    await stream.write(chunk)
+  })
+  if (end.err) return end
+  const finish = async (): Promise<void> => {
+    for (const chunk of held) await stream.write(chunk)
+    await stream.write(end.val.last)
+    stream.end()
+  }
+  return Ok({ usage: end.val.usage, text, finish })
+}
+
+function observeFirstToken(node: RouterNode, call: Call): void {
+  const seconds = (node.clock() - call.startMs) / MS_PER_SECOND
+  node.metrics.firstToken.observe({ class: call.classKey }, seconds)
+}
+
+function contentOf(chunk: Chunk): string {
+  const delta = chunk.choices[0]?.['delta']
+  if (typeof delta !== 'object' || delta === null) return ''
+  const content = (delta as { content?: unknown }).content
+  return typeof content === 'string' ? content : ''
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString())
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/completion.ts
@@ -0,0 +1,150 @@
+/**
+ * One chat completion from the caller's request to its answer:
+ * identify, admit, choose, claim, dispatch, check, go up, record, answer.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import {
+  Err,
+  Ok,
+  costMicros,
+  notRun,
+  type BackendCall,
+  type BillingRecord,
+  type Candidate,
+  type Refusal,
+  type Result,
+  type VersionPlan,
+} from '@wagtailway/core'
+import { chatRequestSchema, type ChatRequest } from '../backend/chatMessages.js'
+import { ANSWER_HEADERS } from '../constants.js'
+import { readBody } from '../http/readBody.js'
+import type { RouterNode } from '../routerNode.js'
+import { admit } from './admit.js'
+import { createCall, type Call } from './call.js'
+import { chooseVersions, mayDispatch } from './chooseVersions.js'
+import { claimRequest } from './claimRequest.js'
+import { completeOnce, type Answer } from './completeOnce.js'
+import { dispatch } from './dispatch.js'
+import { findClass, identify } from './identify.js'
+import { recordAnswer } from './recordAnswer.js'
+
+/** Serves one chat completion; a refusal is returned for the server to send. */
+export async function handleCompletion(
+  node: RouterNode,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<Result<undefined, Refusal>> {
+  const caller = identify(node, req)
+  if (caller.err) return caller
+  const body = await readBody(req, node.cfg.maxBodyBytes)
+  if (body.err) return body
+  const chat = parseChat(body.val)
+  if (chat.err) return chat
+  const cls = findClass(caller.val, req, chat.val.model)
+  if (cls.err) return cls
+  const call = createCall(node, req, res, caller.val.workspace, cls.val)
+  if (call.err) return call
+  try {
+    return await serve(node, call.val, chat.val)
+  } finally {
+    call.val.close()
+  }
+}
+
+async function serve(
+  node: RouterNode,
+  call: Call,
+  chat: ChatRequest,
+): Promise<Result<undefined, Refusal>> {
+  const refusal = admit(node, call)
+  if (refusal) return Err(refusal)
+  const plan = await chooseVersions(node, call)
+  if (plan.err) return plan
+  const claim = await claimRequest(node, call)
+  if (claim.err) return claim
+  call.res.setHeader(ANSWER_HEADERS.requestId, call.requestId)
+  const answered = await runPlan(node, call, chat, plan.val)
+  if (answered.err) return answered
+  const { answer, calls, cost, candidate } = answered.val
+  await recordAnswer(node, call, candidate, toRecord(node, call, calls, cost))
+  await answer.finish()
+  return Ok(undefined)
+}
+
+interface PlanResult {
+  readonly answer: Answer
+  readonly candidate: Candidate
+  readonly calls: readonly BackendCall[]
+  readonly cost: number
+}
+
+/** Tries the plan's versions in turn until an answer is good enough. */
+async function runPlan(
+  node: RouterNode,
+  call: Call,
+  chat: ChatRequest,
+  plan: VersionPlan,
+): Promise<Result<PlanResult, Refusal>> {
+  const calls: BackendCall[] = []
+  let cost = 0
+  let failure: Refusal = notRun('no_version', 'The plan names no version.')
+  for (const [i, candidate] of plan.steps.entries()) {
+    const isLast = i === plan.steps.length - 1
+    if (i > 0) node.metrics.escalations.inc({ class: call.classKey })
+    const { outcome, backend } = await dispatch({
+      node,
+      call,
+      backends: () => node.backends.serving(candidate.key),
+      mayDispatch: () => mayDispatch(node, candidate),
+      attempt: (target) => completeOnce(node, call, chat, candidate, target, isLast),
+      repeatable: () => !call.nonIdempotent && !call.res.headersSent,
+    })
+    if (outcome.err) {
+      failure = outcome.val
+      break
+    }
+    const answer = outcome.val
+    const { prompt_tokens, completion_tokens } = answer.usage
+    cost += costMicros(candidate, prompt_tokens, completion_tokens)
+    calls.push({
+      versionKey: candidate.key,
+      backend: backend?.instance.id ?? '',
+      promptTokens: prompt_tokens,
+      completionTokens: completion_tokens,
+    })
+    const accepted = isLast || (plan.accepts?.(candidate, answer.text) ?? true)
+    if (accepted) return Ok({ answer, candidate, calls, cost })
+  }
+  return Err(failure)
+}
+
+function toRecord(
+  node: RouterNode,
+  call: Call,
+  calls: readonly BackendCall[],
+  cost: number,
+): BillingRecord {
+  return {
+    requestId: call.requestId,
+    workspace: call.workspace.name,
+    classKey: call.classKey,
+    calls: [...calls],
+    costMicros: cost,
+    atMs: node.wallClock(),
+  }
+}
+
+function parseChat(body: Buffer): Result<ChatRequest, Refusal> {
+  let value: unknown
+  try {
+    value = JSON.parse(body.toString())
+  } catch {
+    return Err(notRun('bad_request', 'The body is not JSON.'))
+  }
+  const parsed = chatRequestSchema.safeParse(value)
+  if (parsed.success) return Ok(parsed.data)
+  const problems = parsed.error.issues.map((i) => `${i.path.join('.')}: ${i.message}`)
+  return Err(
+    notRun('bad_request', `Not a chat completion request: ${problems.join('; ')}.`),
+  )
+}
--- /dev/null
+++ b/packages/scenario/src/demo/runDemo.ts
@@ -0,0 +1,154 @@
+/** Runs one deployment of the playground under load and checks both ends. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { classKey, seededRandom, type Random } from '@wagtailway/core'
+import type { StartedRequest } from '@wagtailway/standins'
+import { checkBilling, readBilling, type BillingCheck } from '../check/billing.js'
+import { Deployment } from '../harness/deployment.js'
+import { ChatCaller, type ChatResult } from '../load/chatCaller.js'
+import { openLoop } from '../load/openLoop.js'
+import { ClassStats } from './classStats.js'
+import type { DemoClass, DemoDeployment } from './deployments.js'
+
+export interface DemoOptions {
+  readonly requests: number
+  readonly ratePerSecond: number
+  readonly routers: number
+  readonly seed: number
+}
+
+export interface DemoReport extends BillingCheck {
+  readonly name: string
+  readonly classes: ReadonlyMap<string, ClassStats>
+  readonly billed: number
+  /** Answered requests that no engine has finished. */
+  readonly unknownToEngines: readonly string[]
+  /** Answered requests that engines have run more than once. */
+  readonly ranTwice: readonly string[]
+}
+
+/** Requests of one session. */
+const SESSION_LENGTH = 5
+
+const BILLING_POLL_MS = 100
+const BILLING_TIMEOUT_MS = 10_000
+
+/** Starts the deployment, sends the requests and compares both ends. */
+export async function runDemo(
+  spec: DemoDeployment,
+  opts: DemoOptions,
+): Promise<DemoReport> {
+  const deployment = await Deployment.start({ ...spec, ...opts })
+  try {
+    await setQualities(deployment, spec)
+    const { classes, answered } = await sendAll(deployment, spec, opts)
+    const records = await waitForBilling(deployment.platformUrl, answered)
+    for (const record of records) {
+      const stats = classes.get(record.classKey)
+      if (stats) stats.costMicros += record.costMicros
+    }
+    const billing = checkBilling(answered, records)
+    const runs = await finishedRuns(deployment)
+    return {
+      name: spec.name,
+      classes,
+      billed: records.length,
+      ...billing,
+      unknownToEngines: answered.filter((id) => !runs.has(id)),
+      ranTwice: answered.filter((id) => (runs.get(id) ?? 0) > 1),
+    }
+  } finally {
+    await deployment.close()
+  }
+}
+
+async function setQualities(deployment: Deployment, spec: DemoDeployment): Promise<void> {
+  for (const [version, quality] of Object.entries(spec.qualities)) {
+    const path = `/admin/quality/${encodeURIComponent(version)}`
+    await deployment.admin(deployment.ratings, 'PUT', path, quality)
+  }
+}
+
+async function sendAll(
+  deployment: Deployment,
+  spec: DemoDeployment,
+  opts: DemoOptions,
+): Promise<{ classes: Map<string, ClassStats>; answered: string[] }> {
+  const random = seededRandom(opts.seed)
+  const caller = ChatCaller.create()
+  const classes = new Map<string, ClassStats>()
+  const answered: string[] = []
+  await openLoop({
+    count: opts.requests,
+    ratePerSecond: opts.ratePerSecond,
+    random,
+    send: async (index, dueMs) => {
+      const cls = pickClass(spec.classes, random)
+      const router = deployment.routers[index % deployment.routers.length]
+      const result = await caller.send({
+        address: router?.address ?? '',
+        apiKey: cls.apiKey,
+        className: cls.className,
+        prompt: `${cls.className} request ${index}`,
+        stream: cls.stream,
+        headers: sessionHeaders(cls, index),
+      })
+      const stats = statsOf(classes, cls)
+      const quality = spec.qualities[result.versionKey] ?? 0
+      stats.add(result, performance.now() - dueMs, cls.stream, quality)
+      if (isAnswered(result)) answered.push(result.requestId)
+    },
+  })
+  caller.close()
+  return { classes, answered }
+}
+
+function isAnswered(result: ChatResult): boolean {
+  return result.status === 200 && result.whole
+}
+
+function sessionHeaders(cls: DemoClass, index: number): Record<string, string> {
+  if (!cls.sessions) return {}
+  return { 'wagtailway-session': `s${Math.floor(index / SESSION_LENGTH)}` }
+}
+
+function pickClass(classes: readonly DemoClass[], random: Random): DemoClass {
+  const total = classes.reduce((sum, { weight }) => sum + weight, 0)
+  let left = random() * total
+  for (const cls of classes) {
+    left -= cls.weight
+    if (left < 0) return cls
+  }
+  throw new Error('a deployment needs at least one class')
+}
+
+function statsOf(classes: Map<string, ClassStats>, cls: DemoClass): ClassStats {
+  const key = classKey(cls.workspace, cls.className)
+  const stats = classes.get(key) ?? ClassStats.create()
+  classes.set(key, stats)
+  return stats
+}
+
+/** Waits until every answer is billed or the time is up. */
+async function waitForBilling(
+  platformUrl: string,
+  answered: readonly string[],
+): Promise<Awaited<ReturnType<typeof readBilling>>> {
+  const until = Date.now() + BILLING_TIMEOUT_MS
+  for (;;) {
+    const records = await readBilling(platformUrl)
+    if (checkBilling(answered, records).unbilled.length === 0) return records
+    if (Date.now() > until) return records
+    await delay(BILLING_POLL_MS)
+  }
+}
+
+async function finishedRuns(deployment: Deployment): Promise<Map<string, number>> {
+  const runs = new Map<string, number>()
+  for (const engine of deployment.engines.values()) {
+    const started = await deployment.admin(engine, 'GET', '/admin/started')
+    for (const { requestId, finished } of started as StartedRequest[]) {
+      if (finished) runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
+    }
+  }
+  return runs
+}
--- /dev/null
+++ b/packages/scenario/src/harness/childProcess.ts
@@ -0,0 +1,96 @@
+/**
+ * Starts and ends the processes of a test deployment.
+ *
+ * Only the test tools start processes; the product's own never do.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+
+export interface StartOptions {
+  /** Package and binary, such as `router/wagtailway-router`. */
+  readonly binary: string
+  readonly args: readonly string[]
+  /** Receives each line that the process logs. */
+  readonly onLogLine?: (line: string) => void
+}
+
+/**
+ * A running process that announced its address.
+ *
+ * @example
+ * const router = await TestProcess.start({ binary: 'router/wagtailway-router', args })
+ * router.addresses[0] // '127.0.0.1:40123'
+ * await router.stop()
+ */
+export class TestProcess {
+  private constructor(
+    private readonly child: ChildProcess,
+    /** Addresses in the order of the announcement. */
+    readonly addresses: readonly string[],
+  ) {}
+
+  static async start(opts: StartOptions): Promise<TestProcess> {
+    const [pkg, name] = opts.binary.split('/')
+    const path = fileURLToPath(
+      new URL(`../../../${pkg ?? ''}/bin/${name ?? ''}.js`, import.meta.url),
+    )
+    const child = spawn(process.execPath, ['--enable-source-maps', path, ...opts.args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    })
+    const errors: string[] = []
+    createInterface({ input: child.stderr }).on('line', (line) => {
+      errors.push(line)
+      opts.onLogLine?.(line)
+    })
+    const announced = await firstLine(child)
+    if (announced === undefined) {
+      throw new Error(`${opts.binary} did not start:\n${errors.join('\n')}`)
+    }
+    return new TestProcess(child, announced.match(/[\d.]+:\d+/g) ?? [])
+  }
+
+  get address(): string {
+    return this.addresses[0] ?? ''
+  }
+
+  get hasExited(): boolean {
+    return this.child.exitCode !== null || this.child.signalCode !== null
+  }
+
+  /** Ends the process at once. */
+  async kill(): Promise<void> {
+    await this.#end('SIGKILL')
+  }
+
+  /** Asks the process to leave and waits for its end. */
+  async stop(): Promise<void> {
+    await this.#end('SIGTERM')
+  }
+
+  /** Stops the process from running without its noticing. */
+  freeze(): void {
+    this.child.kill('SIGSTOP')
+  }
+
+  /** Lets a frozen process go on. */
+  thaw(): void {
+    this.child.kill('SIGCONT')
+  }
+
+  async #end(signal: NodeJS.Signals): Promise<void> {
+    if (this.hasExited) return
+    const exited = once(this.child, 'exit')
+    this.child.kill(signal)
+    if (signal === 'SIGTERM') this.child.kill('SIGCONT')
+    await exited
+  }
+}
+
+async function firstLine(child: ChildProcess): Promise<string | undefined> {
+  if (!child.stdout) return undefined
+  const lines = createInterface({ input: child.stdout })
+  for await (const line of lines) return line
+  return undefined
+}
--- /dev/null
+++ b/packages/scenario/src/harness/deployment.ts
@@ -0,0 +1,183 @@
+/** A whole deployment as separate processes on loopback. */
+import { readdir } from 'node:fs/promises'
+import { join } from 'node:path'
+import { apply } from '@wagtailway/ctl'
+import { PlatformClient, requestJson, type Instance } from '@wagtailway/platform'
+import { TestProcess } from './childProcess.js'
+
+export interface EngineSpec {
+  readonly id: string
+  readonly zone: string
+  /** Served versions as `model@version`. */
+  readonly versions: readonly string[]
+  /** More flags of `wagtailway-engine`. */
+  readonly flags?: readonly string[]
+}
+
+export interface DeploymentOptions {
+  /** Folder with the declarations. */
+  readonly declarations: string
+  readonly routers: number
+  /** More flags of every router. */
+  readonly routerFlags?: readonly string[]
+  readonly engines: readonly EngineSpec[]
+  /** Names of the plain services, one replica each. */
+  readonly services: readonly string[]
+  readonly seed: number
+}
+
+const ADMIN_TIMEOUT_MS = 5_000
+const READY_POLL_MS = 50
+const READY_TIMEOUT_MS = 15_000
+const SESSION_KEY = 'playground-session-key'
+
+/**
+ * Runs a deployment's processes and ends them.
+ *
+ * @example
+ * const deployment = await Deployment.start(opts)
+ * deployment.routers[0]?.address
+ * await deployment.close()
+ */
+export class Deployment {
+  readonly routers: TestProcess[] = []
+  readonly engines = new Map<string, TestProcess>()
+  readonly services = new Map<string, TestProcess>()
+  platform!: TestProcess
+  ratings!: TestProcess
+
+  private constructor(private readonly opts: DeploymentOptions) {}
+
+  static async start(opts: DeploymentOptions): Promise<Deployment> {
+    const deployment = new Deployment(opts)
+    try {
+      await deployment.#start()
+    } catch (err) {
+      await deployment.close()
+      throw err
+    }
+    return deployment
+  }
+
+  get platformUrl(): string {
+    return `http://${this.platform.address}`
+  }
+
+  /** Starts one more router and puts it on the platform's list. */
+  async startRouter(): Promise<TestProcess> {
+    const index = this.routers.length
+    const node = `n${index + 1}`
+    const zone = `z${(index % 3) + 1}`
+    const router = await TestProcess.start({
+      binary: 'router/wagtailway-router',
+      args: [
+        ...['--node', node, '--zone', zone, '--platform', this.platformUrl],
+        ...['--ratings', `http://${this.ratings.address}`],
+        ...['--session-keys', SESSION_KEY, '--seed', String(this.opts.seed + index)],
+        ...(this.opts.routerFlags ?? []),
+      ],
+    })
+    this.routers.push(router)
+    await this.setInstance({
+      id: node,
+      role: 'entry',
+      address: router.addresses[1] ?? '',
+      zone,
+      region: 'r1',
+      state: 'live',
+      versions: [],
+    })
+    return router
+  }
+
+  /** Adds or changes an instance of the platform's list. */
+  async setInstance(instance: Instance): Promise<void> {
+    await this.admin(this.platform, 'PUT', '/admin/instances', instance)
+  }
+
+  /** Calls an administration route of a stand-in. */
+  async admin(
+    target: TestProcess,
+    method: 'GET' | 'PUT' | 'POST',
+    path: string,
+    body?: unknown,
+  ): Promise<unknown> {
+    const url = `http://${target.address}${path}`
+    const res = await requestJson({ method, url, body, timeoutMs: ADMIN_TIMEOUT_MS })
+    return res.body
+  }
+
+  /** Waits until every router says that it is ready. */
+  async waitUntilReady(): Promise<void> {
+    await Promise.all(this.routers.map((router) => waitReady(router.address)))
+  }
+
+  async close(): Promise<void> {
+    const all = [
+      ...this.routers,
+      ...this.engines.values(),
+      ...this.services.values(),
+      ...[this.ratings, this.platform].filter((p): p is TestProcess => Boolean(p)),
+    ]
+    await Promise.all(all.map((process) => process.kill()))
+  }
+
+  async #start(): Promise<void> {
+    this.platform = await TestProcess.start({
+      binary: 'standins/wagtailway-platform',
+      args: [],
+    })
+    this.ratings = await TestProcess.start({
+      binary: 'standins/wagtailway-ratings',
+      args: ['--seed', String(this.opts.seed)],
+    })
+    await this.#applyDeclarations()
+    await Promise.all([
+      ...this.opts.engines.map((spec) => this.#startEngine(spec)),
+      ...this.opts.services.map((name) => this.#startService(name)),
+    ])
+    for (let i = 0; i < this.opts.routers; i++) await this.startRouter()
+    await this.waitUntilReady()
+  }
+
+  async #startEngine(spec: EngineSpec): Promise<void> {
+    const engine = await TestProcess.start({
+      binary: 'standins/wagtailway-engine',
+      args: [
+        ...['--id', spec.id, '--zone', spec.zone, '--platform', this.platformUrl],
+        ...['--versions', spec.versions.join(','), ...(spec.flags ?? [])],
+      ],
+    })
+    this.engines.set(spec.id, engine)
+  }
+
+  async #startService(name: string): Promise<void> {
+    const service = await TestProcess.start({
+      binary: 'standins/wagtailway-service',
+      args: ['--id', `${name}-1`, '--name', name, '--platform', this.platformUrl],
+    })
+    this.services.set(name, service)
+  }
+
+  async #applyDeclarations(): Promise<void> {
+    const folder = this.opts.declarations
+    const files = (await readdir(folder)).filter((name) => name.endsWith('.yaml'))
+    const client = PlatformClient.create({ url: this.platformUrl })
+    const lines: string[] = []
+    const paths = files.map((name) => join(folder, name))
+    const code = await apply(client, paths, (line) => lines.push(line))
+    client.close()
+    if (code !== 0) throw new Error(`declarations were not applied:\n${lines.join('\n')}`)
+  }
+}
+
+async function waitReady(address: string): Promise<void> {
+  const until = Date.now() + READY_TIMEOUT_MS
+  while (Date.now() < until) {
+    const url = `http://${address}/readyz`
+    const res = await requestJson({ method: 'GET', url, timeoutMs: ADMIN_TIMEOUT_MS })
+    if (res.status === 200) return
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
+  }
+  throw new Error(`${address} was not ready within ${READY_TIMEOUT_MS} ms`)
+}
--- /dev/null
+++ b/packages/standins/bin/wagtailway-engine.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runEngine } from '../dist/cli.js'
+
+await runEngine()
--- /dev/null
+++ b/packages/standins/bin/wagtailway-platform.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runPlatform } from '../dist/cli.js'
+
+await runPlatform()
--- /dev/null
+++ b/packages/standins/bin/wagtailway-ratings.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runRatings } from '../dist/cli.js'
+
+await runRatings()
--- /dev/null
+++ b/packages/standins/bin/wagtailway-service.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runService } from '../dist/cli.js'
+
+await runService()
--- /dev/null
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -0,0 +1,206 @@
+/**
+ * Stand-in of the platform: versioned objects, watches and the list of instances,
+ * with outages, slow answers, lost confirmations and a lagging list.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+import { MemoryStore, type CallFault, type ObjectKind } from '@wagtailway/core'
+import { instanceSchema, objectSchema, type Instance } from '@wagtailway/platform'
+import { z } from 'zod'
+import { JsonServer, sendJson, type Route, type RouteCall } from '../http/jsonServer.js'
+
+export const platformFaultsSchema = z.object({
+  /** Every call but those under /admin is answered 503. */
+  outage: z.boolean(),
+  /** Added to every answer, in milliseconds. */
+  latencyMs: z.number().nonnegative(),
+  /** So many next writes take effect but are answered 503. */
+  loseConfirmations: z.number().int().nonnegative(),
+  /** Age of the list of instances, in milliseconds. */
+  listLagMs: z.number().nonnegative(),
+})
+
+export type PlatformFaults = z.infer<typeof platformFaultsSchema>
+
+const objectKindSchema = objectSchema.shape.kind
+
+const NO_FAULTS: PlatformFaults = {
+  outage: false,
+  latencyMs: 0,
+  loseConfirmations: 0,
+  listLagMs: 0,
+}
+
+/**
+ * Serves the platform's API on loopback.
+ *
+ * @example
+ * const platform = await PlatformStandin.create({ port: 0 })
+ * platform.url
+ */
+export class PlatformStandin {
+  readonly #instances = new Map<string, Instance>()
+  readonly #callsByOperation = new Map<string, number>()
+  readonly #store = MemoryStore.create((operation) => this.#fate(operation))
+  #faults: PlatformFaults = NO_FAULTS
+  /** Lists of instances with the time they were made, oldest first. */
+  #lists: { atMs: number; instances: Instance[] }[] = [{ atMs: 0, instances: [] }]
+  #server: JsonServer | undefined
+
+  static async create(opts: { port: number }): Promise<PlatformStandin> {
+    const standin = new PlatformStandin()
+    standin.#server = await JsonServer.create({
+      port: opts.port,
+      routes: standin.#routes(),
+    })
+    return standin
+  }
+
+  get url(): string {
+    return this.#server?.url ?? ''
+  }
+
+  /** The objects, for checks that don't count as calls of the product. */
+  get store(): MemoryStore {
+    return this.#store
+  }
+
+  setFaults(faults: Partial<PlatformFaults>): void {
+    this.#faults = { ...this.#faults, ...faults }
+  }
+
+  /** Adds or replaces an instance of the list. */
+  setInstance(instance: Instance): void {
+    this.#instances.set(instance.id, instance)
+    this.#lists.push({ atMs: Date.now(), instances: [...this.#instances.values()] })
+  }
+
+  removeInstance(id: string): void {
+    this.#instances.delete(id)
+    this.#lists.push({ atMs: Date.now(), instances: [...this.#instances.values()] })
+  }
+
+  async close(): Promise<void> {
+    await this.#server?.close()
+  }
+
+  #fate(operation: string): CallFault {
+    if (operation !== 'put' || this.#faults.loseConfirmations === 0) return 'none'
+    this.#faults = {
+      ...this.#faults,
+      loseConfirmations: this.#faults.loseConfirmations - 1,
+    }
+    return 'unconfirmed'
+  }
+
+  #routes(): Route[] {
+    const api = (
+      method: string,
+      pattern: RegExp,
+      operation: string,
+      handle: (call: RouteCall) => Promise<void>,
+    ): Route => ({
+      method,
+      pattern,
+      handle: (call) => this.#guard(operation, call, handle),
+    })
+    return [
+      api('GET', /^\/v1\/objects\/([^/]+)\/([^/]+)$/, 'get', (call) => this.#get(call)),
+      api('GET', /^\/v1\/objects\/([^/]+)$/, 'list', (call) => this.#list(call)),
+      api('PUT', /^\/v1\/objects\/([^/]+)\/([^/]+)$/, 'put', (call) => this.#put(call)),
+      api('GET', /^\/v1\/watch\/([^/]+)$/, 'watch', (call) => this.#watch(call)),
+      api('GET', /^\/v1\/instances$/, 'instances', (call) => {
+        sendJson(call.res, 200, { instances: this.#laggingList() })
+        return Promise.resolve()
+      }),
+      ...this.#adminRoutes(),
+    ]
+  }
+
+  #adminRoutes(): Route[] {
+    return [
+      {
+        method: 'POST',
+        pattern: /^\/admin\/faults$/,
+        handle: ({ res, body }) => {
+          this.setFaults(platformFaultsSchema.partial().parse(JSON.parse(body)))
+          sendJson(res, 200, this.#faults)
+        },
+      },
+      {
+        method: 'PUT',
+        pattern: /^\/admin\/instances$/,
+        handle: ({ res, body }) => {
+          this.setInstance(instanceSchema.parse(JSON.parse(body)))
+          sendJson(res, 200, {})
+        },
+      },
+      {
+        method: 'DELETE',
+        pattern: /^\/admin\/instances\/([^/]+)$/,
+        handle: ({ res, params }) => {
+          this.removeInstance(params[0] ?? '')
+          sendJson(res, 200, {})
+        },
+      },
+      {
+        method: 'GET',
+        pattern: /^\/admin\/calls$/,
+        handle: ({ res }) => {
+          sendJson(res, 200, Object.fromEntries(this.#callsByOperation))
+        },
+      },
+    ]
+  }
+
+  async #guard(
+    operation: string,
+    call: RouteCall,
+    handle: (call: RouteCall) => Promise<void>,
+  ): Promise<void> {
+    const calls = this.#callsByOperation.get(operation) ?? 0
+    this.#callsByOperation.set(operation, calls + 1)
+    if (this.#faults.latencyMs > 0) await delay(this.#faults.latencyMs)
+    if (this.#faults.outage) sendJson(call.res, 503, { error: 'outage' })
+    else await handle(call)
+  }
+
+  async #get({ res, params }: RouteCall): Promise<void> {
+    const found = await this.#store.get(kindOf(params), params[1] ?? '')
+    if (found.err) sendJson(res, 503, found.val)
+    else if (found.val === undefined) sendJson(res, 404, {})
+    else sendJson(res, 200, found.val)
+  }
+
+  async #list({ res, params, url }: RouteCall): Promise<void> {
+    const prefix = url.searchParams.get('prefix') ?? ''
+    const found = await this.#store.list(kindOf(params), prefix)
+    sendJson(res, found.ok ? 200 : 503, found.val)
+  }
+
+  async #put({ res, params, url, body }: RouteCall): Promise<void> {
+    const ifRevision = Number(url.searchParams.get('ifRevision') ?? '0')
+    const value: unknown = JSON.parse(body)
+    const put = await this.#store.put(kindOf(params), params[1] ?? '', value, ifRevision)
+    if (put.ok) sendJson(res, 200, put.val)
+    else sendJson(res, put.val.type === 'conflict' ? 409 : 503, put.val)
+  }
+
+  async #watch({ res, params, url }: RouteCall): Promise<void> {
+    const after = Number(url.searchParams.get('afterRevision') ?? '0')
+    const waitMs = Number(url.searchParams.get('waitMs') ?? '0')
+    const found = await this.#store.watch(kindOf(params), after, waitMs)
+    // An outage that began while the watch was waiting cuts it too.
+    if (this.#faults.outage) sendJson(res, 503, { error: 'outage' })
+    else sendJson(res, found.ok ? 200 : 503, found.val)
+  }
+
+  #laggingList(): Instance[] {
+    const until = Date.now() - this.#faults.listLagMs
+    const visible = this.#lists.filter(({ atMs }) => atMs <= until)
+    return (visible.at(-1) ?? this.#lists[0])?.instances ?? []
+  }
+}
+
+function kindOf(params: readonly string[]): ObjectKind {
+  return objectKindSchema.parse(params[0])
+}
--- /dev/null
+++ b/packages/wagtailway/src/admit/admission.ts
@@ -0,0 +1,28 @@
+/** Admission of requests before any work is spent on them. */
+import type { Refusal } from '../refusal.js'
+import { notRun } from '../refusal.js'
+
+export interface AdmissionQuery {
+  readonly workspace: string
+  /** 0 is served last, 9 first. */
+  readonly priority: number
+  /** Requests in progress at this node. */
+  readonly inProgress: number
+}
+
+/** Decides on one request; `undefined` admits it. */
+export type AdmissionPolicy = (query: AdmissionQuery) => Refusal | undefined
+
+/**
+ * Refuses beyond a number of requests in progress.
+ *
+ * @example
+ * const admit = concurrencyLimit(1_000)
+ * admit({ workspace: 'kebele', priority: 5, inProgress: 10 }) // undefined
+ */
+export function concurrencyLimit(limit: number): AdmissionPolicy {
+  return ({ inProgress }) =>
+    inProgress < limit
+      ? undefined
+      : notRun('overloaded', 'This instance is busy; retry later.', 500)
+}
--- /dev/null
+++ b/packages/wagtailway/src/config/effective.ts
@@ -0,0 +1,67 @@
+/** The configuration in force: what reconciling all declarations gives. */
+import { z } from 'zod'
+import {
+  classSchema,
+  modelSchema,
+  rolloutSchema,
+  serviceSchema,
+  withdrawalSchema,
+  workspaceSchema,
+} from './schema.js'
+
+const owned = { owner: z.string() }
+
+export const effectiveSchema = z.object({
+  workspaces: z.array(workspaceSchema.extend(owned)),
+  models: z.array(modelSchema.extend(owned)),
+  services: z.array(serviceSchema.extend(owned)),
+  classes: z.array(classSchema.extend(owned)),
+  rollouts: z.array(rolloutSchema.extend(owned)),
+  withdrawals: z.array(withdrawalSchema.extend(owned)),
+})
+
+export type Effective = z.infer<typeof effectiveSchema>
+export type EffectiveClass = Effective['classes'][number]
+export type EffectiveWorkspace = Effective['workspaces'][number]
+export type EffectiveService = Effective['services'][number]
+
+/** Configuration with no declarations. */
+export const EMPTY_EFFECTIVE: Effective = {
+  workspaces: [],
+  models: [],
+  services: [],
+  classes: [],
+  rollouts: [],
+  withdrawals: [],
+}
+
+/** A version that a class may use, with its price. */
+export interface Candidate {
+  readonly model: string
+  readonly version: string
+  /** `model@version`, the key of estimates and counters. */
+  readonly key: string
+  readonly promptPrice: number
+  readonly completionPrice: number
+  readonly expectedQuality: number
+}
+
+/**
+ * Key of a class across workspaces.
+ *
+ * @example
+ * classKey('kebele', 'dossier') // 'kebele/dossier'
+ */
+export function classKey(workspace: string, className: string): string {
+  return `${workspace}/${className}`
+}
+
+/**
+ * Key of a version across models.
+ *
+ * @example
+ * versionKey('summariser', 'v2') // 'summariser@v2'
+ */
+export function versionKey(model: string, version: string): string {
+  return `${model}@${version}`
+}
--- /dev/null
+++ b/packages/wagtailway/src/config/findings.ts
@@ -0,0 +1,38 @@
+/** Findings about declarations, collected with their place and reported together. */
+
+export type FindingRule =
+  | 'syntax'
+  | 'schema'
+  | 'not_granted'
+  | 'duplicate'
+  | 'unknown_reference'
+  | 'not_offered'
+  | 'conflicting'
+
+export interface Place {
+  /** File or object that holds the document. */
+  readonly source: string
+  /** Path inside the document, such as `classes[2].allow[0].model`. */
+  readonly path: string
+  /** One-based line, where the text is known. */
+  readonly line?: number
+}
+
+export interface Finding {
+  readonly rule: FindingRule
+  readonly owner: string
+  readonly place: Place
+  /** What is wrong and what to do about it. */
+  readonly message: string
+}
+
+/**
+ * Formats a finding on one line.
+ *
+ * @example
+ * formatFinding(finding) // 'gebeta.yaml:12 classes[0].allow[0].model [unknown_reference] ...'
+ */
+export function formatFinding({ rule, owner, place, message }: Finding): string {
+  const line = place.line === undefined ? '' : `:${place.line}`
+  return `${place.source}${line} ${place.path} [${rule}] ${message} (owner ${owner})`
+}
--- /dev/null
+++ b/packages/wagtailway/src/session/sessionToken.ts
@@ -0,0 +1,65 @@
+/**
+ * Signed tokens that a caller carries to keep its session on one version.
+ *
+ * A token names the workspace, the session and the version; any node that has
+ * the signing keys can check it without asking anybody.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import { z } from 'zod'
+
+const claimsSchema = z.object({
+  workspace: z.string(),
+  session: z.string(),
+  className: z.string(),
+  versionKey: z.string(),
+})
+
+export type SessionClaims = z.infer<typeof claimsSchema>
+
+/**
+ * Signs session claims.
+ *
+ * @param key Secret shared by all nodes.
+ *
+ * @example
+ * const token = signSession(claims, 'secret')
+ */
+export function signSession(claims: SessionClaims, key: string): string {
+  const body = Buffer.from(JSON.stringify(claims)).toString('base64url')
+  return `${body}.${mac(body, key)}`
+}
+
+/**
+ * Checks a token against every key still valid; `undefined` for anything forged or malformed.
+ *
+ * @example
+ * const claims = verifySession(token, ['newest-key', 'previous-key'])
+ */
+export function verifySession(
+  token: string,
+  keys: readonly string[],
+): SessionClaims | undefined {
+  const [body, signature] = token.split('.')
+  if (body === undefined || signature === undefined) return undefined
+  if (!keys.some((key) => sameText(mac(body, key), signature))) return undefined
+  const parsed = claimsSchema.safeParse(parseJson(body))
+  return parsed.success ? parsed.data : undefined
+}
+
+function mac(body: string, key: string): string {
+  return createHmac('sha256', key).update(body).digest('base64url')
+}
+
+function sameText(a: string, b: string): boolean {
+  const left = Buffer.from(a)
+  const right = Buffer.from(b)
+  return left.length === right.length && timingSafeEqual(left, right)
+}
+
+function parseJson(body: string): unknown {
+  try {
+    return JSON.parse(Buffer.from(body, 'base64url').toString())
+  } catch {
+    return undefined
+  }
+}
