--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -97,7 +97,7 @@
       random: seededRandom(cfg.seed),
       clock: monotonicClock,
       wallClock,
-      copyRecord: (record) => peers.copyRecord(record),
+      copyRecord: (record) => peers.copies.copy(record),
       requestRating: (answer) => {
         ratings.request(answer)
       },
@@ -123,7 +123,7 @@
     if (this.#leaving) return
     this.#leaving = true
     this.node.log.info('leaving')
-    await this.peers.leave()
+    await this.peers.heartbeats.leave()
     await delay(this.node.cfg.drainGraceMs)
     await this.#server.close()
     await this.#storeRecords()
@@ -147,7 +147,7 @@
         this.#hasList = true
         peers.setListed(instances)
       },
-      onStored: (requestIds) => void peers.dropCopies(requestIds),
+      onStored: (requestIds) => void peers.copies.drop(requestIds),
     })
     const isReady = (): boolean => !this.#leaving && this.#hasList && node.config.isFresh
     this.#server = await CallerServer.create({ node, isReady })
@@ -155,7 +155,7 @@
 
   async #storeRecords(): Promise<void> {
     const { node, peers } = this
-    const onStored = (ids: readonly string[]): void => void peers.dropCopies(ids)
+    const onStored = (ids: readonly string[]): void => void peers.copies.drop(ids)
     for (let i = 0; i < LAST_FLUSH_ATTEMPTS; i++) {
       await flushLedger({ node, onStored })
       if (node.ledger.pendingCount === 0) return
--- a/packages/wagtailway/src/claim/claimTable.ts
+++ b/packages/wagtailway/src/claim/claimTable.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock } from '../clock.js'
 import { Channel, settle, spawn } from '../csp/channel.js'
+import { hash32 } from '../hash.js'
 import type { ObjectStore } from '../platform/objectStore.js'
 import { z } from 'zod'
 
@@ -86,7 +87,7 @@
 
   /** Claims a key. Unavailable means that the claim must be treated as not granted. */
   claim(request: ClaimRequest): Promise<ClaimVerdict> {
-    const index = hashOf(request.key) % this.#ranges.length
+    const index = hash32(request.key) % this.#ranges.length
     const range = this.#ranges[index]
     return range ? range.claim(request) : Promise.resolve({ type: 'unavailable' })
   }
@@ -199,9 +200,3 @@
 function decideAll(group: readonly Pending[], verdict: ClaimVerdict): void {
   for (const { decide } of group) decide(verdict)
 }
-
-function hashOf(key: string): number {
-  let hash = 0
-  for (let i = 0; i < key.length; i++) hash = (hash * 31 + key.charCodeAt(i)) >>> 0
-  return hash
-}
