--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -34,15 +34,15 @@
 
   static async create(opts: PeersOptions): Promise<Peers> {
     const clients = PeerClients.create()
-    // The parts need the server's address, so its calls reach them through this variable.
-    let peers: Peers | undefined
+    // The parts need the server's address, so its calls reach them through this holder.
+    const holder: { peers?: Peers } = {}
     const server = await PeerServer.create({
       host: opts.host,
       port: opts.port,
       service: {
-        exchange: (request) => peers?.heartbeats.exchange(request) ?? {},
+        exchange: (request) => holder.peers?.heartbeats.exchange(request) ?? {},
         copyRecords: (request) => {
-          peers?.copies.receive(request)
+          holder.peers?.copies.receive(request)
           return {}
         },
       },
@@ -52,8 +52,8 @@
     const { heartbeatMs: intervalMs, onError } = opts
     const heartbeats = Heartbeats.create({ self, members, clients, intervalMs, onError })
     const copies = RecordCopies.create({ self, members, clients })
-    peers = new Peers(server, clients, members, heartbeats, copies)
-    return peers
+    holder.peers = new Peers(server, clients, members, heartbeats, copies)
+    return holder.peers
   }
 
   get address(): string {
