--- a/packages/router/src/backend/backendTable.ts
+++ b/packages/router/src/backend/backendTable.ts
@@ -1,28 +1,32 @@
-/** Live backend servers from the platform's list, with this node's own counts. */
-import type { ReplicaView } from '@wagtailway/core'
+/** Live backend servers from the platform's list, pooled by what they serve. */
+import type { ServerPool } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
 
-/** One backend server. */
-export class Backend {
-  /** Requests of this node in progress there. */
-  inFlight = 0
-  /** Queue length that it last reported. */
-  reportedLoad = 0
+/** Creates the pool of one version or plain service. */
+export type CreatePool = () => ServerPool
 
-  private constructor(readonly instance: Instance) {}
+/** Backend servers that serve the same thing, and the admission to them. */
+export class BackendGroup {
+  #instances = new Map<string, Instance>()
 
-  static create(instance: Instance): Backend {
-    return new Backend(instance)
+  private constructor(readonly pool: ServerPool) {}
+
+  static create(pool: ServerPool): BackendGroup {
+    return new BackendGroup(pool)
   }
 
-  view(): ReplicaView {
-    return {
-      id: this.instance.id,
-      zone: this.instance.zone,
-      inFlight: this.inFlight,
-      reportedLoad: this.reportedLoad,
-      reportAgeMs: 0,
-    }
+  get size(): number {
+    return this.#instances.size
+  }
+
+  /** The instance with this id, if it is still listed as live. */
+  find(id: string): Instance | undefined {
+    return this.#instances.get(id)
+  }
+
+  replace(instances: readonly Instance[]): void {
+    this.#instances = new Map(instances.map((instance) => [instance.id, instance]))
+    this.pool.setReplicas(instances)
   }
 }
 
@@ -30,66 +34,49 @@
  * Backend servers that may get new work.
  *
  * @example
- * const table = BackendTable.create()
+ * const table = BackendTable.create(createPool)
  * table.replace(instances)
- * table.serving('summariser@v2')
+ * table.serving('summariser@v2')?.pool.enter(waiter)
  */
 export class BackendTable {
-  #byId = new Map<string, Backend>()
-  #byVersion = new Map<string, Backend[]>()
-  #byService = new Map<string, Backend[]>()
+  readonly #byVersion = new Map<string, BackendGroup>()
+  readonly #byService = new Map<string, BackendGroup>()
 
-  static create(): BackendTable {
-    return new BackendTable()
+  private constructor(private readonly createPool: CreatePool) {}
+
+  static create(createPool: CreatePool): BackendTable {
+    return new BackendTable(createPool)
   }
 
-  /** Takes over a new list; counts of servers that stay are kept. */
+  /** Takes over a new list; what is known of servers that stay is kept. */
   replace(instances: readonly Instance[]): void {
     const live = instances.filter((i) => i.state === 'live' && i.role !== 'entry')
-    const next = live.map((instance) => this.#keep(instance))
-    this.#byId = new Map(next.map((backend) => [backend.instance.id, backend]))
-    this.#byVersion = groupBy(next, ({ instance }) => instance.versions)
-    this.#byService = groupBy(next, ({ instance }) =>
-      instance.service === undefined ? [] : [instance.service],
+    this.#update(this.#byVersion, live, ({ versions }) => versions)
+    this.#update(this.#byService, live, ({ service }) =>
+      service === undefined ? [] : [service],
     )
   }
 
   /** Backend servers that offer a version, given as `model@version`. */
-  serving(versionKey: string): readonly Backend[] {
-    return this.#byVersion.get(versionKey) ?? []
+  serving(versionKey: string): BackendGroup | undefined {
+    return this.#byVersion.get(versionKey)
   }
 
   /** Backend servers of a plain service. */
-  ofService(name: string): readonly Backend[] {
-    return this.#byService.get(name) ?? []
-  }
-
-  #keep(instance: Instance): Backend {
-    const known = this.#byId.get(instance.id)
-    const backend = Backend.create(instance)
-    backend.inFlight = known?.inFlight ?? 0
-    backend.reportedLoad = known?.reportedLoad ?? 0
-    return known?.instance.address === instance.address && same(known.instance, instance)
-      ? known
-      : backend
+  ofService(name: string): BackendGroup | undefined {
+    return this.#byService.get(name)
   }
-}
-
-function same(a: Instance, b: Instance): boolean {
-  return a.versions.join() === b.versions.join() && a.service === b.service
-}
 
-function groupBy(
-  backends: readonly Backend[],
-  keysOf: (backend: Backend) => readonly string[],
-): Map<string, Backend[]> {
-  const groups = new Map<string, Backend[]>()
-  for (const backend of backends) {
-    for (const key of keysOf(backend)) {
-      const group = groups.get(key) ?? []
-      group.push(backend)
+  #update(
+    groups: Map<string, BackendGroup>,
+    live: readonly Instance[],
+    keysOf: (instance: Instance) => readonly string[],
+  ): void {
+    const keys = new Set([...groups.keys(), ...live.flatMap(keysOf)])
+    for (const key of keys) {
+      const group = groups.get(key) ?? BackendGroup.create(this.createPool())
       groups.set(key, group)
+      group.replace(live.filter((instance) => keysOf(instance).includes(key)))
     }
   }
-  return groups
 }
--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -27,6 +27,8 @@
   readonly nonIdempotent: boolean
   /** When the call began, on the node's monotonic clock. */
   readonly startMs: number
+  /** Time from the start after which the answer is of no use, in milliseconds. */
+  readonly deadlineMs: number
   /** Aborted when the caller goes away or the deadline passes. */
   readonly signal: AbortSignal
   /** Why the signal was aborted. */
@@ -70,6 +72,7 @@
     idempotencyKey: headerText(req, CALLER_HEADERS.idempotencyKey),
     nonIdempotent,
     startMs: node.clock(),
+    deadlineMs: deadline.val,
     signal: abort.signal,
     abortReason: () => reason,
     close: () => {
--- a/packages/router/src/request/chooseVersions.ts
+++ b/packages/router/src/request/chooseVersions.ts
@@ -49,7 +49,7 @@
     cls: call.cls,
     candidates: allowed.filter(({ key }) => !node.config.current?.isWithdrawn(key)),
     estimate: (candidate) => node.estimates.estimate(call.classKey, candidate),
-    hasBackend: (candidate) => node.backends.serving(candidate.key).length > 0,
+    hasBackend: (candidate) => (node.backends.serving(candidate.key)?.size ?? 0) > 0,
     random: node.random,
   })
 }
--- a/packages/router/src/request/completeOnce.ts
+++ b/packages/router/src/request/completeOnce.ts
@@ -8,13 +8,13 @@
   type Result,
 } from '@wagtailway/core'
 import { readAnswer } from '../backend/backendClient.js'
-import type { Backend } from '../backend/backendTable.js'
 import {
   completionSchema,
   type ChatRequest,
   type Chunk,
   type Usage,
 } from '../backend/chatMessages.js'
+import type { Place } from '../backend/place.js'
 import { readStream } from '../backend/readStream.js'
 import { ANSWER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
 import { EventStream } from '../http/eventStream.js'
@@ -39,12 +39,12 @@
   call: Call,
   chat: ChatRequest,
   candidate: Candidate,
-  backend: Backend,
+  place: Place,
   isLast: boolean,
 ): Promise<Result<Answer, Refusal>> {
   const streamed = chat.stream === true
   const called = await node.client.call({
-    address: backend.instance.address,
+    address: place.backend.address,
     method: 'POST',
     path: '/v1/chat/completions',
     headers: { 'content-type': 'application/json', [REQUEST_ID_HEADER]: call.requestId },
@@ -60,11 +60,15 @@
     return Err(refuse('backend_failed', 'unknown', message))
   }
   call.res.setHeader(ANSWER_HEADERS.version, candidate.key)
-  if (!streamed) return readPlain(call, await readAnswer(res))
-  return readStreamed(node, call, res, isLast)
+  if (!streamed) return readPlain(call, place, await readAnswer(res))
+  return readStreamed(node, call, place, res, isLast)
 }
 
-function readPlain(call: Call, body: Result<Buffer, Refusal>): Result<Answer, Refusal> {
+function readPlain(
+  call: Call,
+  place: Place,
+  body: Result<Buffer, Refusal>,
+): Result<Answer, Refusal> {
   if (body.err) return body
   const parsed = completionSchema.safeParse(parseJson(body.val))
   if (!parsed.success) {
@@ -72,6 +76,7 @@
     return Err(refuse('backend_invalid', 'unknown', message))
   }
   const completion = parsed.data
+  place.whole(completion.usage.completion_tokens)
   return Ok({
     usage: completion.usage,
     text: completion.choices[0]?.message.content ?? '',
@@ -85,6 +90,7 @@
 async function readStreamed(
   node: RouterNode,
   call: Call,
+  place: Place,
   res: Parameters<typeof readStream>[0],
   isLast: boolean,
 ): Promise<Result<Answer, Refusal>> {
@@ -94,13 +100,11 @@
   let first = true
   const end = await readStream(res, async (chunk) => {
     text += contentOf(chunk)
-    if (!isLast) {
-      held.push(chunk)
-      return
-    }
-    if (first) observeFirstToken(node, call)
+    if (first) place.firstToken()
+    if (first && isLast) observeFirstToken(node, call)
     first = false
-    await stream.write(chunk)
+    if (isLast) await stream.write(chunk)
+    else held.push(chunk)
   })
   if (end.err) return end
   const finish = async (): Promise<void> => {
--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -94,9 +94,9 @@
     const { outcome, backend } = await dispatch({
       node,
       call,
-      backends: () => node.backends.serving(candidate.key),
+      group: node.backends.serving(candidate.key),
       mayDispatch: () => mayDispatch(node, candidate),
-      attempt: (target) => completeOnce(node, call, chat, candidate, target, isLast),
+      attempt: (place) => completeOnce(node, call, chat, candidate, place, isLast),
       repeatable: () => !call.nonIdempotent && !call.res.headersSent,
     })
     if (outcome.err) {
@@ -108,7 +108,7 @@
     cost += costMicros(candidate, prompt_tokens, completion_tokens)
     calls.push({
       versionKey: candidate.key,
-      backend: backend?.instance.id ?? '',
+      backend: backend?.id ?? '',
       promptTokens: prompt_tokens,
       completionTokens: completion_tokens,
     })
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Err, Ok, notRun, type Refusal, type Result } from '@wagtailway/core'
 import { readAnswer } from '../backend/backendClient.js'
-import type { Backend } from '../backend/backendTable.js'
 import { ANSWER_HEADERS, CALLER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
 import { readBody } from '../http/readBody.js'
 import type { RouterNode } from '../routerNode.js'
@@ -65,9 +64,9 @@
   const { outcome } = await dispatch({
     node,
     call,
-    backends: () => node.backends.ofService(service),
+    group: node.backends.ofService(service),
     mayDispatch: () => node.config.isFresh,
-    attempt: (backend) => callOnce(node, call, backend, path, body),
+    attempt: ({ backend }) => callOnce(node, call, backend.address, path, body),
     repeatable: () => isRepeatable(node, call, service),
   })
   if (outcome.err) return outcome
@@ -91,13 +90,13 @@
 async function callOnce(
   node: RouterNode,
   call: Call,
-  backend: Backend,
+  address: string,
   path: string,
   body: Buffer,
 ): Promise<Result<ServiceAnswer, Refusal>> {
   const contentType = call.req.headers['content-type'] ?? 'application/octet-stream'
   const called = await node.client.call({
-    address: backend.instance.address,
+    address,
     method: call.req.method ?? 'GET',
     path,
     headers: {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,11 +7,13 @@
   MemberTable,
   QualityEstimates,
   RetryBudget,
+  ServerPool,
   cheapestMeetingTarget,
   concurrencyLimit,
+  leastLoaded,
   monotonicClock,
+  ownLoad,
   seededRandom,
-  twoRandomChoices,
   wallClock,
 } from '@wagtailway/core'
 import { PlatformClient } from '@wagtailway/platform'
@@ -72,6 +74,15 @@
         log.error('a heartbeat failed', err)
       },
     })
+    const policies = defaultPolicies(cfg)
+    const random = seededRandom(cfg.seed)
+    const createPool = (): ServerPool =>
+      ServerPool.create({
+        clock: monotonicClock,
+        random,
+        zone: cfg.zone,
+        chooseReplica: policies.chooseReplica,
+      })
     const estimates = QualityEstimates.create()
     const ratings = RatingsClient.create({
       url: cfg.ratings,
@@ -83,7 +94,7 @@
     const node: RouterNode = {
       cfg,
       config: ConfigHolder.create({ clock: monotonicClock, freshMs: cfg.configFreshMs }),
-      backends: BackendTable.create(),
+      backends: BackendTable.create(createPool),
       client: BackendClient.create(),
       members: peers.members,
       claims: ClaimTable.create({ store: platform, kind: 'claim', wallClock }),
@@ -91,10 +102,10 @@
       ledger: Ledger.create({ store: platform, incarnation }),
       estimates,
       retryBudget: RetryBudget.create(),
-      policies: defaultPolicies(cfg),
+      policies,
       metrics,
       log,
-      random: seededRandom(cfg.seed),
+      random,
       clock: monotonicClock,
       wallClock,
       copyRecord: (record) => peers.copies.copy(record),
@@ -169,6 +180,6 @@
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
     chooseVersions: cheapestMeetingTarget,
-    chooseReplica: twoRandomChoices,
+    chooseReplica: leastLoaded(ownLoad),
   }
 }
--- /dev/null
+++ b/packages/wagtailway/src/admit/serverPool.ts
@@ -0,0 +1,352 @@
+/**
+ * Admission to the replicas of one version or plain service.
+ *
+ * A request starts at once if a replica's window has room; otherwise it waits
+ * in a fair queue as long as it can still be answered in time. One that can't
+ * is refused the moment this is known, not when its time has run out.
+ */
+import type { Clock } from '../clock.js'
+import type { Random } from '../random.js'
+import { notRun, type Refusal } from '../refusal.js'
+import { Breaker } from '../retry/breaker.js'
+import type { ReplicaPolicy, ReplicaView } from '../route/replicaPolicy.js'
+import { AdaptiveWindow, type AdaptiveWindowOptions } from './adaptiveWindow.js'
+import { DecayingAverage } from './decayingAverage.js'
+import { FairQueue, type QueueItem } from './fairQueue.js'
+import { LeastLately } from './leastLately.js'
+import { retryAfterMs } from './retryAfter.js'
+
+/** A place at a replica; given back to the pool with what is learned of it. */
+export interface Grant {
+  readonly replicaId: string
+  /** Number of the request in the replica's window. */
+  readonly request: number
+}
+
+export interface Waiter extends QueueItem {
+  /** Longest time from now to the first token that is still of use, in milliseconds. */
+  readonly usefulMs: number
+  /** Replicas that have failed this request already. */
+  readonly avoid?: ReadonlySet<string>
+  /** Called at most once, when the request may start. */
+  readonly grant: (grant: Grant) => void
+  /** Called at most once, instead of `grant`. */
+  readonly refuse: (refusal: Refusal) => void
+}
+
+export interface Replica {
+  readonly id: string
+  readonly zone: string
+}
+
+export interface ServerPoolOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly zone: string
+  readonly chooseReplica: ReplicaPolicy
+  readonly window?: AdaptiveWindowOptions
+  /**
+   * Waiting requests beyond which more are refused, whatever their estimate.
+   * @default 1_000
+   */
+  readonly maxWaiting?: number
+  /**
+   * Priority from which a request may start beyond the window: the replica
+   * serves it before what waits there, so it doesn't depend on this node's own places.
+   * @default 8
+   */
+  readonly urgentPriority?: number
+  /**
+   * Places beyond the window for urgent requests.
+   * @default 2
+   */
+  readonly urgentExtra?: number
+}
+
+interface Server {
+  readonly replica: Replica
+  readonly window: AdaptiveWindow
+  readonly breaker: Breaker
+  load: number
+  loadAtMs: number
+  /** Starts since the last load report. */
+  startsSinceReport: number
+}
+
+interface Waiting extends Waiter {
+  readonly arrivedMs: number
+}
+
+const AVERAGE_WEIGHT = 0.05
+/** Excess that is assumed when nothing at all is let in. */
+const MAX_EXCESS = 30
+
+/** Time over which the least latency counts as that of an idle replica, in milliseconds. */
+const LEAST_SPAN_MS = 30_000
+
+/** Part of the target of the first token that waiting at the replica may use. */
+const GOAL_FRACTION = 0.15
+
+const NO_REPLICA_RETRY_MS = 1_000
+
+/** A waiting request is given up once its estimate exceeds its time by this factor. */
+const GIVE_UP_FACTOR = 1.25
+
+/**
+ * Replicas of one version with their windows, breakers and waiting requests.
+ *
+ * @example
+ * const pool = ServerPool.create({ clock, random, zone: 'z1', chooseReplica })
+ * pool.setReplicas([{ id: 'e1', zone: 'z1' }])
+ * pool.enter(waiter)
+ * pool.observeFirstToken(grant, 80, 1_000)
+ * pool.finish(grant, 4_000, true)
+ */
+export class ServerPool {
+  #servers = new Map<string, Server>()
+  readonly #queue: FairQueue<Waiting>
+  /** Time that a request holds its place in a window, in milliseconds. */
+  readonly #holdMs = DecayingAverage.create(AVERAGE_WEIGHT)
+  readonly #firstTokenMs = DecayingAverage.create(AVERAGE_WEIGHT)
+  readonly #leastFirstTokenMs: LeastLately
+  /** Least time by token of answers that came in one piece, in milliseconds. */
+  readonly #leastPerTokenMs: LeastLately
+  /** One for a request that was let in, zero for one that was refused. */
+  readonly #admitted = DecayingAverage.create(AVERAGE_WEIGHT)
+
+  private constructor(private readonly opts: ServerPoolOptions) {
+    this.#queue = FairQueue.create<Waiting>({ clock: opts.clock })
+    this.#leastFirstTokenMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
+    this.#leastPerTokenMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
+  }
+
+  static create(opts: ServerPoolOptions): ServerPool {
+    return new ServerPool(opts)
+  }
+
+  /** Requests waiting for a place. */
+  get waiting(): number {
+    return this.#queue.size
+  }
+
+  /** Requests in progress at all replicas. */
+  get inFlight(): number {
+    return sum(this.#servers, ({ window }) => window.inFlight)
+  }
+
+  /** Replicas whose breaker lets requests through. */
+  get healthy(): number {
+    return sum(this.#servers, ({ breaker }) => (breaker.allows ? 1 : 0))
+  }
+
+  /** Takes over the live replicas; what is known of those that stay is kept. */
+  setReplicas(replicas: readonly Replica[]): void {
+    const next = replicas.map((replica) => {
+      const known = this.#servers.get(replica.id)
+      return [replica.id, known ?? this.#newServer(replica)] as const
+    })
+    this.#servers = new Map(next)
+    this.#startWaiting()
+  }
+
+  /** Notes the load that a replica reported. */
+  report(replicaId: string, load: number, ageMs: number): void {
+    const server = this.#servers.get(replicaId)
+    if (!server) return
+    server.load = load
+    server.loadAtMs = this.opts.clock() - ageMs
+    server.startsSinceReport = 0
+  }
+
+  /** Grants, queues or refuses a request; the waiter's callbacks tell which. */
+  enter(waiter: Waiter): () => void {
+    const waiting = { ...waiter, arrivedMs: this.opts.clock() }
+    const extra = this.#extraFor(waiting)
+    if ((this.#queue.size === 0 || extra > 0) && this.#start(waiting, extra)) {
+      this.#queue.pass(waiting)
+      return NOTHING
+    }
+    this.#giveUpLate()
+    const refusal = this.#refusalFor(waiting)
+    if (refusal) {
+      this.#refuse(waiting, refusal)
+      return NOTHING
+    }
+    this.#queue.push(waiting)
+    this.#giveUpLate()
+    return () => void this.#queue.remove(waiting)
+  }
+
+  /** Notes the time to a first token, of which `targetMs` was wanted, in milliseconds. */
+  observeFirstToken(grant: Grant, firstTokenMs: number, targetMs: number): void {
+    this.#firstTokenMs.add(firstTokenMs)
+    this.#leastFirstTokenMs.add(firstTokenMs)
+    const delayMs = firstTokenMs - this.#leastFirstTokenMs.value
+    this.#observeDelay(grant, delayMs, targetMs)
+  }
+
+  /** Notes the time of an answer that came in one piece. */
+  observeWhole(grant: Grant, totalMs: number, tokens: number, targetMs: number): void {
+    this.#leastPerTokenMs.add(totalMs / (tokens + 1))
+    const delayMs = totalMs - this.#leastPerTokenMs.value * (tokens + 1)
+    this.#observeDelay(grant, delayMs, targetMs)
+  }
+
+  /**
+   * Notes that a request has left its replica.
+   *
+   * @param ok Whether the replica worked; `undefined` if the end tells nothing about it.
+   */
+  finish({ replicaId }: Grant, heldMs: number, ok: boolean | undefined): void {
+    if (ok === true) this.#holdMs.add(heldMs)
+    const server = this.#servers.get(replicaId)
+    server?.window.finish()
+    server?.breaker.finish(ok)
+    this.#startWaiting()
+  }
+
+  /** Expected wait of a request that entered now, in milliseconds. */
+  expectedWaitMs(item: QueueItem): number {
+    const probe = { ...item, ...NO_WAITER, arrivedMs: 0 }
+    const hasRoom = this.#queue.size === 0 && this.#open(undefined).length > 0
+    return hasRoom ? 0 : this.#waitMs(probe)
+  }
+
+  #observeDelay({ replicaId, request }: Grant, delayMs: number, targetMs: number): void {
+    const goalMs = targetMs * GOAL_FRACTION
+    this.#servers.get(replicaId)?.window.observe(request, delayMs / goalMs)
+    this.#startWaiting()
+  }
+
+  #newServer(replica: Replica): Server {
+    const { clock, random } = this.opts
+    const window = AdaptiveWindow.create(this.opts.window)
+    const breaker = Breaker.create({ clock, random })
+    const loadAtMs = clock()
+    return { replica, window, breaker, load: 0, loadAtMs, startsSinceReport: 0 }
+  }
+
+  #startWaiting(): void {
+    while (this.#queue.size > 0 && this.#open(undefined).length > 0) {
+      const next = this.#queue.shift()
+      if (!next) return
+      if (this.#leftMs(next) < 0) this.#refuse(next, this.#overloaded())
+      else if (!this.#start(next)) this.#refuse(next, this.#noReplica())
+    }
+  }
+
+  /** Starts a request on a replica with room; false if there is none. */
+  #start(waiting: Waiting, extra = 0): boolean {
+    const open = this.#open(waiting.avoid, extra)
+    const { random, zone, chooseReplica } = this.opts
+    const replicas = open.map((server) => this.#view(server))
+    const chosen = chooseReplica({ replicas, zone, random })
+    const server = chosen && this.#servers.get(chosen.id)
+    if (!server) return false
+    const request = server.window.start()
+    server.breaker.start()
+    server.startsSinceReport += 1
+    this.#admitted.add(1)
+    waiting.grant({ replicaId: server.replica.id, request })
+    return true
+  }
+
+  /** Replicas that can take a request now. */
+  #open(avoid: ReadonlySet<string> | undefined, extra = 0): Server[] {
+    return this.#usable(avoid).filter(({ window }) => window.hasRoom(extra))
+  }
+
+  /** Places beyond the window that a request may take. */
+  #extraFor(waiting: Waiting): number {
+    const isUrgent = waiting.priority >= (this.opts.urgentPriority ?? 8)
+    const mayExceed = isUrgent && this.#queue.isWithinShare(waiting)
+    return mayExceed ? (this.opts.urgentExtra ?? 2) : 0
+  }
+
+  /** Replicas that may be used; breakers count only while most of them are closed. */
+  #usable(avoid: ReadonlySet<string> | undefined): Server[] {
+    const all = [...this.#servers.values()]
+    const healthy = all.filter(({ breaker }) => breaker.allows)
+    // When most replicas fail, the requests or the network are to blame: spread over all.
+    const usable = healthy.length * 2 >= all.length ? healthy : all
+    return avoid ? usable.filter(({ replica }) => !avoid.has(replica.id)) : usable
+  }
+
+  #refusalFor(waiting: Waiting): Refusal | undefined {
+    if (this.#usable(waiting.avoid).length === 0) return this.#noReplica()
+    if (this.#queue.size >= (this.opts.maxWaiting ?? 1_000)) return this.#overloaded()
+    if (this.#waitMs(waiting) > this.#leftMs(waiting)) return this.#overloaded()
+    return undefined
+  }
+
+  /** Refuses waiting requests that newer ones of higher standing have made late. */
+  #giveUpLate(): void {
+    for (;;) {
+      const late = this.#queue
+        .tails()
+        .filter(
+          (waiting) => this.#waitMs(waiting) > this.#leftMs(waiting) * GIVE_UP_FACTOR,
+        )
+      if (late.length === 0) return
+      for (const waiting of late) {
+        this.#queue.remove(waiting)
+        this.#refuse(waiting, this.#overloaded())
+      }
+    }
+  }
+
+  /** Time that a request can still wait and get its first token in time; negative if late. */
+  #leftMs({ usefulMs, arrivedMs }: Waiting): number {
+    const waitedMs = this.opts.clock() - arrivedMs
+    return usefulMs - waitedMs - (this.#firstTokenMs.value ?? 0)
+  }
+
+  /** By Little's law places come free at the rate of all windows over the holding time. */
+  #waitMs(waiting: Waiting): number {
+    const places = sum(this.#servers, ({ window }) => Math.floor(window.limit))
+    const perPlaceMs = (this.#holdMs.value ?? 0) / Math.max(1, places)
+    return (this.#queue.ahead(waiting) + 1) * perPlaceMs
+  }
+
+  #refuse(waiting: Waiting, refusal: Refusal): void {
+    this.#admitted.add(0)
+    this.#queue.refuse(waiting)
+    waiting.refuse(refusal)
+  }
+
+  #overloaded(): Refusal {
+    const admitted = this.#admitted.value ?? 1
+    const excess = admitted > 0 ? 1 / admitted : MAX_EXCESS
+    const message = 'The backend servers are busy; come back later.'
+    return notRun('overloaded', message, retryAfterMs(excess, this.opts.random))
+  }
+
+  #noReplica(): Refusal {
+    const message = 'No backend server is live for this.'
+    return notRun('no_backend', message, NO_REPLICA_RETRY_MS)
+  }
+
+  #view(server: Server): ReplicaView {
+    return {
+      id: server.replica.id,
+      zone: server.replica.zone,
+      inFlight: server.window.inFlight,
+      reportedLoad: server.load,
+      reportAgeMs: this.opts.clock() - server.loadAtMs,
+      startsSinceReport: server.startsSinceReport,
+    }
+  }
+}
+
+const NOTHING = (): void => undefined
+
+const NO_WAITER = { usefulMs: 0, grant: NOTHING, refuse: NOTHING }
+
+function sum(
+  servers: ReadonlyMap<string, Server>,
+  of: (server: Server) => number,
+): number {
+  let total = 0
+  for (const server of servers.values()) total += of(server)
+  return total
+}
