Exchange with a few peers; watch the platform for a zone

Cause: all-to-all heartbeats and one watch and list poll per node would use up the platform's reads and 3 KB/s of control at 430 nodes. Ruled out: heartbeat counters of all nodes in each message (bytes grow with the fleet); every node watching (reads grow with the fleet). Before: n*(n-1) heartbeats a second, n watches, n polls. After: a probe a second and a question to a watcher every two seconds; news of members as updates; six watchers a zone; configuration and list as deltas; ages proved by answers only; calls bounded by kind. Not measured yet at size.

--- a/packages/platform/src/platformClient.ts
+++ b/packages/platform/src/platformClient.ts
@@ -3,6 +3,9 @@
 import {
   Err,
   Ok,
+  type CallBudget,
+  type CallKind,
+  type CallVerdict,
   type Conflict,
   type ObjectKind,
   type ObjectList,
@@ -28,8 +31,14 @@
    * @default 2_000
    */
   readonly timeoutMs?: number
-  /** Called once for each call, for counting. */
-  readonly onCall?: (operation: string) => void
+  /** Bounds the calls of each kind; without one they are only counted. */
+  readonly budget?: CallBudget
+  /** Called once for each call that is sent, for counting. */
+  readonly onCall?: (kind: CallKind) => void
+  /** Called once for each call that the budget held back. */
+  readonly onHeldBack?: (kind: CallKind, verdict: CallVerdict) => void
+  /** Called once for each call that the platform did not answer. */
+  readonly onFailure?: (kind: CallKind) => void
 }
 
 type CallResult = Result<JsonResponse, Unavailable>
@@ -107,13 +116,30 @@
   }
 
   async #call(
-    operation: string,
+    kind: CallKind,
     method: 'GET' | 'PUT',
     path: string,
     body?: unknown,
     waitMs = 0,
   ): Promise<CallResult> {
-    this.opts.onCall?.(operation)
+    const verdict = this.opts.budget?.admit(kind) ?? 'admitted'
+    if (verdict !== 'admitted') {
+      this.opts.onHeldBack?.(kind, verdict)
+      return unavailable(HELD_BACK[verdict])
+    }
+    this.opts.onCall?.(kind)
+    const called = await this.#send(method, path, body, waitMs)
+    this.opts.budget?.ended(kind, called.ok)
+    if (called.err) this.opts.onFailure?.(kind)
+    return called
+  }
+
+  async #send(
+    method: 'GET' | 'PUT',
+    path: string,
+    body: unknown,
+    waitMs: number,
+  ): Promise<CallResult> {
     try {
       const res = await requestJson({
         method,
@@ -130,6 +156,11 @@
   }
 }
 
+const HELD_BACK = {
+  over_budget: "This instance's share of the platform's calls is used up.",
+  backing_off: 'The platform failed lately; this instance waits before it calls again.',
+} as const
+
 function unavailable(message: string): CallResult {
   return Err({ type: 'unavailable', message })
 }
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -26,7 +26,11 @@
     })
     .option('config-fresh-ms', { type: 'number', describe: 'Oldest proof of freshness' })
     .option('instance-poll-ms', { type: 'number', describe: 'Pause between list polls' })
-    .option('heartbeat-ms', { type: 'number', describe: 'Pause between heartbeats' })
+    .option('heartbeat-ms', { type: 'number', describe: 'Pause between exchanges' })
+    .option('seeds', {
+      type: 'string',
+      describe: 'Peer addresses to start from without the platform, separated by commas',
+    })
     .option('flush-ms', { type: 'number', describe: 'Pause between billing flushes' })
     .option('max-in-progress', { type: 'number', describe: 'Requests taken on at once' })
     .option('max-body-bytes', { type: 'number', describe: 'Largest request body' })
@@ -40,8 +44,11 @@
     .option('rating-sample', { type: 'number', describe: 'Fraction of answers rated' })
     .option('seed', { type: 'number', describe: 'Seed of the random numbers' })
     .parseSync()
-  const keys = args['session-keys']
-  return { ...args, sessionKeys: keys === undefined ? undefined : keys.split(',') }
+  return {
+    ...args,
+    sessionKeys: args['session-keys']?.split(','),
+    seeds: args.seeds?.split(','),
+  }
 }
 
 /** Runs `wagtailway-router` until a signal ends it. */
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -1,9 +1,30 @@
 /** Counters and gauges of the router. */
+import type { ExchangeNode } from '@wagtailway/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Buckets of request times, in seconds. */
 const SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
 
+const MS_PER_SECOND = 1_000
+
+/** Sets the gauges of membership and of the configuration's spread. */
+export function setMembershipMetrics(
+  metrics: RouterMetrics,
+  { members, config, isWatcher }: Pick<ExchangeNode<unknown>, MembershipParts>,
+): void {
+  const { ageMs } = config
+  metrics.membersAlive.set(members.alive().length)
+  metrics.membersKnown.set(members.known().length)
+  metrics.membersRemoved.set(members.removals)
+  metrics.cutOff.set(Number(members.health.isCutOff))
+  metrics.configRevision.set(config.revision)
+  metrics.configAge.set(Number.isFinite(ageMs) ? ageMs / MS_PER_SECOND : -1)
+  metrics.configOutage.set(Number(config.isGoingOn))
+  metrics.watcher.set(Number(isWatcher))
+}
+
+type MembershipParts = 'members' | 'config' | 'isWatcher'
+
 /**
  * All metrics of one router.
  *
@@ -43,6 +64,58 @@
     labelNames: ['operation'],
     registers: [this.registry],
   })
+  readonly platformCallsHeldBack = new Counter({
+    name: 'wagtailway_platform_calls_held_back_total',
+    help: "Calls of the platform's API that were not sent, by operation and reason",
+    labelNames: ['operation', 'reason'],
+    registers: [this.registry],
+  })
+  readonly platformFailures = new Counter({
+    name: 'wagtailway_platform_failures_total',
+    help: "Calls of the platform's API that were not answered, by operation",
+    labelNames: ['operation'],
+    registers: [this.registry],
+  })
+  readonly membersAlive = new Gauge({
+    name: 'wagtailway_members_alive',
+    help: 'Other entry instances that are alive and not leaving',
+    registers: [this.registry],
+  })
+  readonly membersKnown = new Gauge({
+    name: 'wagtailway_members_known',
+    help: 'Other entry instances that are not removed, alive or not',
+    registers: [this.registry],
+  })
+  readonly membersRemoved = new Gauge({
+    name: 'wagtailway_members_removed',
+    help: 'Members that this instance has removed after an unrefuted suspicion',
+    registers: [this.registry],
+  })
+  readonly cutOff = new Gauge({
+    name: 'wagtailway_cut_off',
+    help: '1 while most exchanges of this instance fail',
+    registers: [this.registry],
+  })
+  readonly configAge = new Gauge({
+    name: 'wagtailway_config_age_seconds',
+    help: 'Age of the proof that the configuration is the newest; -1 without one',
+    registers: [this.registry],
+  })
+  readonly configOutage = new Gauge({
+    name: 'wagtailway_config_outage',
+    help: '1 while this instance serves without a proof because of an outage',
+    registers: [this.registry],
+  })
+  readonly watcher = new Gauge({
+    name: 'wagtailway_watcher',
+    help: '1 while this instance watches the platform for its zone',
+    registers: [this.registry],
+  })
+  readonly controlBytes = new Counter({
+    name: 'wagtailway_control_bytes_total',
+    help: 'Bytes of exchanges sent to other entry instances, without HTTP headers',
+    registers: [this.registry],
+  })
   readonly costMicros = new Counter({
     name: 'wagtailway_cost_micros_total',
     help: 'Cost billed, in millionths of the currency unit',
--- a/packages/router/src/options.ts
+++ b/packages/router/src/options.ts
@@ -51,10 +51,16 @@
    */
   instancePollMs: positiveMs.default(1_000),
   /**
-   * Pause between heartbeats to other instances, in milliseconds.
-   * @default 1_000
+   * Pause between exchanges with other instances, in milliseconds.
+   * @default 500
+   */
+  heartbeatMs: positiveMs.default(500),
+  /**
+   * Peer addresses of other instances, as `host:port`, from which an instance
+   * that starts while the platform is away learns the rest.
+   * @default []
    */
-  heartbeatMs: positiveMs.default(1_000),
+  seeds: z.array(z.string().regex(/^[^:]+:\d+$/, 'give host:port')).default([]),
   /**
    * Pause between flushes of billing records, in milliseconds.
    * @default 1_000
--- /dev/null
+++ b/packages/router/src/peers/exchanges.ts
@@ -0,0 +1,216 @@
+/** Sends and answers the exchanges between entry instances. */
+import {
+  create,
+  toBinary,
+  type DescMessage,
+  type MessageInitShape,
+} from '@bufbuild/protobuf'
+import {
+  Ticker,
+  type Clock,
+  type DeltaResponse,
+  type ExchangeNode,
+  type ExchangeRequest,
+  type ExchangeResponse,
+  type ExchangeTarget,
+} from '@wagtailway/core'
+import type { Instance } from '@wagtailway/platform'
+import {
+  DeltaResponseSchema,
+  ExchangeRequestSchema,
+  ExchangeResponseSchema,
+  type DeltaResponse as DeltaMessage,
+  type ExchangeRequest as RequestMessage,
+} from '@wagtailway/protocol'
+import type { PeerClients } from './peerClients.js'
+
+/** Longest wait for the answer of an exchange, in milliseconds. */
+const EXCHANGE_TIMEOUT_MS = 700
+
+/** Longest wait for changes that a peer was asked for, in milliseconds. */
+const FETCH_TIMEOUT_MS = 2_000
+
+/** Exchanges by which a leaving instance says so at once. */
+const LEAVE_EXCHANGES = 3
+
+export interface ExchangesOptions {
+  readonly node: ExchangeNode<Instance>
+  readonly clients: PeerClients
+  /** Monotonic clock. */
+  readonly clock: Clock
+  readonly intervalMs: number
+  /** Called after each tick and whenever the configuration or the list may have changed. */
+  readonly onChange: () => void
+  /** Counts the bytes of the messages sent, encoded. */
+  readonly onBytes: (bytes: number) => void
+  readonly onError: (err: unknown) => void
+}
+
+/**
+ * Drives the exchanging part of one entry instance over connect-es.
+ *
+ * @example
+ * const exchanges = Exchanges.create(opts)
+ * await exchanges.leave()
+ */
+export class Exchanges {
+  readonly #ticker: Ticker
+
+  private constructor(private readonly opts: ExchangesOptions) {
+    this.#ticker = Ticker.create({
+      intervalMs: opts.intervalMs,
+      step: () => {
+        this.#tick()
+        return Promise.resolve()
+      },
+      onError: opts.onError,
+    })
+  }
+
+  static create(opts: ExchangesOptions): Exchanges {
+    return new Exchanges(opts)
+  }
+
+  /** Answers an exchange of another instance. */
+  exchange(request: RequestMessage): MessageInitShape<typeof ExchangeResponseSchema> {
+    if (!request.from) return {}
+    return this.#counted(
+      ExchangeResponseSchema,
+      responseMessage(this.opts.node.answer({ ...request, from: request.from })),
+    )
+  }
+
+  /** Gives another instance what changed in the configuration. */
+  configDelta(afterRevision: number): MessageInitShape<typeof DeltaResponseSchema> {
+    const changes = deltaMessage(this.opts.node.configDelta(afterRevision))
+    return this.#counted(DeltaResponseSchema, changes)
+  }
+
+  /** Gives another instance what changed in the list of instances. */
+  instanceDelta(afterHash: number): MessageInitShape<typeof DeltaResponseSchema> {
+    const changes = deltaMessage(this.opts.node.instanceDelta(afterHash))
+    return this.#counted(DeltaResponseSchema, changes)
+  }
+
+  /** Tells some of the others that this instance is leaving; they tell the rest. */
+  async leave(): Promise<void> {
+    const { members } = this.opts.node
+    members.leave()
+    const told = members.alive().slice(0, LEAVE_EXCHANGES)
+    await Promise.all(told.map((target) => this.#exchangeWith(target)))
+  }
+
+  async close(): Promise<void> {
+    await this.#ticker.close()
+  }
+
+  #tick(): void {
+    const { exchanges } = this.opts.node.tick()
+    // Not awaited: one silent peer must not delay the next tick.
+    for (const target of exchanges) {
+      this.#exchangeWith(target).catch(this.opts.onError)
+    }
+    this.opts.onChange()
+  }
+
+  async #exchangeWith(target: ExchangeTarget): Promise<void> {
+    const { node, clients, clock } = this.opts
+    const request = this.#counted(
+      ExchangeRequestSchema,
+      requestMessage(node.request(target)),
+    )
+    const sentAtMs = clock()
+    try {
+      const client = clients.of(target.address)
+      const response = await client.exchange(request, { timeoutMs: EXCHANGE_TIMEOUT_MS })
+      node.answered(target, response, clock() - sentAtMs)
+    } catch {
+      node.unanswered(target)
+    }
+    await this.#fetch()
+  }
+
+  async #fetch(): Promise<void> {
+    const { node, onChange } = this.opts
+    const { fetchConfig, fetchInstances } = node.takeFetches()
+    if (fetchConfig !== undefined) await this.#fetchConfig(fetchConfig)
+    if (fetchInstances !== undefined) await this.#fetchInstances(fetchInstances)
+    if (fetchConfig ?? fetchInstances) onChange()
+  }
+
+  async #fetchConfig(address: string): Promise<void> {
+    const { node, clients, clock } = this.opts
+    const request = { afterRevision: node.config.revision }
+    const sentAtMs = clock()
+    const fetched = await quietly(
+      clients.of(address).fetchConfig(request, { timeoutMs: FETCH_TIMEOUT_MS }),
+    )
+    const response = fetched && toDelta(fetched)
+    if (response) node.receiveConfig(response, clock() - sentAtMs)
+  }
+
+  async #fetchInstances(address: string): Promise<void> {
+    const { node, clients, clock } = this.opts
+    const request = { afterHash: node.instances.hash }
+    const sentAtMs = clock()
+    const fetched = await quietly(
+      clients.of(address).fetchInstances(request, { timeoutMs: FETCH_TIMEOUT_MS }),
+    )
+    const response = fetched && toDelta(fetched)
+    if (response) node.receiveInstances(response, clock() - sentAtMs)
+  }
+
+  #counted<T extends DescMessage>(
+    schema: T,
+    init: MessageInitShape<T>,
+  ): MessageInitShape<T> {
+    this.opts.onBytes(toBinary(schema, create(schema, init)).byteLength)
+    return init
+  }
+}
+
+/** The value, or nothing if the peer didn't answer; the next exchange asks again. */
+async function quietly<T>(promise: Promise<T>): Promise<T | undefined> {
+  try {
+    return await promise
+  } catch {
+    return undefined
+  }
+}
+
+function toDelta({ revision, ageMs, delta }: DeltaMessage): DeltaResponse | undefined {
+  return delta && { revision, ageMs, delta }
+}
+
+function requestMessage(
+  request: ExchangeRequest,
+): MessageInitShape<typeof ExchangeRequestSchema> {
+  return {
+    ...request,
+    updates: [...request.updates],
+    bucketHashes: [...request.bucketHashes],
+    values: [...request.values],
+  }
+}
+
+function responseMessage(
+  response: ExchangeResponse,
+): MessageInitShape<typeof ExchangeResponseSchema> {
+  return {
+    ...response,
+    updates: [...response.updates],
+    bucketHashes: [...response.bucketHashes],
+    values: [...response.values],
+    claimAges: new Uint8Array(response.claimAges),
+  }
+}
+
+function deltaMessage({
+  delta,
+  ...rest
+}: DeltaResponse): MessageInitShape<typeof DeltaResponseSchema> {
+  return {
+    ...rest,
+    delta: { ...delta, changed: [...delta.changed], removed: [...delta.removed] },
+  }
+}
--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -1,7 +1,13 @@
 /** What an entry instance shares with the others, over one server and one pool of clients. */
-import type { MemberIdentity, MemberTable } from '@wagtailway/core'
+import type {
+  Clock,
+  ConfigHolder,
+  ExchangeNode,
+  MemberIdentity,
+  MemberTable,
+} from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
-import { Heartbeats } from './heartbeats.js'
+import { Exchanges } from './exchanges.js'
 import { PeerClients } from './peerClients.js'
 import { PeerServer } from './peerServer.js'
 import { RecordCopies } from './recordCopies.js'
@@ -10,9 +16,16 @@
   readonly self: Omit<MemberIdentity, 'address'>
   readonly host: string
   readonly port: number
-  readonly heartbeatMs: number
-  /** Creates the member table once this instance's address is known. */
-  readonly createMembers: (self: MemberIdentity) => MemberTable
+  /** Monotonic clock. */
+  readonly clock: Clock
+  /** Pause between two ticks of the exchanges, in milliseconds. */
+  readonly intervalMs: number
+  /** Creates the exchanging part once this instance's address is known. */
+  readonly createNode: (self: MemberIdentity) => ExchangeNode<Instance>
+  /** Called after each tick and whenever the configuration or the list may have changed. */
+  readonly onChange: () => void
+  /** Counts the bytes of the messages sent. */
+  readonly onBytes: (bytes: number) => void
   readonly onError: (err: unknown) => void
 }
 
@@ -27,8 +40,8 @@
   private constructor(
     private readonly server: PeerServer,
     private readonly clients: PeerClients,
-    readonly members: MemberTable,
-    readonly heartbeats: Heartbeats,
+    readonly node: ExchangeNode<Instance>,
+    readonly exchanges: Exchanges,
     readonly copies: RecordCopies,
   ) {}
 
@@ -40,7 +53,11 @@
       host: opts.host,
       port: opts.port,
       service: {
-        exchange: (request) => holder.peers?.heartbeats.exchange(request) ?? {},
+        exchange: (request) => holder.peers?.exchanges.exchange(request) ?? {},
+        fetchConfig: ({ afterRevision }) =>
+          holder.peers?.exchanges.configDelta(afterRevision) ?? {},
+        fetchInstances: ({ afterHash }) =>
+          holder.peers?.exchanges.instanceDelta(afterHash) ?? {},
         copyRecords: (request) => {
           holder.peers?.copies.receive(request)
           return {}
@@ -48,11 +65,10 @@
       },
     })
     const self = { ...opts.self, address: server.address }
-    const members = opts.createMembers(self)
-    const { heartbeatMs: intervalMs, onError } = opts
-    const heartbeats = Heartbeats.create({ self, members, clients, intervalMs, onError })
-    const copies = RecordCopies.create({ self, members, clients })
-    holder.peers = new Peers(server, clients, members, heartbeats, copies)
+    const node = opts.createNode(self)
+    const exchanges = Exchanges.create({ ...opts, node, clients })
+    const copies = RecordCopies.create({ self, members: node.members, clients })
+    holder.peers = new Peers(server, clients, node, exchanges, copies)
     return holder.peers
   }
 
@@ -60,17 +76,23 @@
     return this.server.address
   }
 
-  /** Takes over the addresses of the platform's list. */
-  setListed(instances: readonly Instance[]): void {
-    const others = instances
-      .filter((i) => i.role === 'entry' && i.address !== this.address)
-      .map((i) => i.address)
-    this.heartbeats.setListed(others)
-    this.clients.keepOnly(new Set(others))
+  get members(): MemberTable {
+    return this.node.members
+  }
+
+  get config(): ConfigHolder {
+    return this.node.config
+  }
+
+  /** Forgets connections to instances that are neither listed nor known. */
+  forgetGone(): void {
+    const listed = this.node.instances.instances.map(({ address }) => address)
+    const known = this.members.known().map(({ address }) => address)
+    this.clients.keepOnly(new Set([...listed, ...known]))
   }
 
   async close(): Promise<void> {
-    await this.heartbeats.close()
+    await this.exchanges.close()
     await this.server.close()
     this.clients.close()
   }
--- a/packages/router/src/platform/platformLoops.ts
+++ b/packages/router/src/platform/platformLoops.ts
@@ -1,19 +1,20 @@
 /** Periodic exchange with the platform: configuration, instances, billing records. */
-import { Ticker, effectiveSchema, CONFIG_OBJECT } from '@wagtailway/core'
+import { CONFIG_OBJECT, Ticker, type ExchangeNode } from '@wagtailway/core'
 import type { Instance, PlatformClient } from '@wagtailway/platform'
 import type { RouterNode } from '../routerNode.js'
 
-/** Longest wait of one watch, in milliseconds. */
-const WATCH_WAIT_MS = 3_000
+/** Longest wait of one watch, in milliseconds; a proof is at least as old when it comes. */
+const WATCH_WAIT_MS = 1_000
 
-/** Pause after a watch that failed or came back early, in milliseconds. */
+/** Pause between two decisions whether to watch, in milliseconds. */
 const WATCH_PAUSE_MS = 100
 
 export interface PlatformLoopOptions {
   readonly node: RouterNode
+  readonly exchange: ExchangeNode<Instance>
   readonly platform: PlatformClient
-  /** Receives each list of instances. */
-  readonly onInstances: (instances: readonly Instance[]) => void
+  /** Called whenever the configuration or the list of instances has changed. */
+  readonly onChange: () => void
   /** Receives the ids of requests whose records are stored. */
   readonly onStored: (requestIds: readonly string[]) => void
 }
@@ -22,7 +23,7 @@
  * The platform's loops of one router.
  *
  * @example
- * const loops = PlatformLoops.create({ node, platform, onInstances, onStored })
+ * const loops = PlatformLoops.create({ node, exchange, platform, onChange, onStored })
  * await loops.close()
  */
 export class PlatformLoops {
@@ -57,30 +58,37 @@
   }
 }
 
-/** Waits for a newer configuration; an answer without one proves the present one fresh. */
-async function watchConfig({ node, platform }: PlatformLoopOptions): Promise<void> {
+/**
+ * Waits for a newer configuration, if this node watches for its zone or hears
+ * too little from the watchers.
+ */
+async function watchConfig(opts: PlatformLoopOptions): Promise<void> {
+  const { node, exchange, platform } = opts
+  if (!exchange.isConfigLookDue) return
   const sentAtMs = node.clock()
-  const waitMs = node.config.revision === 0 ? 0 : WATCH_WAIT_MS
-  const watched = await platform.watch('config', node.config.revision, waitMs)
-  if (watched.err) return
-  const object = watched.val.objects.find(({ name }) => name === CONFIG_OBJECT)
-  if (object) {
-    const effective = effectiveSchema.parse(object.value)
-    if (node.config.offer(object.revision, effective)) {
-      node.metrics.configRevision.set(object.revision)
-      node.log.info('configuration in force', { revision: object.revision })
-    }
+  const { revision } = exchange.config
+  const waitMs = revision > 0 && exchange.isWatcher ? WATCH_WAIT_MS : 0
+  const watched = await platform.watch('config', revision, waitMs)
+  if (watched.err) {
+    exchange.configLookFailed()
+    return
   }
+  const found = watched.val.objects.find(({ name }) => name === CONFIG_OBJECT)
   // The platform looked no earlier than when the call was sent.
-  node.config.confirm(node.config.revision, node.clock() - sentAtMs)
+  const ageMs = node.clock() - sentAtMs
+  if (exchange.lookedAtConfig(found, ageMs, revision)) opts.onChange()
 }
 
-async function pollInstances({
-  platform,
-  onInstances,
-}: PlatformLoopOptions): Promise<void> {
+async function pollInstances(opts: PlatformLoopOptions): Promise<void> {
+  const { node, exchange, platform } = opts
+  if (!exchange.isListLookDue) return
+  const sentAtMs = node.clock()
   const listed = await platform.instances()
-  if (listed.ok) onInstances(listed.val)
+  if (listed.err) {
+    exchange.listLookFailed()
+    return
+  }
+  if (exchange.lookedAtList(listed.val, node.clock() - sentAtMs)) opts.onChange()
 }
 
 /** Stores pending billing records. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,10 +1,11 @@
 /** One entry instance: puts the parts together and takes them apart again. */
 import { setTimeout as delay } from 'node:timers/promises'
 import {
+  CallBudget,
   ClaimTable,
-  ConfigHolder,
+  ExchangeNode,
+  InstanceHolder,
   Ledger,
-  MemberTable,
   QualityEstimates,
   RetryBudget,
   cheapestMeetingTarget,
@@ -13,13 +14,15 @@
   seededRandom,
   twoRandomChoices,
   wallClock,
+  type MemberIdentity,
+  type Random,
 } from '@wagtailway/core'
-import { PlatformClient } from '@wagtailway/platform'
+import { PlatformClient, instanceSchema, type Instance } from '@wagtailway/platform'
 import { BackendClient } from './backend/backendClient.js'
 import { BackendTable } from './backend/backendTable.js'
 import { CallerServer } from './http/callerServer.js'
 import { createLog } from './log.js'
-import { RouterMetrics } from './metrics.js'
+import { RouterMetrics, setMembershipMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
 import { Peers } from './peers/peers.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
@@ -41,7 +44,8 @@
  */
 export class Router {
   #leaving = false
-  #hasList = false
+  #instances: readonly Instance[] = []
+  #revision = 0
   #server!: CallerServer
   #loops!: PlatformLoops
 
@@ -50,26 +54,31 @@
     private readonly platform: PlatformClient,
     private readonly peers: Peers,
     private readonly ratings: RatingsClient,
+    private readonly budget: CallBudget,
   ) {}
 
   static async create(cfg: ResolvedRouterOptions): Promise<Router> {
     const log = createLog(cfg.node)
     const metrics = RouterMetrics.create()
-    const platform = PlatformClient.create({
-      url: cfg.platform,
-      onCall: (operation) => {
-        metrics.platformCalls.inc({ operation })
-      },
-    })
+    const random = seededRandom(cfg.seed)
+    const budget = CallBudget.create({ clock: monotonicClock, random })
+    const platform = createPlatform(cfg, budget, metrics)
     const incarnation = `${cfg.node}-${wallClock().toString(36)}`
+    // The peers tell of changes only after the router exists.
+    const holder: { router?: Router } = {}
     const peers = await Peers.create({
       self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
       host: cfg.host,
       port: cfg.peerPort,
-      heartbeatMs: cfg.heartbeatMs,
-      createMembers: (self) => MemberTable.create({ self, clock: monotonicClock }),
+      clock: monotonicClock,
+      intervalMs: cfg.heartbeatMs,
+      createNode: (self) => createExchangeNode(cfg, self, random),
+      onChange: () => holder.router?.refresh(),
+      onBytes: (bytes) => {
+        metrics.controlBytes.inc(bytes)
+      },
       onError: (err) => {
-        log.error('a heartbeat failed', err)
+        log.error('an exchange failed', err)
       },
     })
     const estimates = QualityEstimates.create()
@@ -82,7 +91,7 @@
     })
     const node: RouterNode = {
       cfg,
-      config: ConfigHolder.create({ clock: monotonicClock, freshMs: cfg.configFreshMs }),
+      config: peers.config,
       backends: BackendTable.create(),
       client: BackendClient.create(),
       members: peers.members,
@@ -94,7 +103,7 @@
       policies: defaultPolicies(cfg),
       metrics,
       log,
-      random: seededRandom(cfg.seed),
+      random,
       clock: monotonicClock,
       wallClock,
       copyRecord: (record) => peers.copies.copy(record),
@@ -103,8 +112,9 @@
       },
       inProgress: 0,
     }
-    const router = new Router(node, platform, peers, ratings)
+    const router = new Router(node, platform, peers, ratings, budget)
     await router.#start()
+    holder.router = router
     return router
   }
 
@@ -123,7 +133,7 @@
     if (this.#leaving) return
     this.#leaving = true
     this.node.log.info('leaving')
-    await this.peers.heartbeats.leave()
+    await this.peers.exchanges.leave()
     await delay(this.node.cfg.drainGraceMs)
     await this.#server.close()
     await this.#storeRecords()
@@ -137,19 +147,36 @@
     this.node.log.info('left')
   }
 
+  /** Takes over what the exchanges or the platform have changed. */
+  refresh(): void {
+    const { node, peers } = this
+    const { instances } = peers.node.instances
+    if (instances !== this.#instances) {
+      this.#instances = instances
+      node.backends.replace(instances)
+      this.budget.shareAmong(entriesOf(instances).length)
+      peers.forgetGone()
+    }
+    if (node.config.revision !== this.#revision) {
+      this.#revision = node.config.revision
+      node.log.info('configuration in force', { revision: this.#revision })
+    }
+    setMembershipMetrics(node.metrics, peers.node)
+  }
+
   async #start(): Promise<void> {
     const { node, platform, peers } = this
     this.#loops = PlatformLoops.create({
       node,
+      exchange: peers.node,
       platform,
-      onInstances: (instances) => {
-        node.backends.replace(instances)
-        this.#hasList = true
-        peers.setListed(instances)
+      onChange: () => {
+        this.refresh()
       },
       onStored: (requestIds) => void peers.copies.drop(requestIds),
     })
-    const isReady = (): boolean => !this.#leaving && this.#hasList && node.config.isFresh
+    const isReady = (): boolean =>
+      !this.#leaving && peers.node.instances.hash !== 0 && node.config.isFresh
     this.#server = await CallerServer.create({ node, isReady })
   }
 
@@ -165,6 +192,55 @@
   }
 }
 
+function createPlatform(
+  cfg: ResolvedRouterOptions,
+  budget: CallBudget,
+  metrics: RouterMetrics,
+): PlatformClient {
+  return PlatformClient.create({
+    url: cfg.platform,
+    budget,
+    onCall: (operation) => {
+      metrics.platformCalls.inc({ operation })
+    },
+    onHeldBack: (operation, reason) => {
+      metrics.platformCallsHeldBack.inc({ operation, reason })
+    },
+    onFailure: (operation) => {
+      metrics.platformFailures.inc({ operation })
+    },
+  })
+}
+
+function createExchangeNode(
+  cfg: ResolvedRouterOptions,
+  self: MemberIdentity,
+  random: Random,
+): ExchangeNode<Instance> {
+  const clock = monotonicClock
+  return ExchangeNode.create({
+    self,
+    clock,
+    random,
+    freshMs: cfg.configFreshMs,
+    instances: InstanceHolder.create({
+      clock,
+      idOf: ({ id }) => id,
+      parse: (json) => instanceSchema.parse(json),
+      isLeaving: ({ state }) => state === 'leaving',
+    }),
+    entriesOf,
+    seeds: cfg.seeds,
+  })
+}
+
+/** The entry instances of a list; their ids are the nodes' names. */
+function entriesOf(instances: readonly Instance[]): { node: string; address: string }[] {
+  return instances
+    .filter(({ role }) => role === 'entry')
+    .map(({ id, address }) => ({ node: id, address }))
+}
+
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
--- /dev/null
+++ b/packages/wagtailway/src/member/watchers.ts
@@ -0,0 +1,21 @@
+/** Who watches the platform on behalf of a zone. */
+import { rendezvous } from '../hash.js'
+import type { Member } from './member.js'
+
+/** Nodes of each zone that watch the platform. */
+export const WATCHERS_PER_ZONE = 6
+
+/**
+ * Watchers of a zone, the same at every node that knows the same members.
+ *
+ * @example
+ * watchersOf('z1', [self, ...members.alive()]).map(({ node }) => node)
+ */
+export function watchersOf(
+  zone: string,
+  members: readonly Member[],
+  count = WATCHERS_PER_ZONE,
+): Member[] {
+  const own = members.filter((member) => member.zone === zone && !member.leaving)
+  return rendezvous(`watch ${zone}`, own, ({ node }) => node).slice(0, count)
+}
--- /dev/null
+++ b/packages/wagtailway/src/spread/configItems.ts
@@ -0,0 +1,54 @@
+/** The configuration in force as items, so that a change costs what it changes. */
+import { z } from 'zod'
+import { effectiveSchema, versionKey, type Effective } from '../config/effective.js'
+import type { ItemSet } from './itemHistory.js'
+
+const SECTIONS = [
+  'workspaces',
+  'models',
+  'services',
+  'classes',
+  'rollouts',
+  'withdrawals',
+] as const
+
+const identitySchema = z.object({
+  workspace: z.string().optional(),
+  model: z.string().optional(),
+  version: z.string().optional(),
+  name: z.string().optional(),
+})
+
+/** Splits a configuration into items. */
+export function toItems(effective: Effective): ItemSet {
+  const items = new Map<string, string>()
+  for (const section of SECTIONS) {
+    for (const value of effective[section]) {
+      const key = `${section}/${identityOf(value)}`
+      items.set(uniqueKey(items, key), JSON.stringify(value))
+    }
+  }
+  return items
+}
+
+/** Puts the items of a configuration together again. */
+export function fromItems(items: ItemSet): Effective {
+  const sections = Object.fromEntries(SECTIONS.map((name) => [name, [] as unknown[]]))
+  for (const [key, json] of items) {
+    const [section = ''] = key.split('/', 1)
+    sections[section]?.push(JSON.parse(json))
+  }
+  return effectiveSchema.parse(sections)
+}
+
+function identityOf(value: unknown): string {
+  const { workspace, model, version, name } = identitySchema.parse(value)
+  if (model !== undefined) return versionKey(model, version ?? '')
+  return [workspace, name].filter((part) => part !== undefined).join('/')
+}
+
+function uniqueKey(items: ItemSet, key: string): string {
+  let unique = key
+  for (let i = 2; items.has(unique); i++) unique = `${key} ${i}`
+  return unique
+}
