Retry claims until their time is up and bound their writes

Cause: with three routers writing one range, a claim ended unavailable after four attempts though time was left. Keys are stored as digests so that callers can't decide an object's size; new keys are unavailable beyond 900,000 bytes. Ruled out: dropping old claims early at the bound, because a key that is dropped could run twice.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,6 +11,7 @@
   concurrencyLimit,
   monotonicClock,
   seededRandom,
+  startTimer,
   twoRandomChoices,
   wallClock,
 } from '@wagtailway/core'
@@ -80,21 +81,29 @@
         estimates.rate(classKey, versionKey, score)
       },
     })
+    const random = seededRandom(cfg.seed)
+    const tableDeps = {
+      store: platform,
+      clock: monotonicClock,
+      wallClock,
+      random,
+      startTimer,
+    }
     const node: RouterNode = {
       cfg,
       config: ConfigHolder.create({ clock: monotonicClock, freshMs: cfg.configFreshMs }),
       backends: BackendTable.create(),
       client: BackendClient.create(),
       members: peers.members,
-      claims: ClaimTable.create({ store: platform, kind: 'claim', wallClock }),
-      sessions: ClaimTable.create({ store: platform, kind: 'session', wallClock }),
+      claims: ClaimTable.create({ kind: 'claim', ...tableDeps }),
+      sessions: ClaimTable.create({ kind: 'session', ...tableDeps }),
       ledger: Ledger.create({ store: platform, incarnation }),
       estimates,
       retryBudget: RetryBudget.create(),
       policies: defaultPolicies(cfg),
       metrics,
       log,
-      random: seededRandom(cfg.seed),
+      random,
       clock: monotonicClock,
       wallClock,
       copyRecord: (record) => peers.copies.copy(record),
--- a/packages/wagtailway/src/claim/__tests__/claimTable.spec.ts
+++ b/packages/wagtailway/src/claim/__tests__/claimTable.spec.ts
@@ -1,16 +1,19 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { monotonicClock } from '../../clock.js'
+import { startTimer } from '../../csp/timers.js'
+import { seededRandom } from '../../random.js'
 import { MemoryStore, type CallFault } from '../../platform/memoryStore.js'
 import { ClaimTable } from '../claimTable.js'
 
 const wallClock = (): number => 1_000
 
+const deps = { clock: monotonicClock, wallClock, random: seededRandom(1), startTimer }
+
 describe('ClaimTable', () => {
   it('grants a key to one holder, also across nodes', async () => {
     const store = MemoryStore.create()
-    const tables = [1, 2].map(() =>
-      ClaimTable.create({ store, kind: 'claim', wallClock }),
-    )
+    const tables = [1, 2].map(() => ClaimTable.create({ store, kind: 'claim', ...deps }))
     const verdicts = await Promise.all(
       tables.map((table, i) => table.claim({ key: 'note', holder: `h${i}`, value: '' })),
     )
@@ -23,7 +26,7 @@
     const store = MemoryStore.create(
       (op) => (op === 'put' ? faults.shift() : undefined) ?? 'none',
     )
-    const table = ClaimTable.create({ store, kind: 'claim', wallClock })
+    const table = ClaimTable.create({ store, kind: 'claim', ...deps })
     const verdict = await table.claim({ key: 'note', holder: 'h1', value: '' })
     assert.equal(verdict.type, 'granted')
     table.close()
@@ -31,7 +34,7 @@
 
   it('grants nothing while the platform is away', async () => {
     const store = MemoryStore.create(() => 'lost')
-    const table = ClaimTable.create({ store, kind: 'claim', wallClock })
+    const table = ClaimTable.create({ store, kind: 'claim', ...deps })
     const verdict = await table.claim({ key: 'note', holder: 'h1', value: '' })
     assert.equal(verdict.type, 'unavailable')
     table.close()
@@ -39,7 +42,7 @@
 
   it('shares writes between claims of one range', async () => {
     const store = MemoryStore.create()
-    const table = ClaimTable.create({ store, kind: 'claim', ranges: 1, wallClock })
+    const table = ClaimTable.create({ store, kind: 'claim', ranges: 1, ...deps })
     const keys = Array.from({ length: 100 }, (_, i) => `k${i}`)
     await Promise.all(keys.map((key) => table.claim({ key, holder: key, value: '' })))
     assert.ok(store.calls('put') <= 3, `${store.calls('put')} writes`)
--- a/packages/wagtailway/src/claim/claimTable.ts
+++ b/packages/wagtailway/src/claim/claimTable.ts
@@ -7,21 +7,12 @@
  * update alone: any number of nodes may write the same range.
  */
 import type { Clock } from '../clock.js'
-import { Channel, settle, spawn } from '../csp/channel.js'
+import type { StartTimer } from '../csp/timers.js'
 import { hash32 } from '../hash.js'
 import type { ObjectStore } from '../platform/objectStore.js'
-import { z } from 'zod'
-
-const entrySchema = z.object({
-  holder: z.string(),
-  value: z.string(),
-  /** When the claim was made, in milliseconds since the epoch. */
-  atMs: z.number(),
-})
-
-const rangeSchema = z.record(z.string(), entrySchema)
-
-type RangeEntries = z.infer<typeof rangeSchema>
+import type { Random } from '../random.js'
+import { claimDigest } from './claimEntries.js'
+import { ClaimRange } from './claimRange.js'
 
 export interface ClaimRequest {
   readonly key: string
@@ -33,16 +24,37 @@
 
 export type ClaimVerdict =
   | { readonly type: 'granted' }
-  | { readonly type: 'held'; readonly holder: string; readonly value: string }
+  | {
+      readonly type: 'held'
+      readonly holder: string
+      readonly value: string
+      /** Whether the holder's work is known to have ended. */
+      readonly done: boolean
+    }
+  /** Nothing is known to be granted; the write may or may not have taken effect. */
   | { readonly type: 'unavailable' }
 
+/** What a holder says of its claim later: its work ended, or it never began. */
+export type ClaimNote = 'done' | 'given_up'
+
+/** Counted events of a claim table. */
+export type ClaimEvent =
+  | 'put'
+  | 'get'
+  | 'conflict'
+  | 'unconfirmed'
+  | 'away'
+  | 'full'
+  | 'late'
+  | 'answered_from_memory'
+
 export interface ClaimTableOptions {
   readonly store: ObjectStore
   /** Kind of the platform objects. */
   readonly kind: 'claim' | 'session'
   /**
    * Number of ranges; the same on every node for ever.
-   * @default 16
+   * @default 32
    */
   readonly ranges?: number
   /**
@@ -50,153 +62,95 @@
    * @default 3_600_000
    */
   readonly retentionMs?: number
+  /**
+   * Whether a claim that is asked for again is kept for another retention time.
+   * @default false
+   */
+  readonly renews?: boolean
+  /**
+   * Mean pause between two writes of one range by this node, in milliseconds.
+   * @default 250
+   */
+  readonly writeIntervalMs?: number
+  /**
+   * Writes of one range that may follow each other without the pause.
+   * @default 8
+   */
+  readonly writeBurst?: number
+  /**
+   * Size of an object beyond which new keys are unavailable, in bytes.
+   * @default 900_000
+   */
+  readonly maxObjectBytes?: number
+  /**
+   * Longest wait of a claim, in milliseconds.
+   * @default 2_000
+   */
+  readonly timeoutMs?: number
+  /** Monotonic clock. */
+  readonly clock: Clock
   readonly wallClock: Clock
+  readonly random: Random
+  readonly startTimer: StartTimer
+  /** Called once for each event, for counting. */
+  readonly onEvent?: (event: ClaimEvent) => void
 }
 
-interface Pending {
-  readonly request: ClaimRequest
-  readonly decide: (verdict: ClaimVerdict) => void
+const DEFAULTS = {
+  ranges: 32,
+  retentionMs: 3_600_000,
+  renews: false,
+  writeIntervalMs: 250,
+  writeBurst: 8,
+  maxObjectBytes: 900_000,
+  timeoutMs: 2_000,
+  onEvent: () => undefined,
 }
 
-/** Attempts of one group before its claims are unavailable. */
-const MAX_ATTEMPTS = 4
-
-/** Claims that may wait for one range. */
-const MAX_WAITING = 512
+export type ResolvedClaimTableOptions = Required<ClaimTableOptions>
 
 /**
  * Grants each key to one holder.
  *
  * @example
- * const claims = ClaimTable.create({ store, kind: 'claim', wallClock })
+ * const claims = ClaimTable.create({ store, kind: 'claim', ...deps })
  * const verdict = await claims.claim({ key: 'note-17', holder: requestId, value: '' })
  */
 export class ClaimTable {
   readonly #ranges: readonly ClaimRange[]
 
-  private constructor(opts: ClaimTableOptions) {
-    const count = opts.ranges ?? 16
-    this.#ranges = Array.from({ length: count }, (_, i) =>
+  private constructor(opts: ResolvedClaimTableOptions) {
+    this.#ranges = Array.from({ length: opts.ranges }, (_, i) =>
       ClaimRange.create(`r${i}`, opts),
     )
   }
 
   static create(opts: ClaimTableOptions): ClaimTable {
-    return new ClaimTable(opts)
-  }
-
-  /** Claims a key. Unavailable means that the claim must be treated as not granted. */
-  claim(request: ClaimRequest): Promise<ClaimVerdict> {
-    const index = hash32(request.key) % this.#ranges.length
-    const range = this.#ranges[index]
-    return range ? range.claim(request) : Promise.resolve({ type: 'unavailable' })
-  }
-
-  close(): void {
-    for (const range of this.#ranges) range.close()
+    return new ClaimTable({ ...DEFAULTS, ...opts })
   }
-}
-
-class ClaimRange {
-  readonly #waiting = Channel.create<Pending>(MAX_WAITING)
-  #entries: RangeEntries = {}
-  #revision = 0
 
-  private constructor(
-    private readonly name: string,
-    private readonly opts: ClaimTableOptions,
-  ) {
-    spawn(
-      () => this.#loop(),
-      (err) => {
-        throw err
-      },
-    )
+  /** Name of the range that a key belongs to. */
+  rangeOf(key: string): string {
+    return `r${this.#indexOf(key)}`
   }
 
-  static create(name: string, opts: ClaimTableOptions): ClaimRange {
-    return new ClaimRange(name, opts)
+  /** Claims a key. Unavailable means that the claim must be treated as not granted. */
+  claim(request: ClaimRequest, timeoutMs?: number): Promise<ClaimVerdict> {
+    const range = this.#ranges[this.#indexOf(request.key)]
+    if (!range) return Promise.resolve({ type: 'unavailable' })
+    return range.claim({ ...request, key: claimDigest(request.key) }, timeoutMs)
   }
 
-  claim(request: ClaimRequest): Promise<ClaimVerdict> {
-    return new Promise((resolve) => {
-      const queued = this.#waiting.offer({ request, decide: resolve })
-      if (!queued) resolve({ type: 'unavailable' })
-    })
+  /** Adds what became of a claim to a later write of its range; it may get lost. */
+  note(key: string, holder: string, note: ClaimNote): void {
+    this.#ranges[this.#indexOf(key)]?.note(claimDigest(key), holder, note)
   }
 
   close(): void {
-    this.#waiting.close()
-  }
-
-  *#loop(): Generator {
-    for (;;) {
-      const first = yield* this.#waiting.take()
-      if (!first) return
-      const group = [first, ...this.#drain()]
-      const outcome = yield* settle(this.#decideGroup(group))
-      if ('err' in outcome) decideAll(group, { type: 'unavailable' })
-    }
-  }
-
-  #drain(): Pending[] {
-    const group: Pending[] = []
-    for (let next = this.#waiting.poll(); next; next = this.#waiting.poll()) {
-      group.push(next)
-    }
-    return group
-  }
-
-  async #decideGroup(group: readonly Pending[]): Promise<void> {
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const next = this.#withGroup(group)
-      const written = await this.opts.store.put(
-        this.opts.kind,
-        this.name,
-        next,
-        this.#revision,
-      )
-      if (written.ok) {
-        this.#entries = next
-        this.#revision = written.val.revision
-        this.#answer(group)
-        return
-      }
-      // A lost confirmation may hide a write that took effect: read before the next try.
-      await this.#reload()
-    }
-    decideAll(group, { type: 'unavailable' })
-  }
-
-  #withGroup(group: readonly Pending[]): RangeEntries {
-    const atMs = this.opts.wallClock()
-    const oldest = atMs - (this.opts.retentionMs ?? 3_600_000)
-    const kept = Object.entries(this.#entries).filter(([, entry]) => entry.atMs >= oldest)
-    const next = Object.fromEntries(kept)
-    for (const { request } of group) {
-      next[request.key] ??= { holder: request.holder, value: request.value, atMs }
-    }
-    return next
-  }
-
-  #answer(group: readonly Pending[]): void {
-    for (const { request, decide } of group) {
-      const entry = this.#entries[request.key]
-      if (entry?.holder === request.holder) decide({ type: 'granted' })
-      else if (entry) decide({ type: 'held', holder: entry.holder, value: entry.value })
-      else decide({ type: 'unavailable' })
-    }
+    for (const range of this.#ranges) range.close()
   }
 
-  async #reload(): Promise<void> {
-    const read = await this.opts.store.get(this.opts.kind, this.name)
-    if (read.err) return
-    const object = read.val
-    this.#revision = object?.revision ?? 0
-    this.#entries = rangeSchema.parse(object?.value ?? {})
+  #indexOf(key: string): number {
+    return hash32(key) % this.#ranges.length
   }
 }
-
-function decideAll(group: readonly Pending[], verdict: ClaimVerdict): void {
-  for (const { decide } of group) decide(verdict)
-}
