Route claims to their range's owner, recover dead nodes' records, add leases

Cause: writers of one range contended; copies of a dead instance's records were kept but stored by nobody; two overlapping flushes left a slot out, so a recovery could have stopped at the hole. After: an owner by rendezvous hashing groups the writes, the conditional update alone decides; copies go to two instances of other zones in shared messages, the release waits for the first; whoever keeps copies of a silent incarnation appends what its log lacks; a flush under way is shared. A claim that never led to a run is given up so that its key is free again; a finished one is told as ran. Sessions: one write only where the choice isn't the same for all; published choice while no claim can be made; tokens expire. Ruled out: telling every member which request ids are stored (ids times members); a watermark to the two holders does.

--- a/packages/platform/src/messages.ts
+++ b/packages/platform/src/messages.ts
@@ -2,7 +2,15 @@
 import { z } from 'zod'
 
 export const objectSchema = z.object({
-  kind: z.enum(['declaration', 'config', 'claim', 'session', 'billing', 'status']),
+  kind: z.enum([
+    'declaration',
+    'config',
+    'claim',
+    'session',
+    'billing',
+    'status',
+    'lease',
+  ]),
   name: z.string(),
   revision: z.number(),
   value: z.unknown(),
--- a/packages/router/src/constants.ts
+++ b/packages/router/src/constants.ts
@@ -26,3 +26,6 @@
 
 /** Longest wait for a claim, in milliseconds. */
 export const CLAIM_TIMEOUT_MS = 2_000
+
+/** Longest wait for the answer to a note on a claim, in milliseconds. */
+export const CLAIM_NOTE_TIMEOUT_MS = 1_000
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -54,6 +54,23 @@
     help: 'Billing records released without a copy at another instance',
     registers: [this.registry],
   })
+  readonly recoveredRecords = new Counter({
+    name: 'wagtailway_records_recovered_total',
+    help: 'Billing records stored for instances that went silent',
+    registers: [this.registry],
+  })
+  readonly claimEvents = new Counter({
+    name: 'wagtailway_claim_events_total',
+    help: 'Events of claims on idempotency keys and sessions, by kind and event',
+    labelNames: ['kind', 'event'],
+    registers: [this.registry],
+  })
+  readonly sessionPins = new Counter({
+    name: 'wagtailway_session_pins_total',
+    help: 'First requests of sessions, by how their version was decided',
+    labelNames: ['source'],
+    registers: [this.registry],
+  })
   readonly abandoned = new Counter({
     name: 'wagtailway_abandoned_total',
     help: 'Requests whose caller went away before the end of the answer',
--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -1,7 +1,8 @@
 /** What an entry instance shares with the others, over one server and one pool of clients. */
-import type { MemberIdentity, MemberTable } from '@wagtailway/core'
+import type { Ledger, MemberIdentity, MemberTable, ObjectStore } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
 import { Heartbeats } from './heartbeats.js'
+import { PeerClaims, type ClaimKind, type ClaimTables } from './peerClaims.js'
 import { PeerClients } from './peerClients.js'
 import { PeerServer } from './peerServer.js'
 import { RecordCopies } from './recordCopies.js'
@@ -13,6 +14,13 @@
   readonly heartbeatMs: number
   /** Creates the member table once this instance's address is known. */
   readonly createMembers: (self: MemberIdentity) => MemberTable
+  readonly store: ObjectStore
+  readonly ledger: Ledger
+  readonly tables: ClaimTables
+  /** Called with the number of records stored for instances that went silent. */
+  readonly onRecovered: (count: number) => void
+  /** Called for each claim that its range's owner did not decide. */
+  readonly onClaimFallback: (kind: ClaimKind) => void
   readonly onError: (err: unknown) => void
 }
 
@@ -21,7 +29,7 @@
  *
  * @example
  * const peers = await Peers.create(opts)
- * await peers.copies.copy(record)
+ * await peers.copies.copy(ledger.add(record))
  */
 export class Peers {
   private constructor(
@@ -30,6 +38,7 @@
     readonly members: MemberTable,
     readonly heartbeats: Heartbeats,
     readonly copies: RecordCopies,
+    readonly claims: PeerClaims,
   ) {}
 
   static async create(opts: PeersOptions): Promise<Peers> {
@@ -41,8 +50,12 @@
       port: opts.port,
       service: {
         exchange: (request) => holder.peers?.heartbeats.exchange(request) ?? {},
-        copyRecords: (request) => {
-          holder.peers?.copies.receive(request)
+        copyRecords: (request) => ({
+          accepted: holder.peers?.copies.receive(request) ?? false,
+        }),
+        claim: (request) => holder.peers?.claims.receive(request) ?? {},
+        noteClaim: (request) => {
+          holder.peers?.claims.receiveNote(request)
           return {}
         },
       },
@@ -51,8 +64,14 @@
     const members = opts.createMembers(self)
     const { heartbeatMs: intervalMs, onError } = opts
     const heartbeats = Heartbeats.create({ self, members, clients, intervalMs, onError })
-    const copies = RecordCopies.create({ self, members, clients })
-    holder.peers = new Peers(server, clients, members, heartbeats, copies)
+    const shared = { self, members, clients }
+    const copies = RecordCopies.create({ ...opts, ...shared })
+    const claims = PeerClaims.create({
+      ...shared,
+      tables: opts.tables,
+      onFallback: opts.onClaimFallback,
+    })
+    holder.peers = new Peers(server, clients, members, heartbeats, copies, claims)
     return holder.peers
   }
 
@@ -71,6 +90,7 @@
 
   async close(): Promise<void> {
     await this.heartbeats.close()
+    await this.copies.close()
     await this.server.close()
     this.clients.close()
   }
--- a/packages/router/src/peers/recordCopies.ts
+++ b/packages/router/src/peers/recordCopies.ts
@@ -1,32 +1,69 @@
-/** Copies of billing records at other entry instances, kept until the owner has stored them. */
-import type { BillingRecord, Member, MemberIdentity, MemberTable } from '@wagtailway/core'
-import type {
-  BillingRecord as RecordMessage,
-  CopyRecordsRequest,
-} from '@wagtailway/protocol'
+/** Copies of billing records between entry instances, over connect-es. */
+import {
+  CopyKeeper,
+  CopySender,
+  Ticker,
+  monotonicClock,
+  startTimer,
+  type CopyBatch,
+  type Ledger,
+  type LedgerEntry,
+  type Member,
+  type MemberIdentity,
+  type MemberTable,
+  type ObjectStore,
+} from '@wagtailway/core'
+import type { CopyRecordsRequest } from '@wagtailway/protocol'
 import { COPY_TIMEOUT_MS } from '../constants.js'
 import type { PeerClients } from './peerClients.js'
+import { toEntry, toRecordMessage } from './recordMessages.js'
 
-/** Copies of a record that its release waits for. */
-const COPIES = 1
+/** Pause between two looks at what is stored and who has gone silent, in milliseconds. */
+const REFRESH_MS = 1_000
+
+/** Entries of one message when copies are handed over. */
+const HAND_OVER_BATCH = 500
 
 export interface RecordCopiesOptions {
   readonly self: MemberIdentity
   readonly members: MemberTable
   readonly clients: PeerClients
+  readonly ledger: Ledger
+  readonly store: ObjectStore
+  /** Called with the number of records stored for instances that went silent. */
+  readonly onRecovered: (count: number) => void
+  readonly onError: (err: unknown) => void
 }
 
 /**
- * Sends copies of own records and keeps those of others.
+ * Sends copies of own records, keeps those of others and stores them if their
+ * owner goes silent.
  *
  * @example
- * const copies = RecordCopies.create({ self, members, clients })
- * await copies.copy(record)
+ * const copies = RecordCopies.create(opts)
+ * await copies.copy(ledger.add(record))
  */
 export class RecordCopies {
-  readonly #kept = new Map<string, BillingRecord>()
+  readonly #keeper: CopyKeeper
+  readonly #sender: CopySender<Member>
+  readonly #ticker: Ticker
 
-  private constructor(private readonly opts: RecordCopiesOptions) {}
+  private constructor(private readonly opts: RecordCopiesOptions) {
+    const { self, members, ledger, store, onError } = opts
+    const clock = monotonicClock
+    this.#keeper = CopyKeeper.create({ store, self: self.incarnation, clock })
+    this.#sender = CopySender.create({
+      self,
+      ledger,
+      alive: () => members.alive(),
+      send: (member, batch, timeoutMs) => this.#send(member, batch, timeoutMs),
+      clock,
+      startTimer,
+      timeoutMs: COPY_TIMEOUT_MS,
+    })
+    const step = (): Promise<void> => this.#refresh()
+    this.#ticker = Ticker.create({ intervalMs: REFRESH_MS, step, onError })
+  }
 
   static create(opts: RecordCopiesOptions): RecordCopies {
     return new RecordCopies(opts)
@@ -34,64 +71,61 @@
 
   /** Number of records kept for other instances. */
   get count(): number {
-    return this.#kept.size
+    return this.#keeper.count
   }
 
-  /** Copies a record, to an instance of another zone if there is one; returns the copies made. */
-  async copy(record: BillingRecord): Promise<number> {
-    const alive = this.opts.members.alive()
-    const elsewhere = alive.filter(({ zone }) => zone !== this.opts.self.zone)
-    const targets = [...elsewhere, ...alive].slice(0, COPIES)
-    const sent = await Promise.allSettled(
-      targets.map((target) => this.#send(target, record)),
-    )
-    return sent.filter(({ status }) => status === 'fulfilled').length
+  /** Copies a record; false if no copy could be made. */
+  copy(entry: LedgerEntry): Promise<boolean> {
+    return this.#sender.copy(entry)
   }
 
-  /** Tells the others that records are stored and copies may be dropped. */
-  async drop(requestIds: readonly string[]): Promise<void> {
-    const request = { from: this.opts.self, storedRequestIds: [...requestIds] }
-    await Promise.allSettled(
-      this.opts.members.alive().map(({ address }) => {
-        const client = this.opts.clients.of(address)
-        return client.copyRecords(request, { timeoutMs: COPY_TIMEOUT_MS })
-      }),
-    )
+  /** Takes in copies of another instance; false if there is no room. */
+  receive(request: CopyRecordsRequest): boolean {
+    return this.#keeper.receive({
+      incarnation: request.incarnation,
+      entries: request.records.map(toEntry),
+      storedBelow: Number(request.storedBelow),
+    })
   }
 
-  /** Takes in copies of another instance. */
-  receive(request: CopyRecordsRequest): void {
-    for (const record of request.records) {
-      this.#kept.set(record.requestId, toRecord(record))
-    }
-    for (const id of request.storedRequestIds) this.#kept.delete(id)
+  /** Sends everything that this instance keeps to another one, before it leaves. */
+  async handOver(): Promise<void> {
+    await this.#sender.refresh()
+    for (const batch of this.#keeper.batches()) await this.#handOverBatch(batch)
   }
 
-  async #send({ address }: Member, record: BillingRecord): Promise<void> {
-    const request = { from: this.opts.self, records: [toMessage(record)] }
-    const client = this.opts.clients.of(address)
-    await client.copyRecords(request, { timeoutMs: COPY_TIMEOUT_MS })
+  async close(): Promise<void> {
+    await this.#ticker.close()
   }
-}
 
-function toMessage(record: BillingRecord): Omit<RecordMessage, '$typeName'> {
-  return {
-    requestId: record.requestId,
-    workspace: record.workspace,
-    classKey: record.classKey,
-    callsJson: JSON.stringify(record.calls),
-    costMicros: BigInt(record.costMicros),
-    atMs: BigInt(record.atMs),
+  async #refresh(): Promise<void> {
+    await this.#sender.refresh()
+    const recovered = await this.#keeper.recover()
+    if (recovered > 0) this.opts.onRecovered(recovered)
   }
-}
 
-function toRecord(message: RecordMessage): BillingRecord {
-  return {
-    requestId: message.requestId,
-    workspace: message.workspace,
-    classKey: message.classKey,
-    calls: JSON.parse(message.callsJson) as BillingRecord['calls'],
-    costMicros: Number(message.costMicros),
-    atMs: Number(message.atMs),
+  async #handOverBatch(batch: CopyBatch): Promise<void> {
+    const heir = this.opts.members
+      .alive()
+      .find(({ incarnation }) => incarnation !== batch.incarnation)
+    if (!heir) return
+    for (let i = 0; i < batch.entries.length; i += HAND_OVER_BATCH) {
+      const entries = batch.entries.slice(i, i + HAND_OVER_BATCH)
+      await this.#send(heir, { ...batch, entries }, COPY_TIMEOUT_MS).catch(() => false)
+    }
+  }
+
+  async #send(
+    { address }: Member,
+    batch: CopyBatch,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    const request = {
+      incarnation: batch.incarnation,
+      records: batch.entries.map(toRecordMessage),
+      storedBelow: BigInt(batch.storedBelow),
+    }
+    const client = this.opts.clients.of(address)
+    return (await client.copyRecords(request, { timeoutMs })).accepted
   }
 }
--- a/packages/router/src/platform/platformLoops.ts
+++ b/packages/router/src/platform/platformLoops.ts
@@ -14,15 +14,13 @@
   readonly platform: PlatformClient
   /** Receives each list of instances. */
   readonly onInstances: (instances: readonly Instance[]) => void
-  /** Receives the ids of requests whose records are stored. */
-  readonly onStored: (requestIds: readonly string[]) => void
 }
 
 /**
  * The platform's loops of one router.
  *
  * @example
- * const loops = PlatformLoops.create({ node, platform, onInstances, onStored })
+ * const loops = PlatformLoops.create({ node, platform, onInstances })
  * await loops.close()
  */
 export class PlatformLoops {
@@ -86,9 +84,7 @@
 /** Stores pending billing records. */
 export async function flushLedger({
   node,
-  onStored,
-}: Pick<PlatformLoopOptions, 'node' | 'onStored'>): Promise<void> {
-  const stored = await node.ledger.flush()
+}: Pick<PlatformLoopOptions, 'node'>): Promise<void> {
+  await node.ledger.flush()
   node.metrics.ledgerPending.set(node.ledger.pendingCount)
-  if (stored.length > 0) onStored(stored)
 }
--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -22,7 +22,7 @@
 import { admit } from './admit.js'
 import { createCall, type Call } from './call.js'
 import { chooseVersions, mayDispatch } from './chooseVersions.js'
-import { claimRequest } from './claimRequest.js'
+import { claimRequest, type Grant } from './claimRequest.js'
 import { completeOnce, type Answer } from './completeOnce.js'
 import { dispatch } from './dispatch.js'
 import { findClass, identify } from './identify.js'
@@ -63,7 +63,8 @@
   const claim = await claimRequest(node, call)
   if (claim.err) return claim
   call.res.setHeader(ANSWER_HEADERS.requestId, call.requestId)
-  const answered = await runPlan(node, call, chat, plan.val)
+  const answered = await runPlan(node, call, chat, plan.val, claim.val)
+  claim.val.settle(answered)
   if (answered.err) return answered
   const { answer, calls, cost, candidate } = answered.val
   await recordAnswer(node, call, candidate, toRecord(node, call, calls, cost))
@@ -84,6 +85,7 @@
   call: Call,
   chat: ChatRequest,
   plan: VersionPlan,
+  grant: Grant,
 ): Promise<Result<PlanResult, Refusal>> {
   const calls: BackendCall[] = []
   let cost = 0
@@ -95,7 +97,7 @@
       node,
       call,
       backends: () => node.backends.serving(candidate.key),
-      mayDispatch: () => mayDispatch(node, candidate),
+      mayDispatch: () => mayDispatch(node, candidate) && grant.isValid(),
       attempt: (target) => completeOnce(node, call, chat, candidate, target, isLast),
       repeatable: () => !call.nonIdempotent && !call.res.headersSent,
     })
--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -1,19 +1,32 @@
-/** Keeps a session on the version that it started on. */
+/**
+ * Keeps a session on the version that it started on.
+ *
+ * A signed token that the caller carries says it at once. A first request pins the
+ * version by a claim; while no claim can be made, or where there is only one choice,
+ * every node with the same configuration chooses alike and writes the pin later.
+ */
 import {
   Err,
   Ok,
+  hasOneChoice,
   notRun,
+  publishedChoice,
   signSession,
   verifySession,
   type Candidate,
+  type Effective,
   type Refusal,
   type Result,
 } from '@wagtailway/core'
-import { ANSWER_HEADERS, CALLER_HEADERS } from '../constants.js'
+import { ANSWER_HEADERS, CALLER_HEADERS, CLAIM_TIMEOUT_MS } from '../constants.js'
+import { SESSION_RETENTION_MS } from '../peers/claimTables.js'
 import type { RouterNode } from '../routerNode.js'
 import type { Call } from './call.js'
 import { headerText } from './identify.js'
 
+/** Longest name of a session, in characters. */
+const MAX_SESSION_LENGTH = 255
+
 /**
  * Finds the version that the session is pinned to.
  *
@@ -35,7 +48,11 @@
   if (!claims || !own) {
     return Err(notRun('bad_request', 'The session token is not one of this session.'))
   }
-  return usablePin(node, claims.versionKey, allowed)
+  // The session has ended; its name may start a new one.
+  if (claims.expiresAtMs < node.wallClock()) return Ok(undefined)
+  const usable = usablePin(node, claims.versionKey, allowed)
+  if (usable.ok) setToken(node, call, claims.session, claims.versionKey)
+  return usable
 }
 
 /**
@@ -50,27 +67,70 @@
 ): Promise<Result<Candidate, Refusal>> {
   const session = headerText(call.req, CALLER_HEADERS.session)
   if (session === undefined || !call.cls.sessions) return Ok(proposed)
-  const verdict = await node.sessions.claim({
-    key: `${call.classKey}/${session}`,
-    holder: call.requestId,
-    value: proposed.key,
-  })
-  if (verdict.type === 'unavailable') {
-    const message = 'No session can be started while the platform is away.'
-    return Err(notRun('claim_unavailable', message, 1_000))
+  if (session.length > MAX_SESSION_LENGTH) {
+    const message = `A session name has at most ${MAX_SESSION_LENGTH} characters.`
+    return Err(notRun('bad_request', message))
   }
-  const pinned = verdict.type === 'held' ? verdict.value : proposed.key
+  const pinned = await decidePin(node, call, `${call.classKey}/${session}`, proposed)
   const usable = usablePin(node, pinned, allowed)
   if (usable.ok) setToken(node, call, session, pinned)
   return usable
 }
 
+/** The version key that a session without a token is pinned to. */
+async function decidePin(
+  node: RouterNode,
+  call: Call,
+  key: string,
+  proposed: Candidate,
+): Promise<string> {
+  const waiting = node.pins.versionOf(key)
+  if (waiting !== undefined) return waiting
+  const { usable, rollouts } = publishedState(node, call)
+  if (hasOneChoice(usable, rollouts)) {
+    return pinLater(node, call, key, proposed, 'one_choice')
+  }
+  const request = { key, holder: call.requestId, value: proposed.key }
+  const verdict = await node.sessions.claim(request, CLAIM_TIMEOUT_MS)
+  if (verdict.type === 'unavailable') {
+    const chosen = publishedChoice(key, call.cls, usable, rollouts) ?? proposed
+    return pinLater(node, call, key, chosen, 'published_choice')
+  }
+  node.metrics.sessionPins.inc({ source: verdict.type })
+  return verdict.type === 'held' ? verdict.value : proposed.key
+}
+
+function publishedState(
+  node: RouterNode,
+  call: Call,
+): { usable: readonly Candidate[]; rollouts: Effective['rollouts'] } {
+  const config = node.config.current
+  return {
+    usable: config?.usable(call.cls) ?? [],
+    rollouts: config?.effective.rollouts ?? [],
+  }
+}
+
+function pinLater(
+  node: RouterNode,
+  call: Call,
+  key: string,
+  { key: value }: Candidate,
+  source: 'one_choice' | 'published_choice',
+): string {
+  node.metrics.sessionPins.inc({ source })
+  node.pins.add({ key, holder: call.requestId, value })
+  return value
+}
+
+/** Gives the caller a token; each use of the session moves its end. */
 function setToken(node: RouterNode, call: Call, session: string, version: string): void {
   const claims = {
     workspace: call.workspace.name,
     className: call.cls.name,
     session,
     versionKey: version,
+    expiresAtMs: node.wallClock() + SESSION_RETENTION_MS,
   }
   const token = signSession(claims, node.cfg.sessionKeys[0] ?? '')
   call.res.setHeader(ANSWER_HEADERS.sessionToken, token)
--- a/packages/router/src/request/recordAnswer.ts
+++ b/packages/router/src/request/recordAnswer.ts
@@ -12,9 +12,9 @@
   candidate: Candidate,
   record: BillingRecord,
 ): Promise<void> {
-  node.ledger.add(record)
-  const copies = await node.copyRecord(record)
-  if (copies === 0) node.metrics.copyFailures.inc()
+  const entry = node.ledger.add(record)
+  const copied = await node.copyRecord(entry)
+  if (!copied) node.metrics.copyFailures.inc()
   node.metrics.costMicros.inc({ class: call.classKey }, record.costMicros)
   node.metrics.requests.inc({ class: call.classKey, version: candidate.key })
   const seconds = (node.clock() - call.startMs) / MS_PER_SECOND
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -66,10 +66,11 @@
     node,
     call,
     backends: () => node.backends.ofService(service),
-    mayDispatch: () => node.config.isFresh,
+    mayDispatch: () => node.config.isFresh && claim.val.isValid(),
     attempt: (backend) => callOnce(node, call, backend, path, body),
     repeatable: () => isRepeatable(node, call, service),
   })
+  claim.val.settle(outcome)
   if (outcome.err) return outcome
   const answer = outcome.val
   call.res.writeHead(answer.status, {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,17 +1,17 @@
 /** One entry instance: puts the parts together and takes them apart again. */
 import { setTimeout as delay } from 'node:timers/promises'
 import {
-  ClaimTable,
   ConfigHolder,
   Ledger,
   MemberTable,
+  PinBacklog,
   QualityEstimates,
   RetryBudget,
+  Ticker,
   cheapestMeetingTarget,
   concurrencyLimit,
   monotonicClock,
   seededRandom,
-  startTimer,
   twoRandomChoices,
   wallClock,
 } from '@wagtailway/core'
@@ -22,6 +22,8 @@
 import { createLog } from './log.js'
 import { RouterMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
+import { createClaimTables } from './peers/claimTables.js'
+import type { ClaimTables } from './peers/peerClaims.js'
 import { Peers } from './peers/peers.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
@@ -30,6 +32,9 @@
 /** Pause between last attempts to store billing records, in milliseconds. */
 const LAST_FLUSH_PAUSE_MS = 200
 
+/** Pause between writes of session pins that were answered before, in milliseconds. */
+const PIN_FLUSH_MS = 500
+
 /** Attempts to store billing records before a leaving instance relies on its copies. */
 const LAST_FLUSH_ATTEMPTS = 25
 
@@ -45,12 +50,14 @@
   #hasList = false
   #server!: CallerServer
   #loops!: PlatformLoops
+  #pinTicker!: Ticker
 
   private constructor(
     private readonly node: RouterNode,
     private readonly platform: PlatformClient,
     private readonly peers: Peers,
     private readonly ratings: RatingsClient,
+    private readonly tables: ClaimTables,
   ) {}
 
   static async create(cfg: ResolvedRouterOptions): Promise<Router> {
@@ -63,14 +70,27 @@
       },
     })
     const incarnation = `${cfg.node}-${wallClock().toString(36)}`
+    const random = seededRandom(cfg.seed)
+    const ledger = Ledger.create({ store: platform, incarnation })
+    const tables = createClaimTables({ store: platform, random, metrics })
     const peers = await Peers.create({
       self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
       host: cfg.host,
       port: cfg.peerPort,
       heartbeatMs: cfg.heartbeatMs,
       createMembers: (self) => MemberTable.create({ self, clock: monotonicClock }),
+      store: platform,
+      ledger,
+      tables,
+      onRecovered: (count) => {
+        metrics.recoveredRecords.inc(count)
+        log.info('stored records of instances that went silent', { count })
+      },
+      onClaimFallback: (kind) => {
+        metrics.claimEvents.inc({ kind, event: 'owner_fallback' })
+      },
       onError: (err) => {
-        log.error('a heartbeat failed', err)
+        log.error('an exchange with other instances failed', err)
       },
     })
     const estimates = QualityEstimates.create()
@@ -81,23 +101,16 @@
         estimates.rate(classKey, versionKey, score)
       },
     })
-    const random = seededRandom(cfg.seed)
-    const tableDeps = {
-      store: platform,
-      clock: monotonicClock,
-      wallClock,
-      random,
-      startTimer,
-    }
     const node: RouterNode = {
       cfg,
       config: ConfigHolder.create({ clock: monotonicClock, freshMs: cfg.configFreshMs }),
       backends: BackendTable.create(),
       client: BackendClient.create(),
       members: peers.members,
-      claims: ClaimTable.create({ kind: 'claim', ...tableDeps }),
-      sessions: ClaimTable.create({ kind: 'session', ...tableDeps }),
-      ledger: Ledger.create({ store: platform, incarnation }),
+      claims: peers.claims.of.claim,
+      sessions: peers.claims.of.session,
+      pins: createPinBacklog(peers.claims.of.session, metrics),
+      ledger,
       estimates,
       retryBudget: RetryBudget.create(),
       policies: defaultPolicies(cfg),
@@ -106,13 +119,13 @@
       random,
       clock: monotonicClock,
       wallClock,
-      copyRecord: (record) => peers.copies.copy(record),
+      copyRecord: (entry) => peers.copies.copy(entry),
       requestRating: (answer) => {
         ratings.request(answer)
       },
       inProgress: 0,
     }
-    const router = new Router(node, platform, peers, ratings)
+    const router = new Router(node, platform, peers, ratings, tables)
     await router.#start()
     return router
   }
@@ -136,10 +149,13 @@
     await delay(this.node.cfg.drainGraceMs)
     await this.#server.close()
     await this.#storeRecords()
+    await this.node.pins.flush()
+    await this.peers.copies.handOver()
+    await this.#pinTicker.close()
     await this.#loops.close()
     await this.ratings.close()
-    this.node.claims.close()
-    this.node.sessions.close()
+    this.tables.claim.close()
+    this.tables.session.close()
     await this.peers.close()
     this.node.client.close()
     this.platform.close()
@@ -156,17 +172,22 @@
         this.#hasList = true
         peers.setListed(instances)
       },
-      onStored: (requestIds) => void peers.copies.drop(requestIds),
+    })
+    this.#pinTicker = Ticker.create({
+      intervalMs: PIN_FLUSH_MS,
+      step: () => node.pins.flush(),
+      onError: (err) => {
+        node.log.error('session pins were not written', err)
+      },
     })
     const isReady = (): boolean => !this.#leaving && this.#hasList && node.config.isFresh
     this.#server = await CallerServer.create({ node, isReady })
   }
 
   async #storeRecords(): Promise<void> {
-    const { node, peers } = this
-    const onStored = (ids: readonly string[]): void => void peers.copies.drop(ids)
+    const { node } = this
     for (let i = 0; i < LAST_FLUSH_ATTEMPTS; i++) {
-      await flushLedger({ node, onStored })
+      await flushLedger({ node })
       if (node.ledger.pendingCount === 0) return
       await delay(LAST_FLUSH_PAUSE_MS)
     }
@@ -174,6 +195,21 @@
   }
 }
 
+function createPinBacklog(
+  sessions: RouterNode['sessions'],
+  metrics: RouterMetrics,
+): PinBacklog {
+  return PinBacklog.create({
+    claim: (request) => sessions.claim(request),
+    onConflict: () => {
+      metrics.sessionPins.inc({ source: 'conflict' })
+    },
+    onDrop: () => {
+      metrics.sessionPins.inc({ source: 'dropped' })
+    },
+  })
+}
+
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -1,12 +1,14 @@
 /** The parts of one router that requests use. */
 import type {
   AdmissionPolicy,
-  BillingRecord,
-  ClaimTable,
+  ClaimRouter,
   Clock,
   ConfigHolder,
   Ledger,
+  LedgerEntry,
+  Member,
   MemberTable,
+  PinBacklog,
   QualityEstimates,
   Random,
   ReplicaPolicy,
@@ -26,8 +28,10 @@
   readonly chooseReplica: ReplicaPolicy
 }
 
-/** Copies records to other instances; resolves to the number of copies made. */
-export type CopyRecord = (record: BillingRecord) => Promise<number>
+/** Copies a record to other instances; resolves to false if no copy could be made. */
+export type CopyRecord = (entry: LedgerEntry) => Promise<boolean>
+
+export type Claims = Pick<ClaimRouter<Member>, 'claim' | 'note'>
 
 /** Sends an answer to be rated. */
 export type RequestRating = (answer: {
@@ -42,8 +46,10 @@
   readonly backends: BackendTable
   readonly client: BackendClient
   readonly members: MemberTable
-  readonly claims: ClaimTable
-  readonly sessions: ClaimTable
+  readonly claims: Claims
+  readonly sessions: Claims
+  /** Session pins that are written behind their answers. */
+  readonly pins: PinBacklog
   readonly ledger: Ledger
   readonly estimates: QualityEstimates
   readonly retryBudget: RetryBudget
--- a/packages/wagtailway/src/claim/claimRange.ts
+++ b/packages/wagtailway/src/claim/claimRange.ts
@@ -28,7 +28,7 @@
 const MAX_BACKOFF_MS = 128
 
 /** Longest wait of a note for a write to ride on, in milliseconds. */
-const NOTE_DELAY_MS = 1_000
+const NOTE_DELAY_MS = { done: 1_000, given_up: 100 }
 
 /** Attempts to write notes that no claim waits with. */
 const MAX_NOTE_ATTEMPTS = 4
@@ -89,7 +89,7 @@
   note(digest: string, holder: string, note: ClaimNote): void {
     if (this.#closed) return
     this.#notes.add(digest, holder, note)
-    this.#cancelNoteTimer ??= this.opts.startTimer(NOTE_DELAY_MS, () => {
+    this.#cancelNoteTimer ??= this.opts.startTimer(NOTE_DELAY_MS[note], () => {
       this.#cancelNoteTimer = undefined
       void this.#run()
     })
@@ -105,10 +105,8 @@
   /** Another's claim that this node has seen stands until it expires; no call is needed. */
   #knownHeld({ key, holder }: ClaimRequest): ClaimVerdict | undefined {
     const entry = this.#entries[key]
-    if (!entry || entry.holder === holder) return undefined
-    const { retentionMs, renews } = this.opts
-    const trustedMs = renews ? retentionMs * RENEW_FRACTION : retentionMs
-    if (entry.atMs < this.opts.wallClock() - trustedMs) return undefined
+    if (!entry || entry.holder === holder || !this.#isLasting(entry)) return undefined
+    if (this.#isExpired(entry) || this.#mayRenew(entry)) return undefined
     this.opts.onEvent('answered_from_memory')
     return verdictOf(entry, holder)
   }
@@ -167,7 +165,7 @@
   }
 
   async #decideGroup(group: readonly Pending[]): Promise<void> {
-    if (!this.#loaded && !(await this.#reload())) {
+    if (this.#needsRead(group) && !(await this.#reload())) {
       this.#goAway(group)
       return
     }
@@ -190,6 +188,20 @@
     }
   }
 
+  /** Another's claim in progress may have been given up since it was last seen. */
+  #needsRead(group: readonly Pending[]): boolean {
+    if (!this.#loaded) return true
+    return group.some(({ request: { key, holder } }) => {
+      const entry = this.#entries[key]
+      return entry && entry.holder !== holder && !this.#isLasting(entry)
+    })
+  }
+
+  /** Whether an entry can only go by expiring. */
+  #isLasting(entry: ClaimEntry): boolean {
+    return this.opts.permanent || entry.done === true
+  }
+
   async #write(next: ClaimEntries): Promise<boolean> {
     const { store, kind, onEvent } = this.opts
     this.#pace.take()
@@ -257,6 +269,7 @@
 
   async #reload(): Promise<boolean> {
     this.opts.onEvent('get')
+    this.#pace.take()
     const read = await this.opts.store.get(this.opts.kind, this.name)
     if (read.err) return false
     this.#entries = claimEntriesSchema.parse(read.val?.value ?? {})
--- a/packages/wagtailway/src/claim/claimRouter.ts
+++ b/packages/wagtailway/src/claim/claimRouter.ts
@@ -4,8 +4,7 @@
  * Rendezvous hashing over the members alive names that node. It only saves
  * conflicts: when views differ, when it is frozen or its answer gets lost, the
  * holder claims at its own table with the same holder name, and the conditional
- * update decides. A holder that ends without a grant gives its claim up, so that
- * a repeat by the caller finds the key free.
+ * update decides.
  */
 import type { Clock } from '../clock.js'
 import { within, type StartTimer } from '../csp/timers.js'
@@ -75,9 +74,15 @@
     timeoutMs = CLAIM_TIMEOUT_MS,
   ): Promise<ClaimVerdict> {
     const deadlineMs = this.opts.clock() + timeoutMs
-    const verdict = await this.#claimAnywhere(request, deadlineMs)
-    if (verdict.type === 'unavailable') this.note(request.key, request.holder, 'given_up')
-    return verdict
+    const owner = this.#ownerOf(request.key)
+    if (owner) {
+      const verdict = await this.#claimAt(owner, request, deadlineMs)
+      if (verdict.type !== 'unavailable') return verdict
+      this.opts.onFallback?.()
+    }
+    const leftMs = deadlineMs - this.opts.clock()
+    if (leftMs <= 0) return { type: 'unavailable' }
+    return this.opts.table.claim(request, leftMs)
   }
 
   /** Says what became of a claim, to the range's owner and else to the own table. */
@@ -93,18 +98,6 @@
     })
   }
 
-  async #claimAnywhere(request: ClaimRequest, deadlineMs: number): Promise<ClaimVerdict> {
-    const owner = this.#ownerOf(request.key)
-    if (owner) {
-      const verdict = await this.#claimAt(owner, request, deadlineMs)
-      if (verdict.type !== 'unavailable') return verdict
-      this.opts.onFallback?.()
-    }
-    const leftMs = deadlineMs - this.opts.clock()
-    if (leftMs <= 0) return { type: 'unavailable' }
-    return this.opts.table.claim(request, leftMs)
-  }
-
   /** Asks the owner; no answer, or none in time, counts as unavailable. */
   async #claimAt(
     owner: M,
--- a/packages/wagtailway/src/claim/claimTable.ts
+++ b/packages/wagtailway/src/claim/claimTable.ts
@@ -67,6 +67,11 @@
    * @default false
    */
   readonly renews?: boolean
+  /**
+   * Whether no claim is ever given up, so that one seen once can be told from memory.
+   * @default false
+   */
+  readonly permanent?: boolean
   /**
    * Mean pause between two writes of one range by this node, in milliseconds.
    * @default 250
@@ -100,6 +105,7 @@
   ranges: 32,
   retentionMs: 3_600_000,
   renews: false,
+  permanent: false,
   writeIntervalMs: 250,
   writeBurst: 8,
   maxObjectBytes: 900_000,
--- a/packages/wagtailway/src/ledger/__tests__/ledger.spec.ts
+++ b/packages/wagtailway/src/ledger/__tests__/ledger.spec.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { MemoryStore, type CallFault } from '../../platform/memoryStore.js'
-import { Ledger, billingSlotSchema, type BillingRecord } from '../ledger.js'
+import { billingSlotSchema, type BillingRecord } from '../billingRecord.js'
+import { Ledger } from '../ledger.js'
 
 function record(requestId: string): BillingRecord {
   return {
--- /dev/null
+++ b/packages/wagtailway/src/ledger/copySender.ts
@@ -0,0 +1,189 @@
+/**
+ * Sends copies of this incarnation's records to other nodes before the end of an
+ * answer is released.
+ *
+ * Records that are due while a message to the same node is under way share the
+ * next one: nothing waits at a low rate, and the rate of messages is bounded by
+ * their round trip at a high one.
+ */
+import type { Clock } from '../clock.js'
+import { within, type StartTimer } from '../csp/timers.js'
+import type { MemberIdentity } from '../member/memberTable.js'
+import type { LedgerEntry } from './billingRecord.js'
+import type { CopyBatch } from './copyKeeper.js'
+import { chooseCopyTargets } from './copyTargets.js'
+import type { Ledger } from './ledger.js'
+
+export interface CopySenderOptions<M extends MemberIdentity> {
+  readonly self: MemberIdentity
+  readonly ledger: Pick<Ledger, 'pending' | 'pendingCount' | 'storedBelow'>
+  /** Other members that are alive. */
+  readonly alive: () => readonly M[]
+  /** Sends a batch; false if the member has no room, rejects if it doesn't answer. */
+  readonly send: (member: M, batch: CopyBatch, timeoutMs: number) => Promise<boolean>
+  /** Monotonic clock. */
+  readonly clock: Clock
+  readonly startTimer: StartTimer
+  /**
+   * Members that get each record; the release waits for the first of them.
+   * @default 2
+   */
+  readonly copies?: number
+  /**
+   * Longest wait for one message, in milliseconds.
+   * @default 250
+   */
+  readonly timeoutMs?: number
+}
+
+interface Waiting {
+  readonly entry: LedgerEntry
+  readonly settle: (copied: boolean) => void
+}
+
+interface Lane {
+  waiting: Waiting[]
+  isSending: boolean
+  /** Whether the member has every pending record. */
+  isFilled: boolean
+  /** What the member was last told to be stored. */
+  toldBelow: number
+}
+
+/** Entries in one message. */
+const MAX_BATCH = 500
+
+/** Time for which a member that did not answer is passed over, in milliseconds. */
+const SUSPECT_MS = 3_000
+
+/** Choices of members before an answer is released without a copy. */
+const MAX_ROUNDS = 2
+
+/**
+ * Copies records to other nodes.
+ *
+ * @example
+ * const sender = CopySender.create({ self, ledger, alive, send, clock, startTimer })
+ * await sender.copy(ledger.add(record)) // copies confirmed so far
+ */
+export class CopySender<M extends MemberIdentity> {
+  readonly #lanes = new Map<string, Lane>()
+  readonly #suspectUntilMs = new Map<string, number>()
+
+  private constructor(private readonly opts: CopySenderOptions<M>) {}
+
+  static create<M extends MemberIdentity>(opts: CopySenderOptions<M>): CopySender<M> {
+    return new CopySender(opts)
+  }
+
+  /** Resolves to true once one copy is confirmed, to false if none could be made. */
+  async copy(entry: LedgerEntry): Promise<boolean> {
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      const targets = this.#targets()
+      if (targets.length === 0) return false
+      const sent = targets.map((target) => this.#push(target, entry))
+      if (await firstTrue(sent)) return true
+    }
+    return false
+  }
+
+  /**
+   * Tells the members what is stored and that this node is alive; a member that is
+   * new or has missed something gets every pending record.
+   */
+  async refresh(): Promise<void> {
+    const targets = this.#targets()
+    const ids = new Set(targets.map(({ incarnation }) => incarnation))
+    for (const id of this.#lanes.keys()) {
+      if (!ids.has(id)) this.#lanes.delete(id)
+    }
+    await Promise.all(targets.map((target) => this.#refreshOne(target)))
+  }
+
+  async #refreshOne(target: M): Promise<void> {
+    const { ledger } = this.opts
+    const lane = this.#laneOf(target)
+    if (!lane.isFilled) {
+      const sent = ledger.pending().map((entry) => this.#push(target, entry))
+      const results = await Promise.all(sent)
+      lane.isFilled = results.every((copied) => copied)
+      return
+    }
+    const hasNews = ledger.storedBelow !== lane.toldBelow || ledger.pendingCount > 0
+    if (!hasNews || lane.isSending) return
+    await this.#sendBatch(target, lane, [])
+    await this.#drain(target, lane)
+  }
+
+  #push(target: M, entry: LedgerEntry): Promise<boolean> {
+    const lane = this.#laneOf(target)
+    return new Promise((settle) => {
+      lane.waiting.push({ entry, settle })
+      void this.#drain(target, lane)
+    })
+  }
+
+  async #drain(target: M, lane: Lane): Promise<void> {
+    if (lane.isSending) return
+    while (lane.waiting.length > 0) {
+      const group = lane.waiting.splice(0, MAX_BATCH)
+      const entries = group.map(({ entry }) => entry)
+      const copied = await this.#sendBatch(target, lane, entries)
+      // What still waits for a member that failed is better sent to another one.
+      const settled = copied ? group : [...group, ...lane.waiting.splice(0)]
+      for (const { settle } of settled) settle(copied)
+    }
+  }
+
+  async #sendBatch(
+    target: M,
+    lane: Lane,
+    entries: readonly LedgerEntry[],
+  ): Promise<boolean> {
+    const { self, ledger, send, startTimer, timeoutMs = 250 } = this.opts
+    const { storedBelow } = ledger
+    const batch = { incarnation: self.incarnation, entries, storedBelow }
+    lane.isSending = true
+    const sent = send(target, batch, timeoutMs).catch(() => undefined)
+    const answer = await within(startTimer, timeoutMs, sent, undefined)
+    lane.isSending = false
+    if (answer) lane.toldBelow = storedBelow
+    else this.#fail(target, lane)
+    return answer ?? false
+  }
+
+  #fail({ incarnation }: M, lane: Lane): void {
+    lane.isFilled = false
+    this.#suspectUntilMs.set(incarnation, this.opts.clock() + SUSPECT_MS)
+  }
+
+  #targets(): M[] {
+    const nowMs = this.opts.clock()
+    const trusted = this.opts
+      .alive()
+      .filter(({ incarnation }) => (this.#suspectUntilMs.get(incarnation) ?? 0) <= nowMs)
+    return chooseCopyTargets(this.opts.self, trusted, this.opts.copies ?? 2)
+  }
+
+  #laneOf({ incarnation }: M): Lane {
+    const known = this.#lanes.get(incarnation)
+    if (known) return known
+    const lane = { waiting: [], isSending: false, isFilled: false, toldBelow: 0 }
+    this.#lanes.set(incarnation, lane)
+    return lane
+  }
+}
+
+/** Resolves to true as soon as one promise does, to false once all gave false. */
+function firstTrue(promises: readonly Promise<boolean>[]): Promise<boolean> {
+  return new Promise((resolve) => {
+    for (const promise of promises) {
+      void promise.then((value) => {
+        if (value) resolve(true)
+      })
+    }
+    void Promise.all(promises).then(() => {
+      resolve(false)
+    })
+  })
+}
--- a/packages/wagtailway/src/ledger/ledger.ts
+++ b/packages/wagtailway/src/ledger/ledger.ts
@@ -1,40 +1,7 @@
-/**
- * Billing records of one incarnation, stored in numbered slots.
- *
- * Each slot is an object created only if absent, so the slots of an
- * incarnation form a log that any node can append to but nobody can change.
- * Whoever appends has read every earlier slot and leaves out records that
- * stand there, so a record stands in the log once, whoever wrote it.
- */
-import { z } from 'zod'
+/** Billing records of one incarnation, gathered and stored in groups. */
 import type { ObjectStore } from '../platform/objectStore.js'
-
-export const backendCallSchema = z.object({
-  versionKey: z.string(),
-  backend: z.string(),
-  promptTokens: z.number(),
-  completionTokens: z.number(),
-})
-
-export const billingRecordSchema = z.object({
-  requestId: z.string(),
-  workspace: z.string(),
-  classKey: z.string(),
-  calls: z.array(backendCallSchema),
-  /** Cost in millionths of the currency unit. */
-  costMicros: z.number(),
-  /** Milliseconds since the epoch. */
-  atMs: z.number(),
-})
-
-export const billingSlotSchema = z.object({
-  /** Node that wrote the slot; another one than the log's after a recovery. */
-  writer: z.string(),
-  records: z.array(billingRecordSchema),
-})
-
-export type BackendCall = z.infer<typeof backendCallSchema>
-export type BillingRecord = z.infer<typeof billingRecordSchema>
+import type { BillingRecord, LedgerEntry } from './billingRecord.js'
+import { SlotLog } from './slotLog.js'
 
 export interface LedgerOptions {
   readonly store: ObjectStore
@@ -47,8 +14,8 @@
   readonly maxPending?: number
 }
 
-/** Records in one slot, well under the platform's limit of one megabyte a value. */
-const MAX_RECORDS_PER_SLOT = 2_000
+/** Records looked at for one slot. */
+const MAX_GROUP = 2_000
 
 /**
  * Gathers records and stores them in groups.
@@ -59,10 +26,15 @@
  * await ledger.flush()
  */
 export class Ledger {
-  readonly #pending = new Map<string, BillingRecord>()
-  #nextSlot = 0
-
-  private constructor(private readonly opts: LedgerOptions) {}
+  readonly #pending = new Map<string, LedgerEntry>()
+  readonly #log: SlotLog
+  #nextSeq = 0
+  #flushing: Promise<string[]> | undefined
+
+  private constructor(private readonly opts: LedgerOptions) {
+    const { store, incarnation } = opts
+    this.#log = SlotLog.create({ store, incarnation, writer: incarnation, fromSlot: 0 })
+  }
 
   static create(opts: LedgerOptions): Ledger {
     return new Ledger(opts)
@@ -78,54 +50,58 @@
     return this.#pending.size < (this.opts.maxPending ?? 200_000)
   }
 
+  /** Every record whose sequence number is lower is stored. */
+  get storedBelow(): number {
+    const [oldest] = this.#pending.values()
+    return oldest?.seq ?? this.#nextSeq
+  }
+
+  /** Entries not yet known to be stored, oldest first. */
+  pending(): LedgerEntry[] {
+    return [...this.#pending.values()]
+  }
+
   /** Adds a record; a repeated request id changes nothing. */
-  add(record: BillingRecord): void {
-    if (!this.#pending.has(record.requestId)) this.#pending.set(record.requestId, record)
+  add(record: BillingRecord): LedgerEntry {
+    const known = this.#pending.get(record.requestId)
+    if (known) return known
+    const entry = { record, seq: this.#nextSeq, fromSlot: this.#log.nextSlot }
+    this.#nextSeq += 1
+    this.#pending.set(record.requestId, entry)
+    return entry
   }
 
   /**
-   * Writes what is pending into the next free slot.
+   * Writes what is pending into the next free slots. A flush that is under way is
+   * shared, so that no slot is left out.
    *
    * @returns Ids of the requests whose records are stored now.
    */
-  async flush(): Promise<string[]> {
+  flush(): Promise<string[]> {
+    this.#flushing ??= this.#flush().finally(() => {
+      this.#flushing = undefined
+    })
+    return this.#flushing
+  }
+
+  async #flush(): Promise<string[]> {
     const stored: string[] = []
     while (this.#pending.size > 0) {
-      const records = [...this.#pending.values()].slice(0, MAX_RECORDS_PER_SLOT)
-      const slot = slotName(this.opts.incarnation, this.#nextSlot)
-      const value = { writer: this.opts.incarnation, records }
-      const written = await this.opts.store.put('billing', slot, value, 0)
-      if (written.ok) {
-        this.#settle(records, stored)
-      } else if (!(await this.#adoptSlot(slot, stored))) {
-        break
+      const ids = await this.#log.append(this.#firstRecords())
+      if (ids === undefined) break
+      for (const id of ids) {
+        if (this.#pending.delete(id)) stored.push(id)
       }
     }
     return stored
   }
 
-  /** Takes over what stands in an occupied slot; false if it can't be read now. */
-  async #adoptSlot(slot: string, stored: string[]): Promise<boolean> {
-    const read = await this.opts.store.get('billing', slot)
-    if (read.err || read.val === undefined) return false
-    this.#settle(billingSlotSchema.parse(read.val.value).records, stored)
-    return true
-  }
-
-  #settle(records: readonly BillingRecord[], stored: string[]): void {
-    this.#nextSlot += 1
-    for (const { requestId } of records) {
-      if (this.#pending.delete(requestId)) stored.push(requestId)
+  #firstRecords(): BillingRecord[] {
+    const records: BillingRecord[] = []
+    for (const { record } of this.#pending.values()) {
+      if (records.length >= MAX_GROUP) break
+      records.push(record)
     }
+    return records
   }
 }
-
-/**
- * Name of a slot; names of one incarnation sort in order of their numbers.
- *
- * @example
- * slotName('n1-17', 3) // 'n1-17/00000003'
- */
-export function slotName(incarnation: string, slot: number): string {
-  return `${incarnation}/${String(slot).padStart(8, '0')}`
-}
--- a/packages/wagtailway/src/platform/objectStore.ts
+++ b/packages/wagtailway/src/platform/objectStore.ts
@@ -8,7 +8,7 @@
 
 /** Kinds of objects that wagtailway keeps in the platform. */
 export type ObjectKind =
-  'declaration' | 'config' | 'claim' | 'session' | 'billing' | 'status'
+  'declaration' | 'config' | 'claim' | 'session' | 'billing' | 'status' | 'lease'
 
 export interface StoredObject {
   readonly kind: ObjectKind
--- a/packages/wagtailway/src/session/__tests__/sessionToken.spec.ts
+++ b/packages/wagtailway/src/session/__tests__/sessionToken.spec.ts
@@ -7,6 +7,7 @@
   session: 's1',
   className: 'dossier',
   versionKey: 'summariser@large',
+  expiresAtMs: 1_000,
 }
 
 describe('session tokens', () => {
--- a/packages/wagtailway/src/session/sessionToken.ts
+++ b/packages/wagtailway/src/session/sessionToken.ts
@@ -12,6 +12,8 @@
   session: z.string(),
   className: z.string(),
   versionKey: z.string(),
+  /** End of the session unless it is used again, in milliseconds since the epoch. */
+  expiresAtMs: z.number(),
 })
 
 export type SessionClaims = z.infer<typeof claimsSchema>
