--- a/packages/router/src/request/claimRequest.ts
+++ b/packages/router/src/request/claimRequest.ts
@@ -1,6 +1,7 @@
 /** Claims a request that must run at most once. */
 import {
   Err,
+  Grant,
   Ok,
   notRun,
   refuse,
@@ -14,60 +15,47 @@
 
 const CLAIM_RETRY_MS = 1_000
 
-/**
- * Time after the start of a claim in which its request may be sent, in milliseconds.
- * Far below the retention time, so that a process that was frozen in between finds
- * its grant lapsed while the key still stands.
- */
-const GRANT_MS = 60_000
-
 /** Longest idempotency key, in characters. */
 const MAX_KEY_LENGTH = 255
 
-/** Leave for one run of a request. */
-export interface Grant {
+/** Leave to run a request. */
+export interface RunLeave {
   /** Whether the request may be sent at this moment. */
   readonly isValid: () => boolean
   /** Says what became of the request, for later claimants of its key. */
   readonly settle: (outcome: Result<unknown, Refusal>) => void
 }
 
-/** Grant of a request that may run any number of times. */
-const UNLIMITED: Grant = { isValid: () => true, settle: () => undefined }
+/** Leave of a request that may run any number of times. */
+const UNLIMITED: RunLeave = { isValid: () => true, settle: () => undefined }
 
 /** Grants a non-idempotent request its one run, or refuses it. */
 export async function claimRequest(
   node: RouterNode,
   call: Call,
-): Promise<Result<Grant, Refusal>> {
+): Promise<Result<RunLeave, Refusal>> {
   if (!call.nonIdempotent) return Ok(UNLIMITED)
-  const { idempotencyKey } = call
+  const { idempotencyKey, requestId: holder } = call
   if (idempotencyKey === undefined || idempotencyKey.length > MAX_KEY_LENGTH) {
     const message = `A non-idempotent request needs an Idempotency-Key header of at most ${MAX_KEY_LENGTH} characters.`
     return Err(notRun('bad_request', message))
   }
   const key = `${call.workspace.name}/${idempotencyKey}`
-  const startMs = node.clock()
-  const request = { key, holder: call.requestId, value: '' }
-  const claimed = node.claims.claim(request, CLAIM_TIMEOUT_MS)
+  const grant = Grant.create({ claims: node.claims, key, holder, clock: node.clock })
+  const claimed = grant.claim(CLAIM_TIMEOUT_MS)
   const verdict = await unlessAborted(call.signal, claimed)
   if (verdict === undefined) {
     void claimed.then(({ type }) => {
-      if (type !== 'held') node.claims.note(key, call.requestId, 'given_up')
+      if (type === 'granted') grant.settle('not_run')
     })
     const message = 'The deadline passed before the request was sent.'
     return Err(notRun('deadline_exceeded', message, CLAIM_RETRY_MS))
   }
-  // A write that was not confirmed may still stand; it must not block a repeat.
-  if (verdict.type === 'unavailable') node.claims.note(key, call.requestId, 'given_up')
   if (verdict.type !== 'granted') return Err(refusalOf(verdict))
   return Ok({
-    isValid: () => node.clock() - startMs < GRANT_MS,
+    isValid: () => grant.isValid,
     settle: (outcome) => {
-      const ran = outcome.ok ? 'ran' : outcome.val.ran
-      if (ran === 'ran') node.claims.note(key, call.requestId, 'done')
-      // Nothing was sent and nothing will be: the caller may repeat the request.
-      if (ran === 'not_run') node.claims.note(key, call.requestId, 'given_up')
+      grant.settle(outcome.ok ? 'ran' : outcome.val.ran)
     },
   })
 }
--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -22,7 +22,7 @@
 import { admit } from './admit.js'
 import { createCall, type Call } from './call.js'
 import { chooseVersions, mayDispatch } from './chooseVersions.js'
-import { claimRequest, type Grant } from './claimRequest.js'
+import { claimRequest, type RunLeave } from './claimRequest.js'
 import { completeOnce, type Answer } from './completeOnce.js'
 import { dispatch } from './dispatch.js'
 import { findClass, identify } from './identify.js'
@@ -85,7 +85,7 @@
   call: Call,
   chat: ChatRequest,
   plan: VersionPlan,
-  grant: Grant,
+  leave: RunLeave,
 ): Promise<Result<PlanResult, Refusal>> {
   const calls: BackendCall[] = []
   let cost = 0
@@ -97,7 +97,7 @@
       node,
       call,
       backends: () => node.backends.serving(candidate.key),
-      mayDispatch: () => mayDispatch(node, candidate) && grant.isValid(),
+      mayDispatch: () => mayDispatch(node, candidate) && leave.isValid(),
       attempt: (target) => completeOnce(node, call, chat, candidate, target, isLast),
       repeatable: () => !call.nonIdempotent && !call.res.headersSent,
     })
--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -14,7 +14,6 @@
   signSession,
   verifySession,
   type Candidate,
-  type Effective,
   type Refusal,
   type Result,
 } from '@wagtailway/core'
@@ -84,43 +83,20 @@
   key: string,
   proposed: Candidate,
 ): Promise<string> {
-  const waiting = node.pins.versionOf(key)
-  if (waiting !== undefined) return waiting
-  const { usable, rollouts } = publishedState(node, call)
-  if (hasOneChoice(usable, rollouts)) {
-    return pinLater(node, call, key, proposed, 'one_choice')
-  }
-  const request = { key, holder: call.requestId, value: proposed.key }
-  const verdict = await node.sessions.claim(request, CLAIM_TIMEOUT_MS)
-  if (verdict.type === 'unavailable') {
-    const chosen = publishedChoice(key, call.cls, usable, rollouts) ?? proposed
-    return pinLater(node, call, key, chosen, 'published_choice')
-  }
-  node.metrics.sessionPins.inc({ source: verdict.type })
-  return verdict.type === 'held' ? verdict.value : proposed.key
-}
-
-function publishedState(
-  node: RouterNode,
-  call: Call,
-): { usable: readonly Candidate[]; rollouts: Effective['rollouts'] } {
   const config = node.config.current
-  return {
-    usable: config?.usable(call.cls) ?? [],
-    rollouts: config?.effective.rollouts ?? [],
+  const usable = config?.usable(call.cls) ?? []
+  const rollouts = config?.effective.rollouts ?? []
+  const published = publishedChoice(key, call.cls, usable, rollouts) ?? proposed
+  const first = {
+    key,
+    holder: call.requestId,
+    proposed: proposed.key,
+    published: published.key,
+    isOnlyChoice: hasOneChoice(usable, rollouts),
   }
-}
-
-function pinLater(
-  node: RouterNode,
-  call: Call,
-  key: string,
-  { key: value }: Candidate,
-  source: 'one_choice' | 'published_choice',
-): string {
+  const { version, source } = await node.sessions.pin(first, CLAIM_TIMEOUT_MS)
   node.metrics.sessionPins.inc({ source })
-  node.pins.add({ key, holder: call.requestId, value })
-  return value
+  return version
 }
 
 /** Gives the caller a token; each use of the session moves its end. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,7 @@
   PinBacklog,
   QualityEstimates,
   RetryBudget,
+  SessionPins,
   Ticker,
   cheapestMeetingTarget,
   concurrencyLimit,
@@ -14,6 +15,7 @@
   seededRandom,
   twoRandomChoices,
   wallClock,
+  type Claims,
 } from '@wagtailway/core'
 import { PlatformClient } from '@wagtailway/platform'
 import { BackendClient } from './backend/backendClient.js'
@@ -108,8 +110,7 @@
       client: BackendClient.create(),
       members: peers.members,
       claims: peers.claims.of.claim,
-      sessions: peers.claims.of.session,
-      pins: createPinBacklog(peers.claims.of.session, metrics),
+      sessions: createSessionPins(peers.claims.of.session, metrics),
       ledger,
       estimates,
       retryBudget: RetryBudget.create(),
@@ -149,7 +150,7 @@
     await delay(this.node.cfg.drainGraceMs)
     await this.#server.close()
     await this.#storeRecords()
-    await this.node.pins.flush()
+    await this.node.sessions.flush()
     await this.peers.copies.handOver()
     await this.#pinTicker.close()
     await this.#loops.close()
@@ -175,7 +176,7 @@
     })
     this.#pinTicker = Ticker.create({
       intervalMs: PIN_FLUSH_MS,
-      step: () => node.pins.flush(),
+      step: () => node.sessions.flush(),
       onError: (err) => {
         node.log.error('session pins were not written', err)
       },
@@ -195,12 +196,9 @@
   }
 }
 
-function createPinBacklog(
-  sessions: RouterNode['sessions'],
-  metrics: RouterMetrics,
-): PinBacklog {
-  return PinBacklog.create({
-    claim: (request) => sessions.claim(request),
+function createSessionPins(claims: Claims, metrics: RouterMetrics): SessionPins {
+  const backlog = PinBacklog.create({
+    claim: (request) => claims.claim(request),
     onConflict: () => {
       metrics.sessionPins.inc({ source: 'conflict' })
     },
@@ -208,6 +206,7 @@
       metrics.sessionPins.inc({ source: 'dropped' })
     },
   })
+  return SessionPins.create({ claims, backlog })
 }
 
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -1,18 +1,17 @@
 /** The parts of one router that requests use. */
 import type {
   AdmissionPolicy,
-  ClaimRouter,
+  Claims,
   Clock,
   ConfigHolder,
   Ledger,
   LedgerEntry,
-  Member,
   MemberTable,
-  PinBacklog,
   QualityEstimates,
   Random,
   ReplicaPolicy,
   RetryBudget,
+  SessionPins,
   VersionPolicy,
 } from '@wagtailway/core'
 import type { BackendClient } from './backend/backendClient.js'
@@ -31,8 +30,6 @@
 /** Copies a record to other instances; resolves to false if no copy could be made. */
 export type CopyRecord = (entry: LedgerEntry) => Promise<boolean>
 
-export type Claims = Pick<ClaimRouter<Member>, 'claim' | 'note'>
-
 /** Sends an answer to be rated. */
 export type RequestRating = (answer: {
   requestId: string
@@ -47,9 +44,7 @@
   readonly client: BackendClient
   readonly members: MemberTable
   readonly claims: Claims
-  readonly sessions: Claims
-  /** Session pins that are written behind their answers. */
-  readonly pins: PinBacklog
+  readonly sessions: SessionPins
   readonly ledger: Ledger
   readonly estimates: QualityEstimates
   readonly retryBudget: RetryBudget
