--- a/packages/router/src/backend/place.ts
+++ b/packages/router/src/backend/place.ts
@@ -3,7 +3,7 @@
   Err,
   Ok,
   notRun,
-  type Grant,
+  type PoolPlace,
   type Refusal,
   type Result,
   type ServerPool,
@@ -62,7 +62,7 @@
 function toPlace(
   node: RouterNode,
   pool: ServerPool,
-  grant: Grant,
+  grant: PoolPlace,
   backend: Instance,
   targetMs: number,
 ): Place {
--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -3,11 +3,14 @@
   Clock,
   ConfigHolder,
   ExchangeNode,
+  Ledger,
   MemberIdentity,
   MemberTable,
+  ObjectStore,
 } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
 import { Exchanges } from './exchanges.js'
+import { PeerClaims, type ClaimKind, type ClaimTables } from './peerClaims.js'
 import { PeerClients } from './peerClients.js'
 import { PeerServer } from './peerServer.js'
 import { RecordCopies } from './recordCopies.js'
@@ -26,6 +29,13 @@
   readonly onChange: () => void
   /** Counts the bytes of the messages sent. */
   readonly onBytes: (bytes: number) => void
+  readonly store: ObjectStore
+  readonly ledger: Ledger
+  readonly tables: ClaimTables
+  /** Called with the number of records stored for instances that went silent. */
+  readonly onRecovered: (count: number) => void
+  /** Called for each claim that its range's owner did not decide. */
+  readonly onClaimFallback: (kind: ClaimKind) => void
   readonly onError: (err: unknown) => void
 }
 
@@ -34,7 +44,7 @@
  *
  * @example
  * const peers = await Peers.create(opts)
- * await peers.copies.copy(record)
+ * await peers.copies.copy(ledger.add(record))
  */
 export class Peers {
   private constructor(
@@ -43,6 +53,7 @@
     readonly node: ExchangeNode<Instance>,
     readonly exchanges: Exchanges,
     readonly copies: RecordCopies,
+    readonly claims: PeerClaims,
   ) {}
 
   static async create(opts: PeersOptions): Promise<Peers> {
@@ -58,8 +69,12 @@
           holder.peers?.exchanges.configDelta(afterRevision) ?? {},
         fetchInstances: ({ afterHash }) =>
           holder.peers?.exchanges.instanceDelta(afterHash) ?? {},
-        copyRecords: (request) => {
-          holder.peers?.copies.receive(request)
+        copyRecords: (request) => ({
+          accepted: holder.peers?.copies.receive(request) ?? false,
+        }),
+        claim: (request) => holder.peers?.claims.receive(request) ?? {},
+        noteClaim: (request) => {
+          holder.peers?.claims.receiveNote(request)
           return {}
         },
       },
@@ -67,8 +82,14 @@
     const self = { ...opts.self, address: server.address }
     const node = opts.createNode(self)
     const exchanges = Exchanges.create({ ...opts, node, clients })
-    const copies = RecordCopies.create({ self, members: node.members, clients })
-    holder.peers = new Peers(server, clients, node, exchanges, copies)
+    const shared = { self, members: node.members, clients }
+    const copies = RecordCopies.create({ ...opts, ...shared })
+    const claims = PeerClaims.create({
+      ...shared,
+      tables: opts.tables,
+      onFallback: opts.onClaimFallback,
+    })
+    holder.peers = new Peers(server, clients, node, exchanges, copies, claims)
     return holder.peers
   }
 
@@ -93,6 +114,7 @@
 
   async close(): Promise<void> {
     await this.exchanges.close()
+    await this.copies.close()
     await this.server.close()
     this.clients.close()
   }
--- a/packages/router/src/platform/platformLoops.ts
+++ b/packages/router/src/platform/platformLoops.ts
@@ -15,15 +15,13 @@
   readonly platform: PlatformClient
   /** Called whenever the configuration or the list of instances has changed. */
   readonly onChange: () => void
-  /** Receives the ids of requests whose records are stored. */
-  readonly onStored: (requestIds: readonly string[]) => void
 }
 
 /**
  * The platform's loops of one router.
  *
  * @example
- * const loops = PlatformLoops.create({ node, exchange, platform, onChange, onStored })
+ * const loops = PlatformLoops.create({ node, exchange, platform, onChange })
  * await loops.close()
  */
 export class PlatformLoops {
@@ -94,9 +92,7 @@
 /** Stores pending billing records. */
 export async function flushLedger({
   node,
-  onStored,
-}: Pick<PlatformLoopOptions, 'node' | 'onStored'>): Promise<void> {
-  const stored = await node.ledger.flush()
+}: Pick<PlatformLoopOptions, 'node'>): Promise<void> {
+  await node.ledger.flush()
   node.metrics.ledgerPending.set(node.ledger.pendingCount)
-  if (stored.length > 0) onStored(stored)
 }
--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -1,19 +1,31 @@
-/** Keeps a session on the version that it started on. */
+/**
+ * Keeps a session on the version that it started on.
+ *
+ * A signed token that the caller carries says it at once. A first request pins the
+ * version by a claim; while no claim can be made, or where there is only one choice,
+ * every node with the same configuration chooses alike and writes the pin later.
+ */
 import {
   Err,
   Ok,
+  hasOneChoice,
   notRun,
+  publishedChoice,
   signSession,
   verifySession,
   type Candidate,
   type Refusal,
   type Result,
 } from '@wagtailway/core'
-import { ANSWER_HEADERS, CALLER_HEADERS } from '../constants.js'
+import { ANSWER_HEADERS, CALLER_HEADERS, CLAIM_TIMEOUT_MS } from '../constants.js'
+import { SESSION_RETENTION_MS } from '../peers/claimTables.js'
 import type { RouterNode } from '../routerNode.js'
 import type { Call } from './call.js'
 import { headerText } from './identify.js'
 
+/** Longest name of a session, in characters. */
+const MAX_SESSION_LENGTH = 255
+
 /**
  * Finds the version that the session is pinned to.
  *
@@ -35,7 +47,11 @@
   if (!claims || !own) {
     return Err(notRun('bad_request', 'The session token is not one of this session.'))
   }
-  return usablePin(node, claims.versionKey, allowed)
+  // The session has ended; its name may start a new one.
+  if (claims.expiresAtMs < node.wallClock()) return Ok(undefined)
+  const usable = usablePin(node, claims.versionKey, allowed)
+  if (usable.ok) setToken(node, call, claims.session, claims.versionKey)
+  return usable
 }
 
 /**
@@ -50,27 +66,47 @@
 ): Promise<Result<Candidate, Refusal>> {
   const session = headerText(call.req, CALLER_HEADERS.session)
   if (session === undefined || !call.cls.sessions) return Ok(proposed)
-  const verdict = await node.sessions.claim({
-    key: `${call.classKey}/${session}`,
-    holder: call.requestId,
-    value: proposed.key,
-  })
-  if (verdict.type === 'unavailable') {
-    const message = 'No session can be started while the platform is away.'
-    return Err(notRun('claim_unavailable', message, 1_000))
+  if (session.length > MAX_SESSION_LENGTH) {
+    const message = `A session name has at most ${MAX_SESSION_LENGTH} characters.`
+    return Err(notRun('bad_request', message))
   }
-  const pinned = verdict.type === 'held' ? verdict.value : proposed.key
+  const pinned = await decidePin(node, call, `${call.classKey}/${session}`, proposed)
   const usable = usablePin(node, pinned, allowed)
   if (usable.ok) setToken(node, call, session, pinned)
   return usable
 }
 
+/** The version key that a session without a token is pinned to. */
+async function decidePin(
+  node: RouterNode,
+  call: Call,
+  key: string,
+  proposed: Candidate,
+): Promise<string> {
+  const config = node.config.current
+  const usable = config?.usable(call.cls) ?? []
+  const rollouts = config?.effective.rollouts ?? []
+  const published = publishedChoice(key, call.cls, usable, rollouts) ?? proposed
+  const first = {
+    key,
+    holder: call.requestId,
+    proposed: proposed.key,
+    published: published.key,
+    isOnlyChoice: hasOneChoice(usable, rollouts),
+  }
+  const { version, source } = await node.sessions.pin(first, CLAIM_TIMEOUT_MS)
+  node.metrics.sessionPins.inc({ source })
+  return version
+}
+
+/** Gives the caller a token; each use of the session moves its end. */
 function setToken(node: RouterNode, call: Call, session: string, version: string): void {
   const claims = {
     workspace: call.workspace.name,
     className: call.cls.name,
     session,
     versionKey: version,
+    expiresAtMs: node.wallClock() + SESSION_RETENTION_MS,
   }
   const token = signSession(claims, node.cfg.sessionKeys[0] ?? '')
   call.res.setHeader(ANSWER_HEADERS.sessionToken, token)
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,13 +2,15 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import {
   CallBudget,
-  ClaimTable,
   ExchangeNode,
   InstanceHolder,
   Ledger,
+  PinBacklog,
   QualityEstimates,
   RetryBudget,
   ServerPool,
+  SessionPins,
+  Ticker,
   cheapestMeetingTarget,
   concurrencyLimit,
   leastLoaded,
@@ -16,6 +18,7 @@
   ownLoad,
   seededRandom,
   wallClock,
+  type Claims,
   type MemberIdentity,
   type Random,
 } from '@wagtailway/core'
@@ -26,6 +29,8 @@
 import { createLog } from './log.js'
 import { RouterMetrics, setMembershipMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
+import { createClaimTables } from './peers/claimTables.js'
+import type { ClaimTables } from './peers/peerClaims.js'
 import { Peers } from './peers/peers.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
@@ -34,6 +39,9 @@
 /** Pause between last attempts to store billing records, in milliseconds. */
 const LAST_FLUSH_PAUSE_MS = 200
 
+/** Pause between writes of session pins that were answered before, in milliseconds. */
+const PIN_FLUSH_MS = 500
+
 /** Attempts to store billing records before a leaving instance relies on its copies. */
 const LAST_FLUSH_ATTEMPTS = 25
 
@@ -50,6 +58,7 @@
   #revision = 0
   #server!: CallerServer
   #loops!: PlatformLoops
+  #pinTicker!: Ticker
 
   private constructor(
     private readonly node: RouterNode,
@@ -57,6 +66,7 @@
     private readonly peers: Peers,
     private readonly ratings: RatingsClient,
     private readonly budget: CallBudget,
+    private readonly tables: ClaimTables,
   ) {}
 
   static async create(cfg: ResolvedRouterOptions): Promise<Router> {
@@ -68,6 +78,8 @@
     const incarnation = `${cfg.node}-${wallClock().toString(36)}`
     // The peers tell of changes only after the router exists.
     const holder: { router?: Router } = {}
+    const ledger = Ledger.create({ store: platform, incarnation })
+    const tables = createClaimTables({ store: platform, random, metrics })
     const peers = await Peers.create({
       self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
       host: cfg.host,
@@ -79,8 +91,18 @@
       onBytes: (bytes) => {
         metrics.controlBytes.inc(bytes)
       },
+      store: platform,
+      ledger,
+      tables,
+      onRecovered: (count) => {
+        metrics.recoveredRecords.inc(count)
+        log.info('stored records of instances that went silent', { count })
+      },
+      onClaimFallback: (kind) => {
+        metrics.claimEvents.inc({ kind, event: 'owner_fallback' })
+      },
       onError: (err) => {
-        log.error('an exchange failed', err)
+        log.error('an exchange with other instances failed', err)
       },
     })
     const policies = defaultPolicies(cfg)
@@ -105,9 +127,9 @@
       backends: BackendTable.create(createPool),
       client: BackendClient.create(),
       members: peers.members,
-      claims: ClaimTable.create({ store: platform, kind: 'claim', wallClock }),
-      sessions: ClaimTable.create({ store: platform, kind: 'session', wallClock }),
-      ledger: Ledger.create({ store: platform, incarnation }),
+      claims: peers.claims.of.claim,
+      sessions: createSessionPins(peers.claims.of.session, metrics),
+      ledger,
       estimates,
       retryBudget: RetryBudget.create(),
       policies,
@@ -116,13 +138,13 @@
       random,
       clock: monotonicClock,
       wallClock,
-      copyRecord: (record) => peers.copies.copy(record),
+      copyRecord: (entry) => peers.copies.copy(entry),
       requestRating: (answer) => {
         ratings.request(answer)
       },
       inProgress: 0,
     }
-    const router = new Router(node, platform, peers, ratings, budget)
+    const router = new Router(node, platform, peers, ratings, budget, tables)
     await router.#start()
     holder.router = router
     return router
@@ -147,10 +169,13 @@
     await delay(this.node.cfg.drainGraceMs)
     await this.#server.close()
     await this.#storeRecords()
+    await this.node.sessions.flush()
+    await this.peers.copies.handOver()
+    await this.#pinTicker.close()
     await this.#loops.close()
     await this.ratings.close()
-    this.node.claims.close()
-    this.node.sessions.close()
+    this.tables.claim.close()
+    this.tables.session.close()
     await this.peers.close()
     this.node.client.close()
     this.platform.close()
@@ -183,7 +208,13 @@
       onChange: () => {
         this.refresh()
       },
-      onStored: (requestIds) => void peers.copies.drop(requestIds),
+    })
+    this.#pinTicker = Ticker.create({
+      intervalMs: PIN_FLUSH_MS,
+      step: () => node.sessions.flush(),
+      onError: (err) => {
+        node.log.error('session pins were not written', err)
+      },
     })
     const isReady = (): boolean =>
       !this.#leaving && peers.node.instances.hash !== 0 && node.config.isFresh
@@ -191,10 +222,9 @@
   }
 
   async #storeRecords(): Promise<void> {
-    const { node, peers } = this
-    const onStored = (ids: readonly string[]): void => void peers.copies.drop(ids)
+    const { node } = this
     for (let i = 0; i < LAST_FLUSH_ATTEMPTS; i++) {
-      await flushLedger({ node, onStored })
+      await flushLedger({ node })
       if (node.ledger.pendingCount === 0) return
       await delay(LAST_FLUSH_PAUSE_MS)
     }
@@ -251,6 +281,19 @@
     .map(({ id, address }) => ({ node: id, address }))
 }
 
+function createSessionPins(claims: Claims, metrics: RouterMetrics): SessionPins {
+  const backlog = PinBacklog.create({
+    claim: (request) => claims.claim(request),
+    onConflict: () => {
+      metrics.sessionPins.inc({ source: 'conflict' })
+    },
+    onDrop: () => {
+      metrics.sessionPins.inc({ source: 'dropped' })
+    },
+  })
+  return SessionPins.create({ claims, backlog })
+}
+
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -1,16 +1,17 @@
 /** The parts of one router that requests use. */
 import type {
   AdmissionPolicy,
-  BillingRecord,
-  ClaimTable,
+  Claims,
   Clock,
   ConfigHolder,
   Ledger,
+  LedgerEntry,
   MemberTable,
   QualityEstimates,
   Random,
   ReplicaPolicy,
   RetryBudget,
+  SessionPins,
   VersionPolicy,
 } from '@wagtailway/core'
 import type { BackendClient } from './backend/backendClient.js'
@@ -26,8 +27,8 @@
   readonly chooseReplica: ReplicaPolicy
 }
 
-/** Copies records to other instances; resolves to the number of copies made. */
-export type CopyRecord = (record: BillingRecord) => Promise<number>
+/** Copies a record to other instances; resolves to false if no copy could be made. */
+export type CopyRecord = (entry: LedgerEntry) => Promise<boolean>
 
 /** Sends an answer to be rated. */
 export type RequestRating = (answer: {
@@ -42,8 +43,8 @@
   readonly backends: BackendTable
   readonly client: BackendClient
   readonly members: MemberTable
-  readonly claims: ClaimTable
-  readonly sessions: ClaimTable
+  readonly claims: Claims
+  readonly sessions: SessionPins
   readonly ledger: Ledger
   readonly estimates: QualityEstimates
   readonly retryBudget: RetryBudget
--- a/packages/wagtailway/src/admit/serverPool.ts
+++ b/packages/wagtailway/src/admit/serverPool.ts
@@ -17,7 +17,7 @@
 import { retryAfterMs } from './retryAfter.js'
 
 /** A place at a replica; given back to the pool with what is learned of it. */
-export interface Grant {
+export interface PoolPlace {
   readonly replicaId: string
   /** Number of the request in the replica's window. */
   readonly request: number
@@ -29,7 +29,7 @@
   /** Replicas that have failed this request already. */
   readonly avoid?: ReadonlySet<string>
   /** Called at most once, when the request may start. */
-  readonly grant: (grant: Grant) => void
+  readonly grant: (grant: PoolPlace) => void
   /** Called at most once, instead of `grant`. */
   readonly refuse: (refusal: Refusal) => void
 }
@@ -178,7 +178,7 @@
   }
 
   /** Notes the time to a first token, of which `targetMs` was wanted, in milliseconds. */
-  observeFirstToken(grant: Grant, firstTokenMs: number, targetMs: number): void {
+  observeFirstToken(grant: PoolPlace, firstTokenMs: number, targetMs: number): void {
     this.#firstTokenMs.add(firstTokenMs)
     this.#leastFirstTokenMs.add(firstTokenMs)
     const delayMs = firstTokenMs - this.#leastFirstTokenMs.value
@@ -186,7 +186,12 @@
   }
 
   /** Notes the time of an answer that came in one piece. */
-  observeWhole(grant: Grant, totalMs: number, tokens: number, targetMs: number): void {
+  observeWhole(
+    grant: PoolPlace,
+    totalMs: number,
+    tokens: number,
+    targetMs: number,
+  ): void {
     this.#leastPerTokenMs.add(totalMs / (tokens + 1))
     const delayMs = totalMs - this.#leastPerTokenMs.value * (tokens + 1)
     this.#observeDelay(grant, delayMs, targetMs)
@@ -197,7 +202,7 @@
    *
    * @param ok Whether the replica worked; `undefined` if the end tells nothing about it.
    */
-  finish({ replicaId }: Grant, heldMs: number, ok: boolean | undefined): void {
+  finish({ replicaId }: PoolPlace, heldMs: number, ok: boolean | undefined): void {
     if (ok === true) this.#holdMs.add(heldMs)
     const server = this.#servers.get(replicaId)
     server?.window.finish()
@@ -212,7 +217,11 @@
     return hasRoom ? 0 : this.#waitMs(probe)
   }
 
-  #observeDelay({ replicaId, request }: Grant, delayMs: number, targetMs: number): void {
+  #observeDelay(
+    { replicaId, request }: PoolPlace,
+    delayMs: number,
+    targetMs: number,
+  ): void {
     const goalMs = targetMs * GOAL_FRACTION
     this.#servers.get(replicaId)?.window.observe(request, delayMs / goalMs)
     this.#startWaiting()
