Reconcile by rules across owners; plan, status, explain and withdraw

Cause: reconcile knew grants and model names only; apply overwrote what another operator of the same owner had stored, and a bad object in the store stopped all. Before: last writer won; no plan; key shared by two workspaces went to the last. Ruled out: rejecting an owner's unrelated change because another owner withdrew its version (a warning instead).

--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -2,8 +2,21 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { PlatformClient } from '@wagtailway/platform'
-import { apply } from './commands/apply.js'
+import { applyFiles } from './commands/apply.js'
 import { check } from './commands/check.js'
+import { explain } from './commands/explain.js'
+import { plan } from './commands/plan.js'
+import { status } from './commands/status.js'
+import { withdraw } from './commands/withdraw.js'
+import { EXIT } from './exitCodes.js'
+import { formatReport, type Report } from './report.js'
+
+const FILES = {
+  type: 'string',
+  array: true,
+  demandOption: true,
+  describe: 'Declaration files, one an owner',
+} as const
 
 const PLATFORM = {
   type: 'string',
@@ -11,19 +24,31 @@
   describe: "Base URL of the platform's API",
 } as const
 
-/** Runs `wagtailwayctl`; the exit code is 1 if there are findings. */
+/** Runs `wagtailwayctl`; the exit codes are in `exitCodes.ts`. */
 export async function run(): Promise<void> {
-  await yargs(hideBin(process.argv))
+  await createParser(hideBin(process.argv)).parseAsync()
+}
+
+function createParser(argv: string[]) {
+  return yargs(argv)
     .scriptName('wagtailwayctl')
-    .env('WAGTAILWAY')
+    .env('WAGTAILWAYCTL')
     .strict()
+    .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
     .command(
       'check <files..>',
       'Check declarations without the platform',
-      (args) =>
-        args.positional('files', { type: 'string', array: true, demandOption: true }),
+      (args) => args.positional('files', FILES),
       async (args) => {
-        process.exitCode = await check(args.files, print)
+        finish(await check(args.files), args.json)
+      },
+    )
+    .command(
+      'plan <files..>',
+      'Show whose traffic a change would move; nothing is written',
+      (args) => args.positional('files', FILES).option('platform', PLATFORM),
+      async (args) => {
+        await withClient(args, (client) => plan(client, args.files))
       },
     )
     .command(
@@ -31,18 +56,102 @@
       'Put declarations into force',
       (args) =>
         args
-          .positional('files', { type: 'string', array: true, demandOption: true })
+          .positional('files', FILES)
+          .option('platform', PLATFORM)
+          .option('accept-moves', {
+            type: 'boolean',
+            default: false,
+            describe: "Also if other owners' traffic moves",
+          })
+          .option('reinstate', {
+            type: 'boolean',
+            default: false,
+            describe: 'Also if withdrawn versions get new requests again',
+          })
+          .option('base', {
+            type: 'number',
+            describe: 'Refuse if an owner has changed its document since this revision',
+          })
+          .option('change-id', {
+            type: 'string',
+            describe: 'Repeat an earlier change that was not confirmed',
+          }),
+      async (args) => {
+        const { acceptMoves, reinstate, base, changeId } = args
+        const opts = {
+          acceptMoves,
+          reinstate,
+          ...(base !== undefined && { base }),
+          ...(changeId !== undefined && { changeId }),
+        }
+        await withClient(args, (client) => applyFiles(client, args.files, opts))
+      },
+    )
+    .command(
+      'status',
+      'Show what is in force, where, and the findings of each owner',
+      (args) => args.option('platform', PLATFORM),
+      async (args) => {
+        await withClient(args, status)
+      },
+    )
+    .command(
+      'explain <request>',
+      'Show why a request went where it went',
+      (args) =>
+        args
+          .positional('request', {
+            type: 'string',
+            demandOption: true,
+            describe: 'Id of the request, from the x-request-id header of its answer',
+          })
           .option('platform', PLATFORM),
       async (args) => {
-        const client = PlatformClient.create({ url: args.platform })
-        process.exitCode = await apply(client, args.files, print)
-        client.close()
+        await withClient(args, (client) => explain(client, args.request))
+      },
+    )
+    .command(
+      'withdraw <model> <model-version>',
+      'Withdraw a version at once',
+      (args) =>
+        args
+          .positional('model', { type: 'string', demandOption: true })
+          .positional('model-version', { type: 'string', demandOption: true })
+          .option('reason', {
+            type: 'string',
+            demandOption: true,
+            describe: 'Why, for the other owners',
+          })
+          .option('platform', PLATFORM),
+      async ({ model, modelVersion, reason, ...args }) => {
+        const withdrawal = { model, version: modelVersion, reason }
+        await withClient(args, (client) => withdraw(client, withdrawal))
       },
     )
     .demandCommand(1, 'Name a command.')
-    .parseAsync()
+    .fail((message, err, parser) => {
+      // yargs passes what a command threw as `err`, and its own complaints as `message`.
+      const cause = err as Error | undefined
+      if (cause) throw cause
+      parser.showHelp('error')
+      process.stderr.write(`\n${message}\n`)
+      process.exit(EXIT.usage)
+    })
+}
+
+async function withClient(
+  { platform, json }: { platform: string; json: boolean },
+  command: (client: PlatformClient) => Promise<Report>,
+): Promise<void> {
+  const client = PlatformClient.create({ url: platform })
+  try {
+    finish(await command(client), json)
+  } finally {
+    client.close()
+  }
 }
 
-function print(line: string): void {
-  process.stdout.write(`${line}\n`)
+function finish(report: Report, asJson: boolean): void {
+  process.stdout.write(formatReport(report, asJson))
+  process.exitCode = report.code
 }
--- /dev/null
+++ b/packages/ctl/src/commands/explain.ts
@@ -0,0 +1,53 @@
+/** `wagtailwayctl explain`: why a request went where it went. */
+import type { PlatformClient } from '@wagtailway/platform'
+import { z } from 'zod'
+import { askEntryInstances } from '../entryInstances.js'
+import { EXIT } from '../exitCodes.js'
+import { unavailableReport, type Report } from '../report.js'
+
+const HTTP_OK = 200
+
+const decisionSchema = z.object({
+  requestId: z.string(),
+  node: z.string(),
+  class: z.string(),
+  revision: z.number(),
+  outcome: z.string(),
+  events: z.array(z.object({ atMs: z.number(), what: z.string() })),
+})
+
+/**
+ * Asks every entry instance for its record of a request.
+ *
+ * @example
+ * const { lines } = await explain(client, '1b2c3d4e-...')
+ */
+export async function explain(
+  client: PlatformClient,
+  requestId: string,
+): Promise<Report> {
+  const instances = await client.instances()
+  if (instances.err) return unavailableReport('not explained', instances.val.message)
+  const path = `/operator/decisions/${encodeURIComponent(requestId)}`
+  const asked = await askEntryInstances(instances.val, path)
+  for (const { res } of asked) {
+    const decision = decisionSchema.safeParse(res?.body)
+    if (res?.status === HTTP_OK && decision.success) return describe(decision.data)
+  }
+  const silent = asked.filter(({ res }) => res === undefined).length
+  const message = `no entry instance remembers ${requestId} (${asked.length} asked, ${silent} silent); each keeps its latest requests only`
+  return { code: EXIT.notFound, lines: [message], data: { error: 'not_found', message } }
+}
+
+function describe(decision: z.infer<typeof decisionSchema>): Report {
+  const { requestId, node, revision, outcome, events } = decision
+  return {
+    code: EXIT.ok,
+    lines: [
+      `${requestId} of class ${decision.class} at ${node}, configuration ${revision}`,
+      ...events.map(({ atMs, what }) => `  ${atMs.toFixed(1).padStart(8)} ms  ${what}`),
+      `  ${outcome}`,
+    ],
+    data: { decision },
+  }
+}
--- a/packages/ctl/src/readDocuments.ts
+++ b/packages/ctl/src/readDocuments.ts
@@ -12,9 +12,28 @@
   const documents: SourcedDocument[] = []
   const findings: Finding[] = []
   for (const file of files) {
-    const parsed = parseDocument(file, await readFile(file, 'utf8'))
+    const text = await readText(file)
+    if (text === undefined) {
+      findings.push(unreadable(file))
+      continue
+    }
+    const parsed = parseDocument(file, text)
     if (parsed.ok) documents.push(parsed.val)
     else findings.push(...parsed.val)
   }
   return { documents, findings }
 }
+
+async function readText(file: string): Promise<string | undefined> {
+  try {
+    return await readFile(file, 'utf8')
+  } catch {
+    return undefined
+  }
+}
+
+function unreadable(file: string): Finding {
+  const place = { source: file, path: '' }
+  const message = 'the file cannot be read; check its name and your rights'
+  return { rule: 'syntax', severity: 'error', owner: 'unknown', place, message }
+}
--- a/packages/wagtailway/src/config/effective.ts
+++ b/packages/wagtailway/src/config/effective.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import {
   classSchema,
+  grantSchema,
   modelSchema,
   rolloutSchema,
   serviceSchema,
@@ -12,6 +13,8 @@
 const owned = { owner: z.string() }
 
 export const effectiveSchema = z.object({
+  /** Grants of the root owner, so that a bad root document leaves the last ones in force. */
+  grants: z.array(grantSchema).default([]),
   workspaces: z.array(workspaceSchema.extend(owned)),
   models: z.array(modelSchema.extend(owned)),
   services: z.array(serviceSchema.extend(owned)),
@@ -27,6 +30,7 @@
 
 /** Configuration with no declarations. */
 export const EMPTY_EFFECTIVE: Effective = {
+  grants: [],
   workspaces: [],
   models: [],
   services: [],
--- a/packages/wagtailway/src/config/findings.ts
+++ b/packages/wagtailway/src/config/findings.ts
@@ -8,6 +8,11 @@
   | 'unknown_reference'
   | 'not_offered'
   | 'conflicting'
+  | 'withdrawn_only'
+  | 'still_referenced'
+
+/** An error keeps the document out of force; a warning only informs its owner. */
+export type Severity = 'error' | 'warning'
 
 export interface Place {
   /** File or object that holds the document. */
@@ -20,6 +25,7 @@
 
 export interface Finding {
   readonly rule: FindingRule
+  readonly severity: Severity
   readonly owner: string
   readonly place: Place
   /** What is wrong and what to do about it. */
@@ -32,7 +38,14 @@
  * @example
  * formatFinding(finding) // 'gebeta.yaml:12 classes[0].allow[0].model [unknown_reference] ...'
  */
-export function formatFinding({ rule, owner, place, message }: Finding): string {
+export function formatFinding(finding: Finding): string {
+  const { rule, severity, owner, place, message } = finding
   const line = place.line === undefined ? '' : `:${place.line}`
-  return `${place.source}${line} ${place.path} [${rule}] ${message} (owner ${owner})`
+  const label = severity === 'error' ? rule : `${rule}, warning`
+  return `${place.source}${line} ${place.path} [${label}] ${message} (owner ${owner})`
+}
+
+/** The findings that keep a document out of force. */
+export function errorsOf(findings: readonly Finding[]): Finding[] {
+  return findings.filter(({ severity }) => severity === 'error')
 }
--- a/packages/wagtailway/src/config/parseDocument.ts
+++ b/packages/wagtailway/src/config/parseDocument.ts
@@ -38,7 +38,7 @@
       const line = lineOf(issue.path)
       const path = formatPath(issue.path)
       const place = line === undefined ? { source, path } : { source, path, line }
-      return { rule: 'schema', owner, place, message: issue.message }
+      return { rule: 'schema', severity: 'error', owner, place, message: issue.message }
     }),
   )
 }
@@ -64,7 +64,7 @@
   const line = err.linePos?.[0].line
   const place = line === undefined ? { source, path: '' } : { source, path: '', line }
   const message = err.message.split('\n')[0] ?? err.message
-  return { rule: 'syntax', owner: 'unknown', place, message }
+  return { rule: 'syntax', severity: 'error', owner: 'unknown', place, message }
 }
 
 function lineLookup(
--- a/packages/wagtailway/src/config/publish.ts
+++ b/packages/wagtailway/src/config/publish.ts
@@ -1,52 +1,108 @@
 /**
- * Brings declarations into force through the platform's versioned objects.
+ * Brings stored declarations into force.
  *
- * A declaration is one object an owner. The configuration in force is one more
- * object, written by conditional update, so racing operators can't undo each
- * other's accepted changes.
+ * The configuration in force is one object, written by conditional update after
+ * all declarations were read, so racing operators can't undo each other's changes.
  */
-import { Err, Ok, type Result } from '../result.js'
 import {
   CONFIG_OBJECT,
   type ObjectStore,
   type Unavailable,
 } from '../platform/objectStore.js'
-import { EMPTY_EFFECTIVE, effectiveSchema, type Effective } from './effective.js'
+import { Err, Ok, type Result } from '../result.js'
+import { loadDeclarations, type StoredDeclarations } from './declarations.js'
+import {
+  EMPTY_EFFECTIVE,
+  effectiveSchema,
+  versionKey,
+  type Effective,
+} from './effective.js'
 import type { Finding } from './findings.js'
+import { movesBetween, type Move } from './moves.js'
 import type { SourcedDocument } from './parseDocument.js'
 import { reconcile } from './reconcile.js'
-import { documentSchema } from './schema.js'
+import { writeStatus } from './status.js'
 
 /** Attempts against racing writers before giving up. */
 const MAX_ATTEMPTS = 8
 
+/** The configuration object can't be read; nothing may be written over it. */
+export interface Corrupt {
+  readonly type: 'corrupt'
+  readonly message: string
+}
+
+export interface Contended {
+  readonly type: 'contended'
+}
+
+export type PublishError = Unavailable | Contended | Corrupt
+
 export interface Published {
   /** Revision of the configuration in force. */
   readonly revision: number
   readonly findings: readonly Finding[]
 }
 
-export type PublishError = Unavailable | { readonly type: 'contended' }
+/** What the platform holds: declarations, and the configuration made of them. */
+export interface ConfigState {
+  /** Revision of the configuration in force; zero if there is none. */
+  readonly revision: number
+  readonly inForce: Effective
+  readonly stored: StoredDeclarations
+}
+
+/** What a change would do. */
+export interface Plan {
+  readonly state: ConfigState
+  readonly effective: Effective
+  readonly findings: readonly Finding[]
+  readonly moves: readonly Move[]
+  /** Withdrawn versions, as `model@version`, that would get new requests again. */
+  readonly reinstated: readonly string[]
+}
+
+/** Reads the configuration in force, then every declaration. */
+export async function readConfigState(
+  store: ObjectStore,
+): Promise<Result<ConfigState, Unavailable | Corrupt>> {
+  const current = await store.get('config', CONFIG_OBJECT)
+  if (current.err) return current
+  const inForce = parseEffective(current.val?.value)
+  if (inForce.err) return inForce
+  const stored = await loadDeclarations(store)
+  if (stored.err) return stored
+  return Ok({
+    revision: current.val?.revision ?? 0,
+    inForce: inForce.val,
+    stored: stored.val,
+  })
+}
 
 /**
- * Stores one owner's document, replacing the one before.
+ * Works out what the state would become with documents in place of their owners' stored ones.
  *
  * @example
- * const stored = await storeDeclaration(store, document)
+ * planChange(state, documents).moves.map(formatMove)
  */
-export async function storeDeclaration(
-  store: ObjectStore,
-  { document }: SourcedDocument,
-): Promise<Result<number, PublishError>> {
-  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-    const read = await store.get('declaration', document.owner)
-    if (read.err) return read
-    if (sameValue(read.val?.value, document)) return Ok(read.val?.revision ?? 0)
-    const revision = read.val?.revision ?? 0
-    const put = await store.put('declaration', document.owner, document, revision)
-    if (put.ok) return Ok(put.val.revision)
+export function planChange(
+  state: ConfigState,
+  changed: readonly SourcedDocument[],
+): Plan {
+  const owners = new Set(changed.map(({ document }) => document.owner))
+  const kept = state.stored.documents.filter(
+    ({ document }) => !owners.has(document.owner),
+  )
+  const unreadable = state.stored.unreadable.filter(({ owner }) => !owners.has(owner))
+  const documents = [...kept, ...changed]
+  const { effective, findings } = reconcile(documents, state.inForce, unreadable)
+  return {
+    state,
+    effective,
+    findings,
+    moves: movesBetween(state.inForce, effective),
+    reinstated: reinstatedVersions(state.inForce, effective),
   }
-  return Err({ type: 'contended' })
 }
 
 /**
@@ -59,38 +115,56 @@
 export async function publish(
   store: ObjectStore,
 ): Promise<Result<Published, PublishError>> {
+  let unavailable: Unavailable | undefined
+  let tried: Plan | undefined
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-    const current = await store.get('config', CONFIG_OBJECT)
-    if (current.err) return current
-    const documents = await loadDeclarations(store)
-    if (documents.err) return documents
-    const lastGood = parseEffective(current.val?.value)
-    const { effective, findings } = reconcile(documents.val, lastGood)
-    const revision = current.val?.revision ?? 0
-    if (revision > 0 && sameValue(effective, lastGood)) return Ok({ revision, findings })
-    const put = await store.put('config', CONFIG_OBJECT, effective, revision)
-    if (put.ok) return Ok({ revision: put.val.revision, findings })
+    const state = await readConfigState(store)
+    if (state.err) {
+      if (state.val.type === 'corrupt') return Err(state.val)
+      unavailable = state.val
+      continue
+    }
+    const next = planChange(state.val, [])
+    // A write whose confirmation was lost may have taken effect: its moves still count.
+    const plan = tried && sameValue(tried.effective, state.val.inForce) ? tried : next
+    const put = await putConfig(store, next)
+    tried = plan
+    if (put.ok) {
+      const { moves } = plan
+      await writeStatus(store, { ...next, moves }, put.val)
+      return Ok({ revision: put.val, findings: next.findings })
+    }
+    unavailable = put.val.type === 'unavailable' ? put.val : undefined
   }
-  return Err({ type: 'contended' })
+  return Err(unavailable ?? { type: 'contended' })
 }
 
-/** Reads every stored declaration. */
-export async function loadDeclarations(
+function reinstatedVersions(before: Effective, after: Effective): string[] {
+  const withdrawn = new Set(before.withdrawals.map((w) => versionKey(w.model, w.version)))
+  const still = new Set(after.withdrawals.map((w) => versionKey(w.model, w.version)))
+  return after.models
+    .flatMap((m) => m.versions.map((v) => versionKey(m.name, v.name)))
+    .filter((key) => withdrawn.has(key) && !still.has(key))
+}
+
+/** Writes the configuration if it changed; returns the revision in force. */
+async function putConfig(
   store: ObjectStore,
-): Promise<Result<SourcedDocument[], Unavailable>> {
-  const listed = await store.list('declaration', '')
-  if (listed.err) return listed
-  return Ok(
-    listed.val.objects.map(({ name, value }) => ({
-      source: `declaration/${name}`,
-      document: documentSchema.parse(value),
-      lineOf: () => undefined,
-    })),
-  )
+  { state, effective }: Plan,
+): Promise<Result<number, Unavailable | Contended>> {
+  const { revision, inForce } = state
+  if (revision > 0 && sameValue(effective, inForce)) return Ok(revision)
+  const put = await store.put('config', CONFIG_OBJECT, effective, revision)
+  if (put.ok) return Ok(put.val.revision)
+  return Err(put.val.type === 'unavailable' ? put.val : { type: 'contended' })
 }
 
-function parseEffective(value: unknown): Effective {
-  return value === undefined ? EMPTY_EFFECTIVE : effectiveSchema.parse(value)
+function parseEffective(value: unknown): Result<Effective, Corrupt> {
+  if (value === undefined) return Ok(EMPTY_EFFECTIVE)
+  const parsed = effectiveSchema.safeParse(value)
+  if (parsed.success) return Ok(parsed.data)
+  const message = `config/${CONFIG_OBJECT} is no configuration: ${parsed.error.message}`
+  return Err({ type: 'corrupt', message })
 }
 
 function sameValue(a: unknown, b: unknown): boolean {
--- a/packages/wagtailway/src/config/reconcile.ts
+++ b/packages/wagtailway/src/config/reconcile.ts
@@ -2,33 +2,36 @@
  * Reconciles the declarations of all owners into one configuration.
  *
  * The result depends only on the set of documents and on the last good
- * configuration, never on the order of the documents. A document with findings
+ * configuration, never on the order of the documents. A document with errors
  * counts for nothing; what its owner last had in force stays.
  */
-import { EMPTY_EFFECTIVE, type Effective } from './effective.js'
-import type { Finding, FindingRule } from './findings.js'
-import { formatPath, type SourcedDocument } from './parseDocument.js'
-import type { DeclarationDocument, GrantDeclaration } from './schema.js'
-
-/** Owner whose grants say which owner may declare what. */
-export const ROOT_OWNER = 'root'
+import {
+  checkReferences,
+  checkRemovals,
+  type CrossCheck,
+  type OwnerPart,
+} from './crossRules.js'
+import { checkDocument } from './documentRules.js'
+import { EMPTY_EFFECTIVE, versionKey, type Effective } from './effective.js'
+import { errorsOf, type Finding } from './findings.js'
+import { Grants, ROOT_OWNER, checkGrants } from './grants.js'
+import { mergeParts, ownedBy, partOf } from './mergeParts.js'
+import type { SourcedDocument } from './parseDocument.js'
+import { findingAt } from './report.js'
 
 export interface Reconciled {
   readonly effective: Effective
+  /** Sorted by owner and place. */
   readonly findings: readonly Finding[]
 }
 
-interface Grants {
-  readonly workspaces: ReadonlyMap<string, string>
-  readonly models: ReadonlyMap<string, string>
-  readonly services: ReadonlyMap<string, string>
-}
-
 /**
  * Computes the configuration in force.
  *
- * @param documents One document an owner.
+ * @param documents One document an owner; more than one is a finding.
  * @param lastGood Configuration in force so far.
+ * @param unreadable Findings about documents that can't be read; their owners keep
+ * what they last had in force.
  *
  * @example
  * const { effective, findings } = reconcile(documents, EMPTY_EFFECTIVE)
@@ -36,127 +39,186 @@
 export function reconcile(
   documents: readonly SourcedDocument[],
   lastGood: Effective = EMPTY_EFFECTIVE,
+  unreadable: readonly Finding[] = [],
 ): Reconciled {
-  const sorted = documents.toSorted((a, b) =>
-    a.document.owner < b.document.owner ? -1 : 1,
-  )
-  const grants = collectGrants(sorted)
-  const findings: Finding[] = []
-  const accepted: Effective[] = []
-  const rejectedOwners = new Set<string>()
-  for (const sourced of sorted) {
-    const found = checkDocument(sourced, grants, sorted)
-    findings.push(...found)
-    if (found.length > 0) rejectedOwners.add(sourced.document.owner)
-    else accepted.push(ownedBy(sourced.document))
-  }
-  accepted.push(onlyOwners(lastGood, rejectedOwners))
-  return { effective: merge(accepted), findings }
+  const round = Round.create(documents, lastGood, unreadable)
+  round.checkEach()
+  round.checkTogether()
+  return round.result()
 }
 
-function collectGrants(documents: readonly SourcedDocument[]): Grants {
-  const root = documents.find(({ document }) => document.owner === ROOT_OWNER)
-  const grants = root?.document.grants ?? []
-  return {
-    workspaces: ownersOf(grants, (grant) => grant.workspaces),
-    models: ownersOf(grants, (grant) => grant.models),
-    services: ownersOf(grants, (grant) => grant.services),
+/** Owners, which of their documents still count, and what was found. */
+class Round {
+  readonly #byOwner: ReadonlyMap<string, readonly SourcedDocument[]>
+  readonly #rejected = new Set<string>()
+  readonly #findings: Finding[] = []
+  readonly #grants: Grants
+  /** Warnings of the last check; an earlier round's may no longer hold. */
+  #warnings: Finding[] = []
+
+  private constructor(
+    documents: readonly SourcedDocument[],
+    private readonly lastGood: Effective,
+    unreadable: readonly Finding[],
+  ) {
+    this.#byOwner = groupByOwner(documents, ownersOf(lastGood))
+    this.#reject(unreadable)
+    this.#rejectDuplicates()
+    this.#grants = this.#grantsInForce()
   }
-}
 
-function ownersOf(
-  grants: readonly GrantDeclaration[],
-  names: (grant: GrantDeclaration) => readonly string[],
-): ReadonlyMap<string, string> {
-  return new Map(grants.flatMap((g) => names(g).map((name) => [name, g.owner] as const)))
-}
+  static create(
+    documents: readonly SourcedDocument[],
+    lastGood: Effective,
+    unreadable: readonly Finding[],
+  ): Round {
+    return new Round(documents, lastGood, unreadable)
+  }
+
+  /** Rejects documents that are wrong by themselves. */
+  checkEach(): void {
+    for (const [owner, [sourced]] of this.#byOwner) {
+      if (!sourced || this.#rejected.has(owner)) continue
+      this.#reject(checkDocument(sourced, this.#grants))
+    }
+  }
+
+  /**
+   * Rejects documents that are wrong together, until the rest fits. Removals go
+   * first, so that whoever removes something is at fault, not who uses it.
+   */
+  checkTogether(): void {
+    for (;;) {
+      const check = this.#crossCheck()
+      if (this.#reject(checkRemovals(check))) continue
+      const found = checkReferences(check)
+      this.#warnings = found.filter(({ severity }) => severity === 'warning')
+      if (!this.#reject(errorsOf(found))) return
+    }
+  }
+
+  result(): Reconciled {
+    const findings = [...this.#findings, ...this.#warnings].toSorted(compareFindings)
+    return { effective: this.#merged(), findings }
+  }
+
+  /** Notes errors and rejects their owners; returns whether there were any. */
+  #reject(findings: readonly Finding[]): boolean {
+    this.#findings.push(...findings)
+    for (const { owner } of findings) this.#rejected.add(owner)
+    return findings.length > 0
+  }
+
+  #rejectDuplicates(): void {
+    for (const [owner, documents] of this.#byOwner) {
+      if (documents.length < 2) continue
+      const sources = documents.map(({ source }) => source).join(', ')
+      const message = `owner "${owner}" has ${documents.length} documents (${sources}); keep one`
+      this.#reject(documents.map((d) => findingAt(d, 'duplicate', ['owner'], message)))
+    }
+  }
 
-function checkDocument(
-  sourced: SourcedDocument,
-  grants: Grants,
-  all: readonly SourcedDocument[],
-): Finding[] {
-  const { document } = sourced
-  const findings: Finding[] = []
-  const report = (rule: FindingRule, path: PropertyKey[], message: string): void => {
-    const line = sourced.lineOf(path)
-    const at = { source: sourced.source, path: formatPath(path) }
-    const place = line === undefined ? at : { ...at, line }
-    findings.push({ rule, owner: document.owner, place, message })
+  #grantsInForce(): Grants {
+    const root = this.#byOwner.get(ROOT_OWNER)?.[0]
+    const usable =
+      root && !this.#rejected.has(ROOT_OWNER) && checkGrants(root).length === 0
+    return Grants.create(usable ? root.document.grants : this.lastGood.grants)
   }
-  const checkGrant = (kind: keyof Grants, name: string, path: PropertyKey[]): void => {
-    if (grants[kind].get(name) === document.owner) return
-    const hint = `ask the root owner for a grant of ${kind} "${name}"`
-    report('not_granted', path, `${document.owner} may not declare "${name}"; ${hint}`)
+
+  #crossCheck(): CrossCheck {
+    const parts = new Map<string, OwnerPart>()
+    for (const [owner, [sourced]] of this.#byOwner) {
+      parts.set(owner, { owner, sourced, isNew: !this.#rejected.has(owner) })
+    }
+    return { parts, merged: this.#merged(), lastGood: this.lastGood }
   }
-  const models = all.flatMap((other) => other.document.models)
-  document.workspaces.forEach((w, i) => {
-    checkGrant('workspaces', w.name, ['workspaces', i, 'name'])
-  })
-  document.models.forEach((m, i) => {
-    checkGrant('models', m.name, ['models', i, 'name'])
-  })
-  document.services.forEach((s, i) => {
-    checkGrant('services', s.name, ['services', i, 'name'])
-  })
-  document.rollouts.forEach((r, i) => {
-    checkGrant('models', r.model, ['rollouts', i, 'model'])
-  })
-  document.withdrawals.forEach((w, i) => {
-    checkGrant('models', w.model, ['withdrawals', i, 'model'])
-  })
-  document.classes.forEach((cls, i) => {
-    checkGrant('workspaces', cls.workspace, ['classes', i, 'workspace'])
-    cls.allow.forEach((allowance, j) => {
-      const path = ['classes', i, 'allow', j, 'model']
-      const model = models.find(({ name }) => name === allowance.model)
-      if (!model) {
-        report(
-          'unknown_reference',
-          path,
-          `no document declares model "${allowance.model}"`,
-        )
-      } else if (model.offeredTo && !model.offeredTo.includes(cls.workspace)) {
-        const message = `model "${model.name}" is not offered to workspace "${cls.workspace}"`
-        report('not_offered', path, message)
-      }
+
+  #merged(): Effective {
+    const parts = [...this.#byOwner].map(([owner, [sourced]]) => {
+      if (sourced && !this.#rejected.has(owner)) return ownedBy(sourced.document)
+      const last = partOf(this.lastGood, owner, owner === ROOT_OWNER)
+      return { ...last, withdrawals: this.#withdrawalsOf(owner, last) }
     })
-  })
-  return findings
-}
+    return mergeParts(parts, this.#grants)
+  }
 
-function ownedBy(document: DeclarationDocument): Effective {
-  const { owner } = document
-  return {
-    workspaces: document.workspaces.map((w) => ({ ...w, owner })),
-    models: document.models.map((m) => ({ ...m, owner })),
-    services: document.services.map((s) => ({ ...s, owner })),
-    classes: document.classes.map((c) => ({ ...c, owner })),
-    rollouts: document.rollouts.map((r) => ({ ...r, owner })),
-    withdrawals: document.withdrawals.map((w) => ({ ...w, owner })),
+  /** A withdrawal takes effect though the rest of its document is in error. */
+  #withdrawalsOf(owner: string, last: Effective): Effective['withdrawals'] {
+    const documents = this.#byOwner.get(owner) ?? []
+    const declared = documents
+      .flatMap(({ document }) => ownedBy(document).withdrawals)
+      .filter(({ model }) => this.#grants.ownerOf('models', model) === owner)
+    const known = new Set(last.withdrawals.map(keyOfWithdrawal))
+    const added = declared.filter((w) => {
+      const isNew = !known.has(keyOfWithdrawal(w))
+      known.add(keyOfWithdrawal(w))
+      return isNew
+    })
+    return [...last.withdrawals, ...added]
   }
 }
 
-function onlyOwners(effective: Effective, owners: ReadonlySet<string>): Effective {
-  const keep = <T extends { owner: string }>(items: readonly T[]): T[] =>
-    items.filter(({ owner }) => owners.has(owner))
-  return {
-    workspaces: keep(effective.workspaces),
-    models: keep(effective.models),
-    services: keep(effective.services),
-    classes: keep(effective.classes),
-    rollouts: keep(effective.rollouts),
-    withdrawals: keep(effective.withdrawals),
+/** Documents by owner in the order of names; an owner without one declares nothing. */
+function groupByOwner(
+  documents: readonly SourcedDocument[],
+  knownOwners: readonly string[],
+): Map<string, readonly SourcedDocument[]> {
+  const present = new Set(documents.map(({ document }) => document.owner))
+  const gone = knownOwners.filter((owner) => !present.has(owner)).map(emptyDocument)
+  const sorted = [...documents, ...gone].toSorted(compareDocuments)
+  const groups = new Map<string, SourcedDocument[]>()
+  for (const sourced of sorted) {
+    const group = groups.get(sourced.document.owner) ?? []
+    group.push(sourced)
+    groups.set(sourced.document.owner, group)
   }
+  return groups
+}
+
+function ownersOf(effective: Effective): string[] {
+  const { grants, ...sections } = effective
+  const owners = Object.values(sections).flatMap((items) =>
+    items.map(({ owner }) => owner),
+  )
+  return [...new Set(grants.length > 0 ? [ROOT_OWNER, ...owners] : owners)]
 }
 
-function merge(parts: readonly Effective[]): Effective {
-  return {
-    workspaces: parts.flatMap((p) => p.workspaces),
-    models: parts.flatMap((p) => p.models),
-    services: parts.flatMap((p) => p.services),
-    classes: parts.flatMap((p) => p.classes),
-    rollouts: parts.flatMap((p) => p.rollouts),
-    withdrawals: parts.flatMap((p) => p.withdrawals),
+function emptyDocument(owner: string): SourcedDocument {
+  const document = {
+    owner,
+    grants: [],
+    models: [],
+    services: [],
+    workspaces: [],
+    classes: [],
+    rollouts: [],
+    withdrawals: [],
   }
+  return { source: `declaration/${owner}`, document, lineOf: () => undefined }
+}
+
+function keyOfWithdrawal({ model, version }: { model: string; version: string }): string {
+  return versionKey(model, version)
+}
+
+function compareDocuments(a: SourcedDocument, b: SourcedDocument): number {
+  return (
+    compareText(a.document.owner, b.document.owner) ||
+    compareText(a.source, b.source) ||
+    compareText(JSON.stringify(a.document), JSON.stringify(b.document))
+  )
+}
+
+function compareFindings(a: Finding, b: Finding): number {
+  return (
+    compareText(a.owner, b.owner) ||
+    compareText(a.place.source, b.place.source) ||
+    (a.place.line ?? 0) - (b.place.line ?? 0) ||
+    compareText(JSON.stringify(a), JSON.stringify(b))
+  )
+}
+
+function compareText(a: string, b: string): number {
+  if (a === b) return 0
+  return a < b ? -1 : 1
 }
--- /dev/null
+++ b/packages/wagtailway/src/config/report.ts
@@ -0,0 +1,22 @@
+/** Makes findings with the place of a path in a document. */
+import type { Finding, FindingRule, Severity } from './findings.js'
+import { formatPath, type SourcedDocument } from './parseDocument.js'
+
+/**
+ * Creates a finding about a path of a document.
+ *
+ * @example
+ * findingAt(sourced, 'duplicate', ['models', 0, 'name'], 'model "a" stands twice')
+ */
+export function findingAt(
+  sourced: SourcedDocument,
+  rule: FindingRule,
+  path: readonly PropertyKey[],
+  message: string,
+  severity: Severity = 'error',
+): Finding {
+  const line = sourced.lineOf(path)
+  const at = { source: sourced.source, path: formatPath(path) }
+  const place = line === undefined ? at : { ...at, line }
+  return { rule, severity, owner: sourced.document.owner, place, message }
+}
