One table of settings, operators' interface, stricter callers' interface

Settings: flags, variables and help are made of the one schema; unknown flags and variables are findings beside the others. Before, options were described twice. Operators: status, decisions of the latest requests and metrics on the peer port, which callers can't reach; wagtailwayctl status and explain ask there. Callers: CONNECT, Expect, missing Host, slow and malformed input get typed JSON; a refused upload is drained, so that its caller can read the refusal; streams with usage in a chunk of its own work (include_usage is always asked of engines). Faults found: the query of a service call was dropped; any value of the non-idempotent mark but "true" counted as no mark; headers beyond 2,000 were dropped without a word; a deeply nested body ended as 500.

--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -32,7 +32,7 @@
 function createParser(argv: string[]) {
   return yargs(argv)
     .scriptName('wagtailwayctl')
-    .env('WAGTAILWAYCTL')
+    .env('WAGTAILWAYCTL_')
     .strict()
     .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
     .command(
--- a/packages/router/src/backend/chatMessages.ts
+++ b/packages/router/src/backend/chatMessages.ts
@@ -5,7 +5,11 @@
 export const chatRequestSchema = z.looseObject({
   model: z.string().min(1).max(200),
   messages: z.array(z.looseObject({ role: z.string() })).min(1),
-  stream: z.boolean().optional(),
+  stream: z
+    .boolean()
+    .nullish()
+    .transform((stream) => stream ?? undefined),
+  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
 })
 
 export const usageSchema = z.looseObject({
@@ -20,6 +24,7 @@
   usage: usageSchema,
 })
 
+/** A chunk of a stream; the one with the usage may have no choices. */
 export const chunkSchema = z.looseObject({
   choices: z.array(z.looseObject({ finish_reason: z.string().nullish() })),
   usage: usageSchema.nullish(),
--- a/packages/router/src/backend/readStream.ts
+++ b/packages/router/src/backend/readStream.ts
@@ -1,40 +1,58 @@
 /**
  * Reads a streamed answer and checks that it is whole.
  *
- * Events carry increasing numbers. A repeated number is dropped; a gap, a
- * missing end or a broken connection makes the answer incomplete.
+ * Events may carry increasing numbers: then a repeated number is dropped, and a gap
+ * makes the answer incomplete. So do a missing end, missing usage or a broken connection.
  */
 import type { IncomingMessage } from 'node:http'
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
-import { Err, Ok, refuse, type Refusal, type Result } from '@wagtailway/core'
+import {
+  Err,
+  Ok,
+  refuse,
+  type Refusal,
+  type RefusalReason,
+  type Result,
+} from '@wagtailway/core'
 import { chunkSchema, type Chunk, type Usage } from './chatMessages.js'
 
 const END_OF_STREAM = '[DONE]'
+const STREAM_TYPE = /^text\/event-stream\b/i
+
+/** Longest event, in characters. */
+const MAX_EVENT_LENGTH = 1_048_576
 
 export interface StreamEnd {
-  /** The chunk that ends the answer, not yet passed on. */
-  readonly last: Chunk
+  /** The chunks that end the answer, not yet passed on. */
+  readonly last: readonly Chunk[]
   readonly usage: Usage
 }
 
-/** Receives each chunk but the last; resolves when the caller can take more. */
-export type ChunkSink = (chunk: Chunk) => Promise<void>
+/** Receives each chunk but those that end the answer; resolves when the caller can take more. */
+export type ChunkSink = (chunk: Chunk) => Promise<void> | undefined
 
 /**
- * Passes chunks on as they come and returns the last one with the usage.
+ * Passes chunks on as they come and returns the last ones with the usage.
  *
  * @example
- * const end = await readStream(res, async (chunk) => writer.write(chunk))
+ * const end = await readStream(res, (chunk) => writer.write(chunk))
  */
 export async function readStream(
   res: IncomingMessage,
   sink: ChunkSink,
 ): Promise<Result<StreamEnd, Refusal>> {
+  if (!STREAM_TYPE.test(res.headers['content-type'] ?? '')) {
+    res.destroy()
+    return failed('backend_invalid', 'The backend server did not answer with a stream.')
+  }
   const reader = StreamReader.create()
   try {
     res.setEncoding('utf8')
     for await (const text of res) {
-      for (const chunk of reader.feed(text as string)) await sink(chunk)
+      for (const chunk of reader.feed(text as string)) {
+        const pause = sink(chunk)
+        if (pause) await pause
+      }
       if (reader.fault !== undefined) {
         res.destroy()
         return truncated(reader.fault)
@@ -52,7 +70,10 @@
   readonly #events: EventSourceMessage[] = []
   readonly #parser = createParser({ onEvent: (event) => this.#events.push(event) })
   #nextId = 0
-  #last: Chunk | undefined
+  #unparsed = 0
+  /** Chunks from the first that says why a choice ended; the end may follow them. */
+  #held: Chunk[] = []
+  #usage: Usage | undefined
   #done = false
   fault: string | undefined
 
@@ -61,32 +82,46 @@
   }
 
   get end(): StreamEnd | undefined {
-    const usage = this.#last?.usage
-    return this.#done && this.#last && usage ? { last: this.#last, usage } : undefined
+    if (!this.#done || !this.#usage || this.#held.length === 0) return undefined
+    return { last: this.#held, usage: this.#usage }
   }
 
   /** Takes in text and returns the chunks that can be passed on. */
   feed(text: string): Chunk[] {
+    this.#unparsed += text.length
     this.#parser.feed(text)
-    return this.#events.splice(0).flatMap((event) => this.#accept(event) ?? [])
+    const events = this.#events.splice(0)
+    if (events.length > 0) this.#unparsed = 0
+    if (this.#unparsed > MAX_EVENT_LENGTH) this.fault = 'an event is too long'
+    return events.flatMap((event) => this.#accept(event))
   }
 
-  #accept(event: EventSourceMessage): Chunk | undefined {
-    if (this.#done || this.fault !== undefined) return undefined
+  #accept(event: EventSourceMessage): Chunk[] {
+    if (this.#done || this.fault !== undefined) return []
     if (event.data === END_OF_STREAM) {
       this.#done = true
-      return undefined
+      return []
     }
-    if (event.id !== undefined && !this.#isNext(event.id)) return undefined
+    if (event.id !== undefined && !this.#isNext(event.id)) return []
     const chunk = chunkSchema.safeParse(parseJson(event.data))
-    if (!chunk.success) {
-      this.fault = 'a chunk is not a chat completion chunk'
-      return undefined
+    if (chunk.success) return this.#pass(chunk.data)
+    this.fault = 'a chunk is not a chat completion chunk'
+    return []
+  }
+
+  #pass(chunk: Chunk): Chunk[] {
+    if (chunk.usage) this.#usage = chunk.usage
+    const isEnd =
+      chunk.choices.length === 0 ||
+      chunk.choices.some((choice) => choice.finish_reason != null)
+    if (isEnd) {
+      this.#held.push(chunk)
+      return []
     }
-    const finished = chunk.data.choices.some((choice) => choice.finish_reason != null)
-    if (!finished) return chunk.data
-    this.#last = chunk.data
-    return undefined
+    // Another choice goes on after one has ended.
+    const passed = [...this.#held, chunk]
+    this.#held = []
+    return passed
   }
 
   #isNext(id: string): boolean {
@@ -102,9 +137,11 @@
 }
 
 function truncated(cause: string): Result<never, Refusal> {
-  return Err(
-    refuse('backend_truncated', 'unknown', `The answer is incomplete: ${cause}.`),
-  )
+  return failed('backend_truncated', `The answer is incomplete: ${cause}.`)
+}
+
+function failed(reason: RefusalReason, message: string): Result<never, Refusal> {
+  return Err(refuse(reason, 'unknown', message))
 }
 
 function parseJson(text: string): unknown {
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -1,54 +1,75 @@
 /** Command line of `wagtailway-router`. */
-import yargs from 'yargs'
+import yargs, { type Options } from 'yargs'
 import { hideBin } from 'yargs/helpers'
-import { resolveConfig, type SettingFinding } from './options.js'
+import {
+  flagOf,
+  formatSettingFinding,
+  type Setting,
+  type SettingFinding,
+} from '@wagtailway/core'
+import { ROUTER_SETTINGS, SETTINGS_PREFIX, resolveConfig } from './options.js'
 import { Router } from './router.js'
 
 const EXIT_BAD_SETTINGS = 2
 
-/** Every flag has an environment variable: `--peer-port` is `WAGTAILWAY_PEER_PORT`. */
-function parseArgs(): Record<string, unknown> {
-  const args = yargs(hideBin(process.argv))
+/** What the command line and the environment say; nothing is checked yet. */
+export interface ParsedArgs {
+  /** Values by the names of their settings. */
+  readonly values: Readonly<Record<string, unknown>>
+  /** Flags and variables that no setting has. */
+  readonly unknown: readonly SettingFinding[]
+}
+
+/** Reads the flags and their environment variables. */
+export function parseArgs(argv: readonly string[]): ParsedArgs {
+  const flags = ROUTER_SETTINGS.map((setting) => [setting.flag, flagOptions(setting)])
+  const args = yargs([...argv])
     .scriptName('wagtailway-router')
-    .env('WAGTAILWAY')
-    .strict()
-    .option('node', { type: 'string', describe: 'Name of this entry instance' })
-    .option('zone', { type: 'string', describe: 'Availability zone of this instance' })
-    .option('region', { type: 'string', describe: 'Region of this instance' })
-    .option('host', { type: 'string', describe: 'IP number to listen on' })
-    .option('port', { type: 'number', describe: 'Port for callers; 0 picks one' })
-    .option('peer-port', { type: 'number', describe: 'Port for other entry instances' })
-    .option('platform', { type: 'string', describe: "Base URL of the platform's API" })
-    .option('ratings', { type: 'string', describe: 'Base URL of the rating service' })
-    .option('session-keys', {
-      type: 'string',
-      describe: 'Keys that sign session tokens, newest first, separated by commas',
-    })
-    .option('config-fresh-ms', { type: 'number', describe: 'Oldest proof of freshness' })
-    .option('instance-poll-ms', { type: 'number', describe: 'Pause between list polls' })
-    .option('heartbeat-ms', { type: 'number', describe: 'Pause between heartbeats' })
-    .option('flush-ms', { type: 'number', describe: 'Pause between billing flushes' })
-    .option('max-in-progress', { type: 'number', describe: 'Requests taken on at once' })
-    .option('max-body-bytes', { type: 'number', describe: 'Largest request body' })
-    .option('request-timeout-ms', { type: 'number', describe: 'Time to send a request' })
-    .option('default-deadline-ms', { type: 'number', describe: 'Deadline if none named' })
-    .option('progress-timeout-ms', {
-      type: 'number',
-      describe: 'Longest backend silence',
-    })
-    .option('drain-grace-ms', { type: 'number', describe: 'Accepting while leaving' })
-    .option('rating-sample', { type: 'number', describe: 'Fraction of answers rated' })
-    .option('seed', { type: 'number', describe: 'Seed of the random numbers' })
+    .env(`${SETTINGS_PREFIX}_`)
+    .options(Object.fromEntries(flags) as Record<string, Options>)
+    .epilogue(`Each flag has its variable: --peer-port is ${SETTINGS_PREFIX}_PEER_PORT.`)
     .parseSync()
-  const keys = args['session-keys']
-  return { ...args, sessionKeys: keys === undefined ? undefined : keys.split(',') }
+  const given = ROUTER_SETTINGS.flatMap((setting) => {
+    const value = args[setting.flag]
+    return value === undefined ? [] : [[setting.name, valueOf(setting, value)] as const]
+  })
+  return { values: Object.fromEntries(given), unknown: unknownArgs(args) }
+}
+
+function unknownArgs(args: Readonly<Record<string, unknown>>): SettingFinding[] {
+  const known = new Set(ROUTER_SETTINGS.flatMap(({ name, flag }) => [name, flag]))
+  const names = Object.keys(args)
+    .filter((key) => !known.has(key) && key !== '_' && key !== '$0')
+    .map(flagOf)
+  const words = Array.isArray(args['_']) ? args['_'].map(String) : []
+  return [
+    ...[...new Set(names)].map((setting) => ({ setting, message: 'no such setting' })),
+    ...words.map((word) => ({ setting: word, message: 'is no flag' })),
+  ]
+}
+
+/** Defaults are shown in the help but filled in by the check. */
+function flagOptions({ type, description, defaultValue, required }: Setting): Options {
+  const shown = required ? 'required' : defaultValue
+  return {
+    type: type === 'list' ? 'string' : type,
+    describe: shown === undefined ? description : `${description} [${shown}]`,
+    requiresArg: true,
+  }
+}
+
+function valueOf({ type }: Setting, value: unknown): unknown {
+  return type === 'list' && typeof value === 'string' ? value.split(',') : value
 }
 
 /** Runs `wagtailway-router` until a signal ends it. */
 export async function run(): Promise<void> {
-  const resolved = resolveConfig(parseArgs())
-  if (resolved.err) {
-    process.stderr.write(resolved.val.map(formatFinding).join(''))
+  const { values, unknown } = parseArgs(hideBin(process.argv))
+  const resolved = resolveConfig(values)
+  if (resolved.err || unknown.length > 0) {
+    for (const finding of [...unknown, ...(resolved.err ? resolved.val : [])]) {
+      process.stderr.write(formatSettingFinding(finding, SETTINGS_PREFIX))
+    }
     process.exitCode = EXIT_BAD_SETTINGS
     return
   }
@@ -63,9 +84,3 @@
     })
   }
 }
-
-function formatFinding({ setting, message }: SettingFinding): string {
-  const flag = setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)
-  const variable = `WAGTAILWAY_${flag.replace(/-/g, '_').toUpperCase()}`
-  return `--${flag} (${variable}): ${message}\n`
-}
--- a/packages/router/src/http/callerServer.ts
+++ b/packages/router/src/http/callerServer.ts
@@ -11,10 +11,10 @@
 import { handleCompletion } from '../request/completion.js'
 import { handleServiceCall } from '../request/serviceCall.js'
 import type { RouterNode } from '../routerNode.js'
+import { MAX_HEADER_BYTES, malformedRefusal, refuseOnSocket } from './malformed.js'
 import { sendJson, sendRefusal } from './sendAnswer.js'
 
-const SERVICE_PATH = /^\/v1\/services\/([a-z0-9.-]+)(\/[^?]*)?$/
-const MAX_HEADER_BYTES = 16_384
+const SERVICE_PATH = /^\/v1\/services\/([a-z0-9.-]+)([/?].*)?$/
 const MAX_CONNECTIONS = 10_000
 const KEEP_ALIVE_MS = 60_000
 
@@ -32,6 +32,10 @@
  */
 export class CallerServer {
   readonly #server: Server
+  /** The answer under way, or the last one, on each connection. */
+  readonly #answers = new WeakMap<Duplex, ServerResponse>()
+  /** Connections that were refused without a request's answer. */
+  readonly #refused = new WeakSet<Duplex>()
 
   private constructor(private readonly opts: CallerServerOptions) {
     const { requestTimeoutMs } = opts.node.cfg
@@ -42,15 +46,17 @@
         requestTimeout: requestTimeoutMs,
         connectionsCheckingInterval: Math.min(1_000, requestTimeoutMs),
         keepAliveTimeout: KEEP_ALIVE_MS,
+        // A missing host gets a typed refusal too.
+        requireHostHeader: false,
       },
       (req, res) => {
         void this.#handle(req, res)
       },
     )
     this.#server.maxConnections = MAX_CONNECTIONS
-    this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      this.#refuseMalformed(err, socket)
-    })
+    // The size is limited; a limited number would drop the last headers silently.
+    this.#server.maxHeadersCount = 0
+    this.#listen()
   }
 
   static async create(opts: CallerServerOptions): Promise<CallerServer> {
@@ -79,8 +85,32 @@
     await closed
   }
 
+  /** Takes care of everything that isn't an ordinary request. */
+  #listen(): void {
+    const { metrics } = this.opts.node
+    this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      this.#refuseSocket(socket, malformedRefusal(err))
+    })
+    this.#server.on('connect', (_req, socket) => {
+      const message = 'This is no proxy; nothing can be connected through it.'
+      this.#refuseSocket(socket, notRun('method_not_allowed', message))
+    })
+    this.#server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
+      const size = Number(req.headers['content-length'] ?? 0)
+      if (size <= this.opts.node.cfg.maxBodyBytes) res.writeContinue()
+      void this.#handle(req, res)
+    })
+    this.#server.on('checkExpectation', (_req, res: ServerResponse) => {
+      this.#refuse(res, notRun('bad_request', 'Only "Expect: 100-continue" is known.'))
+    })
+    this.#server.on('drop', () => {
+      metrics.droppedConnections.inc()
+    })
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { node } = this.opts
+    this.#answers.set(req.socket, res)
     if (!this.opts.isReady()) res.setHeader('connection', 'close')
     node.inProgress += 1
     node.metrics.inProgress.set(node.inProgress)
@@ -101,6 +131,8 @@
   }
 
   #refuse(res: ServerResponse, refusal: Refusal): void {
+    // A request that arrived too slowly was refused and counted before its handler knew.
+    if (this.#refused.has(res.req.socket)) return
     const { metrics } = this.opts.node
     metrics.refusals.inc({ reason: refusal.reason, ran: refusal.ran })
     if (res.destroyed) metrics.abandoned.inc()
@@ -112,15 +144,20 @@
     res: ServerResponse,
   ): Promise<Result<undefined, Refusal>> {
     const { node } = this.opts
-    const path = (req.url ?? '/').split('?')[0] ?? '/'
+    const url = req.url ?? '/'
+    const path = url.split('?')[0] ?? '/'
+    if (req.headers.host === undefined && req.httpVersion === '1.1') {
+      return Err(notRun('bad_request', 'Send a Host header.'))
+    }
     if (path === '/v1/chat/completions') {
       if (req.method === 'POST') return handleCompletion(node, req, res)
       return Err(notRun('method_not_allowed', 'Use POST.'))
     }
-    const service = SERVICE_PATH.exec(path)
+    const service = SERVICE_PATH.exec(url)
     if (service) {
       const rest = service[2] ?? '/'
-      return handleServiceCall(node, req, res, service[1] ?? '', rest)
+      const target = rest.startsWith('/') ? rest : `/${rest}`
+      return handleServiceCall(node, req, res, service[1] ?? '', target)
     }
     return this.#watch(path, res)
   }
@@ -145,32 +182,10 @@
     }
   }
 
-  #refuseMalformed(err: NodeJS.ErrnoException, socket: Duplex): void {
-    const refusal = malformed(err)
+  #refuseSocket(socket: Duplex, refusal: Refusal): void {
+    if (this.#refused.has(socket)) return
+    this.#refused.add(socket)
     this.opts.node.metrics.refusals.inc({ reason: refusal.reason, ran: refusal.ran })
-    if (!socket.writable) {
-      socket.destroy()
-      return
-    }
-    const status = refusal.reason === 'headers_too_large' ? '431' : '400'
-    const error = { type: refusal.reason, ran: refusal.ran, message: refusal.message }
-    const body = JSON.stringify({ error })
-    socket.end(
-      `HTTP/1.1 ${status} Refused\r\ncontent-type: application/json\r\n` +
-        `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-    )
-  }
-}
-
-function malformed(err: NodeJS.ErrnoException): Refusal {
-  if (err.code === 'HPE_HEADER_OVERFLOW') {
-    return notRun(
-      'headers_too_large',
-      `Send at most ${MAX_HEADER_BYTES} bytes of headers.`,
-    )
-  }
-  if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-    return notRun('request_timeout', 'The request took too long to arrive.')
+    refuseOnSocket(socket, this.#answers.get(socket), refusal)
   }
-  return notRun('bad_request', 'This is not an HTTP/1.1 request.')
 }
--- a/packages/router/src/http/eventStream.ts
+++ b/packages/router/src/http/eventStream.ts
@@ -18,13 +18,13 @@
     return new EventStream(res)
   }
 
-  /** Sends one event and waits while the caller's connection is full. */
-  async write(data: unknown): Promise<void> {
+  /** Sends one event; if the caller's connection is full, the promise tells when it isn't. */
+  write(data: unknown): Promise<void> | undefined {
     this.#sendHeaders()
     const id = this.#nextId
     this.#nextId += 1
     const flushed = this.res.write(`id: ${id}\ndata: ${JSON.stringify(data)}\n\n`)
-    if (!flushed && !this.res.destroyed) await this.#drained()
+    return flushed || this.res.destroyed ? undefined : this.#drained()
   }
 
   end(): void {
--- a/packages/router/src/http/sendAnswer.ts
+++ b/packages/router/src/http/sendAnswer.ts
@@ -5,13 +5,18 @@
 
 const MS_PER_SECOND = 1_000
 
-/** Sends a JSON body; closes the connection if the request body was not read to its end. */
+/** Statuses after which the same request may succeed. */
+const TEMPORARY_STATUSES = new Set([408, 429, 502, 503, 504])
+
+/** When to come back after a temporary refusal that names no time, in milliseconds. */
+const DEFAULT_RETRY_MS = 1_000
+
+/** Sends a JSON body. What is left of the request's body is read and dropped. */
 export function sendJson(res: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body)
   res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
-    ...(res.req.complete ? {} : { connection: 'close' }),
   })
   res.end(text)
 }
@@ -23,21 +28,35 @@
     res.destroy()
     return
   }
-  res.setHeader(ANSWER_HEADERS.ran, refusal.ran)
-  if (refusal.retryAfterMs !== undefined) {
-    res.setHeader(
-      'retry-after',
-      Math.max(1, Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)),
-    )
+  for (const [name, value] of Object.entries(refusalHeaders(refusal))) {
+    res.setHeader(name, value)
   }
-  sendJson(res, REFUSAL_STATUS[refusal.reason], { error: refusalBody(refusal) })
+  sendJson(res, REFUSAL_STATUS[refusal.reason], refusalBody(refusal))
+}
+
+/** Headers of a refusal: whether it ran, and when to come back. */
+export function refusalHeaders(refusal: Refusal): Record<string, string> {
+  const retryAfterMs = retryAfterOf(refusal)
+  if (retryAfterMs === undefined) return { [ANSWER_HEADERS.ran]: refusal.ran }
+  const seconds = Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND))
+  return { [ANSWER_HEADERS.ran]: refusal.ran, 'retry-after': String(seconds) }
 }
 
-function refusalBody(refusal: Refusal): Record<string, unknown> {
+/** Body of a refusal. */
+export function refusalBody(refusal: Refusal): { error: Record<string, unknown> } {
+  const { reason, ran, message } = refusal
+  const retryAfterMs = retryAfterOf(refusal)
   return {
-    type: refusal.reason,
-    ran: refusal.ran,
-    message: refusal.message,
-    ...(refusal.retryAfterMs !== undefined && { retry_after_ms: refusal.retryAfterMs }),
+    error: {
+      type: reason,
+      ran,
+      message,
+      ...(retryAfterMs !== undefined && { retry_after_ms: retryAfterMs }),
+    },
   }
 }
+
+function retryAfterOf({ reason, retryAfterMs }: Refusal): number | undefined {
+  if (retryAfterMs !== undefined) return retryAfterMs
+  return TEMPORARY_STATUSES.has(REFUSAL_STATUS[reason]) ? DEFAULT_RETRY_MS : undefined
+}
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -59,6 +59,11 @@
     help: 'Requests whose caller went away before the end of the answer',
     registers: [this.registry],
   })
+  readonly droppedConnections = new Counter({
+    name: 'wagtailway_connections_dropped_total',
+    help: 'Connections closed at once because there were too many',
+    registers: [this.registry],
+  })
   readonly firstToken = new Histogram({
     name: 'wagtailway_first_token_seconds',
     help: 'Time to the first token of streamed answers',
--- a/packages/router/src/options.ts
+++ b/packages/router/src/options.ts
@@ -1,7 +1,19 @@
-/** Settings of the router. */
-import { Err, Ok, type Result } from '@wagtailway/core'
+/** Settings of the router; flags, variables, help and reference page are made of these. */
+import {
+  Err,
+  Ok,
+  settingFindings,
+  settingsOf,
+  type Result,
+  type SettingFinding,
+} from '@wagtailway/core'
 import { z } from 'zod'
 
+/** Prefix of the environment variables. */
+export const SETTINGS_PREFIX = 'WAGTAILWAY'
+
+const text = z.string().min(1)
+const count = z.number().int().positive()
 const port = z.number().int().min(0).max(65_535)
 const positiveMs = z.number().int().positive()
 const baseUrl = z.url({
@@ -9,112 +21,79 @@
   error: 'give a URL such as http://10.0.0.5:7000',
 })
 
-const optionsSchema = z.object({
-  /** Name of this entry instance, unique in the deployment. */
-  node: z.string().min(1),
-  /** Availability zone of this instance. */
-  zone: z.string().min(1),
-  /**
-   * Region of this instance.
-   * @default 'r1'
-   */
-  region: z.string().min(1).default('r1'),
-  /**
-   * IP number to listen on.
-   * @default '127.0.0.1'
-   */
-  host: z.string().min(1).default('127.0.0.1'),
-  /**
-   * Port for callers; 0 picks one.
-   * @default 0
-   */
-  port: port.default(0),
-  /**
-   * Port for other entry instances; 0 picks one.
-   * @default 0
-   */
-  peerPort: port.default(0),
-  /** Base URL of the platform's API. */
-  platform: baseUrl,
-  /** Base URL of the service that rates answers; ratings are off if absent. */
-  ratings: baseUrl.optional(),
-  /** Keys that sign session tokens, newest first, the same on all instances. */
-  sessionKeys: z.array(z.string().min(8, 'use at least 8 characters')).min(1),
-  /**
-   * Age of the newest proof beyond which the configuration is stale, in milliseconds.
-   * @default 10_000
-   */
-  configFreshMs: positiveMs.default(10_000),
-  /**
-   * Pause between polls of the platform's list of instances, in milliseconds.
-   * @default 1_000
-   */
-  instancePollMs: positiveMs.default(1_000),
-  /**
-   * Pause between heartbeats to other instances, in milliseconds.
-   * @default 1_000
-   */
-  heartbeatMs: positiveMs.default(1_000),
-  /**
-   * Pause between flushes of billing records, in milliseconds.
-   * @default 1_000
-   */
-  flushMs: positiveMs.default(1_000),
-  /**
-   * Requests in progress beyond which more are refused.
-   * @default 2_000
-   */
-  maxInProgress: z.number().int().positive().default(2_000),
-  /**
-   * Largest request body, in bytes.
-   * @default 1_048_576
-   */
-  maxBodyBytes: z.number().int().positive().default(1_048_576),
-  /**
-   * Longest time for a caller to send its request, in milliseconds.
-   * @default 10_000
-   */
-  requestTimeoutMs: positiveMs.default(10_000),
-  /**
-   * Deadline of a request that names none, in milliseconds.
-   * @default 60_000
-   */
-  defaultDeadlineMs: positiveMs.default(60_000),
-  /**
-   * Silence of a backend server after which its answer counts as lost, in milliseconds.
-   * @default 10_000
-   */
-  progressTimeoutMs: positiveMs.default(10_000),
-  /**
-   * Time that a leaving instance goes on accepting, in milliseconds, until the
-   * balancer has noticed.
-   * @default 3_000
-   */
-  drainGraceMs: z.number().int().nonnegative().default(3_000),
-  /**
-   * Fraction of answers that are sent to be rated.
-   * @default 0.2
-   */
-  ratingSample: z.number().min(0).max(1).default(0.2),
-  /**
-   * Seed of the random numbers.
-   * @default 1
-   */
-  seed: z.number().int().default(1),
+export const optionsSchema = z.object({
+  node: text.describe('Name of this entry instance, unique in the deployment'),
+  zone: text.describe('Availability zone of this instance'),
+  region: text.default('r1').describe('Region of this instance'),
+  host: text.default('127.0.0.1').describe('IP number to listen on'),
+  port: port.default(0).describe('Port for callers; 0 picks one'),
+  peerPort: port
+    .default(0)
+    .describe('Port for other entry instances and operators; 0 picks one'),
+  platform: baseUrl.describe("Base URL of the platform's API"),
+  ratings: baseUrl
+    .optional()
+    .describe('Base URL of the service that rates answers; ratings are off if absent'),
+  sessionKeys: z
+    .array(z.string().min(8, 'use at least 8 characters'))
+    .min(1)
+    .describe(
+      'Keys that sign session tokens, newest first, the same on all instances, separated by commas',
+    ),
+  configFreshMs: positiveMs
+    .default(10_000)
+    .describe(
+      'Age of the newest proof beyond which the configuration is stale, in milliseconds',
+    ),
+  instancePollMs: positiveMs
+    .default(1_000)
+    .describe("Pause between polls of the platform's list of instances, in milliseconds"),
+  heartbeatMs: positiveMs
+    .default(1_000)
+    .describe('Pause between heartbeats to other instances, in milliseconds'),
+  flushMs: positiveMs
+    .default(1_000)
+    .describe('Pause between flushes of billing records, in milliseconds'),
+  maxInProgress: count
+    .default(2_000)
+    .describe('Requests in progress beyond which more are refused'),
+  maxBodyBytes: count.default(1_048_576).describe('Largest request body, in bytes'),
+  requestTimeoutMs: positiveMs
+    .default(10_000)
+    .describe('Longest time for a caller to send its request, in milliseconds'),
+  defaultDeadlineMs: positiveMs
+    .default(60_000)
+    .describe('Deadline of a request that names none, in milliseconds'),
+  progressTimeoutMs: positiveMs
+    .default(10_000)
+    .describe(
+      'Silence of a backend server after which its answer counts as lost, in milliseconds',
+    ),
+  drainGraceMs: z
+    .number()
+    .int()
+    .nonnegative()
+    .default(3_000)
+    .describe(
+      'Time that a leaving instance goes on accepting until the balancer has noticed, in milliseconds',
+    ),
+  decisionsKept: count
+    .default(5_000)
+    .describe('Latest requests of which wagtailwayctl explain can tell'),
+  ratingSample: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.2)
+    .describe('Fraction of answers that are sent to be rated'),
+  seed: z.number().int().default(1).describe('Seed of the random numbers'),
 })
 
 export type RouterOptions = z.input<typeof optionsSchema>
 export type ResolvedRouterOptions = z.output<typeof optionsSchema>
 
-/** One bad setting. */
-export interface SettingFinding {
-  /** Name of the option, as in {@link RouterOptions}. */
-  readonly setting: string
-  readonly message: string
-}
-
-/** Names of all settings, in the order of their declaration. */
-export const SETTING_NAMES = Object.keys(optionsSchema.shape)
+/** All settings in the order of their declaration. */
+export const ROUTER_SETTINGS = settingsOf(optionsSchema, SETTINGS_PREFIX)
 
 /**
  * Checks the settings and fills in defaults; every bad setting is reported.
@@ -126,11 +105,5 @@
   opts: unknown,
 ): Result<ResolvedRouterOptions, SettingFinding[]> {
   const parsed = optionsSchema.safeParse(opts)
-  if (parsed.success) return Ok(parsed.data)
-  return Err(
-    parsed.error.issues.map((issue) => ({
-      setting: issue.path.map(String).join('.'),
-      message: issue.message,
-    })),
-  )
+  return parsed.success ? Ok(parsed.data) : Err(settingFindings(parsed.error))
 }
--- a/packages/router/src/peers/peerServer.ts
+++ b/packages/router/src/peers/peerServer.ts
@@ -1,5 +1,5 @@
 /** Serves other entry instances over connect-es. */
-import { createServer, type Server } from 'node:http'
+import { createServer, type RequestListener, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
@@ -9,7 +9,7 @@
  * HTTP server of the peer service.
  *
  * @example
- * const server = await PeerServer.create({ host: '127.0.0.1', port: 0, service })
+ * const server = await PeerServer.create({ host: '127.0.0.1', port: 0, service, fallback })
  */
 export class PeerServer {
   private constructor(private readonly server: Server) {}
@@ -18,11 +18,17 @@
     host: string
     port: number
     service: Partial<ServiceImpl<typeof PeerService>>
+    /** Answers what is no call of the peer service. */
+    fallback: RequestListener
   }): Promise<PeerServer> {
     const handler = connectNodeAdapter({
       routes: (router) => router.service(PeerService, opts.service),
     })
-    const server = createServer(handler)
+    const servicePath = `/${PeerService.typeName}/`
+    const server = createServer((req, res) => {
+      if (req.url?.startsWith(servicePath) === true) handler(req, res)
+      else opts.fallback(req, res)
+    })
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
       server.listen(opts.port, opts.host, resolve)
--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -1,4 +1,5 @@
 /** What an entry instance shares with the others, over one server and one pool of clients. */
+import type { RequestListener } from 'node:http'
 import type { MemberIdentity, MemberTable } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
 import { Heartbeats } from './heartbeats.js'
@@ -14,6 +15,8 @@
   /** Creates the member table once this instance's address is known. */
   readonly createMembers: (self: MemberIdentity) => MemberTable
   readonly onError: (err: unknown) => void
+  /** Answers what is no call of the peer service. */
+  readonly fallback: RequestListener
 }
 
 /**
@@ -39,6 +42,7 @@
     const server = await PeerServer.create({
       host: opts.host,
       port: opts.port,
+      fallback: opts.fallback,
       service: {
         exchange: (request) => holder.peers?.heartbeats.exchange(request) ?? {},
         copyRecords: (request) => {
--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -11,8 +11,9 @@
   type Refusal,
   type Result,
 } from '@wagtailway/core'
-import { CALLER_HEADERS } from '../constants.js'
+import { ANSWER_HEADERS, CALLER_HEADERS } from '../constants.js'
 import type { RouterNode } from '../routerNode.js'
+import type { Decision } from './decision.js'
 import { headerText } from './identify.js'
 
 export interface Call {
@@ -25,6 +26,8 @@
   readonly idempotencyKey: string | undefined
   /** Whether the request must run at most once. */
   readonly nonIdempotent: boolean
+  /** Record of what is decided about the call. */
+  readonly decision: Decision
   /** When the call began, on the node's monotonic clock. */
   readonly startMs: number
   /** Aborted when the caller goes away or the deadline passes. */
@@ -37,6 +40,9 @@
 
 const MAX_DEADLINE_MS = 3_600_000
 
+/** Longest name of a session and longest idempotency key, in characters. */
+const MAX_KEY_LENGTH = 200
+
 /** Builds the call from headers; the caller's going away and the deadline abort it. */
 export function createCall(
   node: RouterNode,
@@ -47,8 +53,12 @@
 ): Result<Call, Refusal> {
   const deadline = parseDeadline(node, req)
   if (deadline.err) return deadline
-  const nonIdempotent = headerText(req, CALLER_HEADERS.nonIdempotent) === 'true'
+  const nonIdempotent = parseMark(req, CALLER_HEADERS.nonIdempotent)
+  if (nonIdempotent.err) return nonIdempotent
+  const tooLong = checkLengths(req)
+  if (tooLong) return Err(tooLong)
   const requestId = randomUUID()
+  res.setHeader(ANSWER_HEADERS.requestId, requestId)
   const abort = new AbortController()
   let reason: 'deadline' | 'caller_gone' | undefined
   const end = (cause: 'deadline' | 'caller_gone'): void => {
@@ -68,7 +78,13 @@
     cls,
     classKey: classKey(workspace.name, cls.name),
     idempotencyKey: headerText(req, CALLER_HEADERS.idempotencyKey),
-    nonIdempotent,
+    nonIdempotent: nonIdempotent.val,
+    decision: node.decisions.begin({
+      requestId,
+      node: node.cfg.node,
+      class: classKey(workspace.name, cls.name),
+      revision: node.config.revision,
+    }),
     startMs: node.clock(),
     signal: abort.signal,
     abortReason: () => reason,
@@ -82,8 +98,22 @@
 function parseDeadline(node: RouterNode, req: IncomingMessage): Result<number, Refusal> {
   const text = headerText(req, CALLER_HEADERS.deadlineMs)
   if (text === undefined) return Ok(node.cfg.defaultDeadlineMs)
-  const ms = Number(text)
+  const ms = /^\d+$/.test(text) ? Number(text) : Number.NaN
   if (Number.isInteger(ms) && ms > 0 && ms <= MAX_DEADLINE_MS) return Ok(ms)
   const message = `${CALLER_HEADERS.deadlineMs} must be 1 to ${MAX_DEADLINE_MS} milliseconds.`
   return Err(notRun('bad_request', message))
 }
+
+/** A mark is `true` or `false`; anything else might hide a request that must not run twice. */
+function parseMark(req: IncomingMessage, name: string): Result<boolean, Refusal> {
+  const text = headerText(req, name) ?? 'false'
+  if (text === 'true' || text === 'false') return Ok(text === 'true')
+  return Err(notRun('bad_request', `${name} must be "true" or "false".`))
+}
+
+function checkLengths(req: IncomingMessage): Refusal | undefined {
+  const names = [CALLER_HEADERS.session, CALLER_HEADERS.idempotencyKey]
+  const name = names.find((n) => (headerText(req, n)?.length ?? 0) > MAX_KEY_LENGTH)
+  if (name === undefined) return undefined
+  return notRun('bad_request', `${name} may have at most ${MAX_KEY_LENGTH} characters.`)
+}
--- a/packages/router/src/request/completeOnce.ts
+++ b/packages/router/src/request/completeOnce.ts
@@ -9,18 +9,14 @@
 } from '@wagtailway/core'
 import { readAnswer } from '../backend/backendClient.js'
 import type { Backend } from '../backend/backendTable.js'
-import {
-  completionSchema,
-  type ChatRequest,
-  type Chunk,
-  type Usage,
-} from '../backend/chatMessages.js'
+import { completionSchema, type Chunk, type Usage } from '../backend/chatMessages.js'
 import { readStream } from '../backend/readStream.js'
 import { ANSWER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
 import { EventStream } from '../http/eventStream.js'
 import { sendJson } from '../http/sendAnswer.js'
 import type { RouterNode } from '../routerNode.js'
 import type { Call } from './call.js'
+import type { PreparedChat } from './prepareChat.js'
 
 const HTTP_OK = 200
 const MS_PER_SECOND = 1_000
@@ -37,18 +33,17 @@
 export async function completeOnce(
   node: RouterNode,
   call: Call,
-  chat: ChatRequest,
+  chat: PreparedChat,
   candidate: Candidate,
   backend: Backend,
   isLast: boolean,
 ): Promise<Result<Answer, Refusal>> {
-  const streamed = chat.stream === true
   const called = await node.client.call({
     address: backend.instance.address,
     method: 'POST',
     path: '/v1/chat/completions',
     headers: { 'content-type': 'application/json', [REQUEST_ID_HEADER]: call.requestId },
-    body: JSON.stringify({ ...chat, model: candidate.key }),
+    body: chat.bodyFor(candidate.key),
     progressTimeoutMs: node.cfg.progressTimeoutMs,
     signal: call.signal,
   })
@@ -60,8 +55,8 @@
     return Err(refuse('backend_failed', 'unknown', message))
   }
   call.res.setHeader(ANSWER_HEADERS.version, candidate.key)
-  if (!streamed) return readPlain(call, await readAnswer(res))
-  return readStreamed(node, call, res, isLast)
+  if (!chat.stream) return readPlain(call, await readAnswer(res))
+  return readStreamed(node, call, chat, res, isLast)
 }
 
 function readPlain(call: Call, body: Result<Buffer, Refusal>): Result<Answer, Refusal> {
@@ -85,6 +80,7 @@
 async function readStreamed(
   node: RouterNode,
   call: Call,
+  chat: PreparedChat,
   res: Parameters<typeof readStream>[0],
   isLast: boolean,
 ): Promise<Result<Answer, Refusal>> {
@@ -92,25 +88,30 @@
   const held: Chunk[] = []
   let text = ''
   let first = true
-  const end = await readStream(res, async (chunk) => {
+  const end = await readStream(res, (chunk) => {
     text += contentOf(chunk)
     if (!isLast) {
       held.push(chunk)
-      return
+      return undefined
     }
     if (first) observeFirstToken(node, call)
     first = false
-    await stream.write(chunk)
+    return stream.write(chunk)
   })
   if (end.err) return end
   const finish = async (): Promise<void> => {
-    for (const chunk of held) await stream.write(chunk)
-    await stream.write(end.val.last)
+    const last = end.val.last.filter((chunk) => chat.wantsUsage || !isUsageOnly(chunk))
+    for (const chunk of [...held, ...last]) await stream.write(chunk)
     stream.end()
   }
   return Ok({ usage: end.val.usage, text, finish })
 }
 
+/** The chunk that engines send for `include_usage`; not every caller asked for it. */
+function isUsageOnly(chunk: Chunk): boolean {
+  return chunk.choices.length === 0
+}
+
 function observeFirstToken(node: RouterNode, call: Call): void {
   const seconds = (node.clock() - call.startMs) / MS_PER_SECOND
   node.metrics.firstToken.observe({ class: call.classKey }, seconds)
--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -15,8 +15,6 @@
   type Result,
   type VersionPlan,
 } from '@wagtailway/core'
-import { chatRequestSchema, type ChatRequest } from '../backend/chatMessages.js'
-import { ANSWER_HEADERS } from '../constants.js'
 import { readBody } from '../http/readBody.js'
 import type { RouterNode } from '../routerNode.js'
 import { admit } from './admit.js'
@@ -26,6 +24,8 @@
 import { completeOnce, type Answer } from './completeOnce.js'
 import { dispatch } from './dispatch.js'
 import { findClass, identify } from './identify.js'
+import { describeOutcome, noteAttempt, notePlan } from './noteDecision.js'
+import { prepareChat, type PreparedChat } from './prepareChat.js'
 import { recordAnswer } from './recordAnswer.js'
 
 /** Serves one chat completion; a refusal is returned for the server to send. */
@@ -38,14 +38,16 @@
   if (caller.err) return caller
   const body = await readBody(req, node.cfg.maxBodyBytes)
   if (body.err) return body
-  const chat = parseChat(body.val)
+  const chat = prepareChat(body.val)
   if (chat.err) return chat
   const cls = findClass(caller.val, req, chat.val.model)
   if (cls.err) return cls
   const call = createCall(node, req, res, caller.val.workspace, cls.val)
   if (call.err) return call
   try {
-    return await serve(node, call.val, chat.val)
+    const outcome = await serve(node, call.val, chat.val)
+    call.val.decision.outcome = describeOutcome(outcome)
+    return outcome
   } finally {
     call.val.close()
   }
@@ -54,7 +56,7 @@
 async function serve(
   node: RouterNode,
   call: Call,
-  chat: ChatRequest,
+  chat: PreparedChat,
 ): Promise<Result<undefined, Refusal>> {
   const refusal = admit(node, call)
   if (refusal) return Err(refusal)
@@ -62,7 +64,7 @@
   if (plan.err) return plan
   const claim = await claimRequest(node, call)
   if (claim.err) return claim
-  call.res.setHeader(ANSWER_HEADERS.requestId, call.requestId)
+  notePlan(node, call, plan.val)
   const answered = await runPlan(node, call, chat, plan.val)
   if (answered.err) return answered
   const { answer, calls, cost, candidate } = answered.val
@@ -82,7 +84,7 @@
 async function runPlan(
   node: RouterNode,
   call: Call,
-  chat: ChatRequest,
+  chat: PreparedChat,
   plan: VersionPlan,
 ): Promise<Result<PlanResult, Refusal>> {
   const calls: BackendCall[] = []
@@ -96,7 +98,10 @@
       call,
       backends: () => node.backends.serving(candidate.key),
       mayDispatch: () => mayDispatch(node, candidate),
-      attempt: (target) => completeOnce(node, call, chat, candidate, target, isLast),
+      attempt: (target) =>
+        noteAttempt(call, target, candidate.key, () =>
+          completeOnce(node, call, chat, candidate, target, isLast),
+        ),
       repeatable: () => !call.nonIdempotent && !call.res.headersSent,
     })
     if (outcome.err) {
@@ -113,6 +118,7 @@
       completionTokens: completion_tokens,
     })
     const accepted = isLast || (plan.accepts?.(candidate, answer.text) ?? true)
+    call.decision.note(`${candidate.key} ${accepted ? 'accepted' : 'not good enough'}`)
     if (accepted) return Ok({ answer, candidate, calls, cost })
   }
   return Err(failure)
@@ -133,18 +139,3 @@
     atMs: node.wallClock(),
   }
 }
-
-function parseChat(body: Buffer): Result<ChatRequest, Refusal> {
-  let value: unknown
-  try {
-    value = JSON.parse(body.toString())
-  } catch {
-    return Err(notRun('bad_request', 'The body is not JSON.'))
-  }
-  const parsed = chatRequestSchema.safeParse(value)
-  if (parsed.success) return Ok(parsed.data)
-  const problems = parsed.error.issues.map((i) => `${i.path.join('.')}: ${i.message}`)
-  return Err(
-    notRun('bad_request', `Not a chat completion request: ${problems.join('; ')}.`),
-  )
-}
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -1,6 +1,6 @@
 /** One call of a plain service: identify, admit, claim, dispatch, answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, Ok, notRun, type Refusal, type Result } from '@wagtailway/core'
+import { Err, Ok, notRun, refuse, type Refusal, type Result } from '@wagtailway/core'
 import { readAnswer } from '../backend/backendClient.js'
 import type { Backend } from '../backend/backendTable.js'
 import { ANSWER_HEADERS, CALLER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
@@ -11,6 +11,7 @@
 import { claimRequest } from './claimRequest.js'
 import { dispatch } from './dispatch.js'
 import { findClass, identify } from './identify.js'
+import { describeOutcome, noteAttempt } from './noteDecision.js'
 
 /** Class that is used if the caller names none. */
 const DEFAULT_CLASS = 'default'
@@ -18,6 +19,10 @@
 /** Methods whose repeat has no effect beyond the first run. */
 const SAFE_METHODS = new Set(['GET', 'HEAD'])
 
+/** Final statuses that can be passed on. */
+const MIN_STATUS = 200
+const MAX_STATUS = 599
+
 interface ServiceAnswer {
   readonly status: number
   readonly contentType: string
@@ -45,7 +50,9 @@
   const call = createCall(node, req, res, caller.val.workspace, cls.val)
   if (call.err) return call
   try {
-    return await serve(node, call.val, service, path, body.val)
+    const outcome = await serve(node, call.val, service, path, body.val)
+    call.val.decision.outcome = describeOutcome(outcome)
+    return outcome
   } finally {
     call.val.close()
   }
@@ -67,7 +74,10 @@
     call,
     backends: () => node.backends.ofService(service),
     mayDispatch: () => node.config.isFresh,
-    attempt: (backend) => callOnce(node, call, backend, path, body),
+    attempt: (backend) =>
+      noteAttempt(call, backend, service, () =>
+        callOnce(node, call, backend, path, body),
+      ),
     repeatable: () => isRepeatable(node, call, service),
   })
   if (outcome.err) return outcome
@@ -113,6 +123,11 @@
   })
   if (called.err) return called
   const { res, status } = called.val
+  if (status < MIN_STATUS || status > MAX_STATUS) {
+    res.destroy()
+    const message = `The backend server answered with the status ${status}.`
+    return Err(refuse('backend_invalid', 'unknown', message))
+  }
   const read = await readAnswer(res)
   if (read.err) return read
   return Ok({
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -21,9 +21,11 @@
 import { createLog } from './log.js'
 import { RouterMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
+import { OperatorRoutes } from './operators/operatorRoutes.js'
 import { Peers } from './peers/peers.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
+import { Decisions } from './request/decision.js'
 import type { RouterNode, RouterPolicies } from './routerNode.js'
 
 /** Pause between last attempts to store billing records, in milliseconds. */
@@ -62,7 +64,9 @@
       },
     })
     const incarnation = `${cfg.node}-${wallClock().toString(36)}`
+    const operators = OperatorRoutes.create()
     const peers = await Peers.create({
+      fallback: operators.handle,
       self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
       host: cfg.host,
       port: cfg.peerPort,
@@ -92,6 +96,7 @@
       estimates,
       retryBudget: RetryBudget.create(),
       policies: defaultPolicies(cfg),
+      decisions: Decisions.create({ capacity: cfg.decisionsKept, clock: monotonicClock }),
       metrics,
       log,
       random: seededRandom(cfg.seed),
@@ -103,6 +108,7 @@
       },
       inProgress: 0,
     }
+    operators.serve(node)
     const router = new Router(node, platform, peers, ratings)
     await router.#start()
     return router
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -18,6 +18,7 @@
 import type { Log } from './log.js'
 import type { RouterMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
+import type { Decisions } from './request/decision.js'
 
 /** Behaviour that varies. */
 export interface RouterPolicies {
@@ -48,6 +49,8 @@
   readonly estimates: QualityEstimates
   readonly retryBudget: RetryBudget
   readonly policies: RouterPolicies
+  /** What was decided about the latest requests. */
+  readonly decisions: Decisions
   readonly metrics: RouterMetrics
   readonly log: Log
   readonly random: Random
