--- /dev/null
+++ b/packages/scenario/src/load/__tests__/badBackend.spec.ts
@@ -0,0 +1,202 @@
+import assert from 'node:assert/strict'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { after, before, describe, it } from 'node:test'
+import { DEMO_DEPLOYMENTS } from '../../demo/deployments.js'
+import { Deployment } from '../../harness/deployment.js'
+import { ChatCaller } from '../chatCaller.js'
+
+const VERSION = 'summariser@large'
+const USAGE = { prompt_tokens: 1, completion_tokens: 2, total_tokens: 3 }
+
+function event(choices: unknown[], more: object = {}): string {
+  return `data: ${JSON.stringify({ id: 'x', object: 'chat.completion.chunk', choices, ...more })}\n\n`
+}
+
+function stream(res: ServerResponse, ...parts: string[]): void {
+  res.writeHead(200, { 'content-type': 'text/event-stream; charset=utf-8' })
+  res.end(parts.join(''))
+}
+
+function json(res: ServerResponse, status: number, text: string): void {
+  res.writeHead(status, { 'content-type': 'application/json' })
+  res.end(text)
+}
+
+const HELLO = event([{ index: 0, delta: { content: 'hello' } }])
+const STOP = event([{ index: 0, delta: {}, finish_reason: 'stop' }])
+const LAST = event([], { usage: USAGE })
+const DONE = 'data: [DONE]\n\n'
+
+/** What the backend server does, by the text of the prompt. */
+const behaviours: Record<string, (res: ServerResponse) => void> = {
+  html: (res) => res.writeHead(200, { 'content-type': 'text/html' }).end('<p>hello'),
+  shape: (res) => {
+    json(res, 200, '{"choices":[]}')
+  },
+  usageless: (res) => {
+    json(res, 200, '{"choices":[{"message":{"content":"a"}}]}')
+  },
+  huge: (res) => {
+    json(res, 200, `{"x":"${'x'.repeat(20 * 1_048_576)}"}`)
+  },
+  broken: (res) => res.writeHead(500).end(),
+  garbage: (res) => res.socket?.end('HTTP/9.9 nonsense\r\n\r\n'),
+  closes: (res) => res.socket?.destroy(),
+  short: (res) => {
+    res.writeHead(200, { 'content-length': 100 }).write('{')
+    res.socket?.end()
+  },
+  stock: (res) => {
+    stream(res, HELLO, STOP, LAST, DONE)
+  },
+  endless: (res) => {
+    stream(res, `data: ${'x'.repeat(2 * 1_048_576)}`)
+  },
+  nonsense: (res) => {
+    stream(res, HELLO, 'data: {"choices":7}\n\n', STOP, LAST, DONE)
+  },
+  cut: (res) => {
+    stream(res, HELLO, STOP, LAST)
+  },
+  unbilled: (res) => {
+    stream(res, HELLO, STOP, DONE)
+  },
+  choices: (res) => {
+    const stop = (index: number): string => event([{ index, finish_reason: 'stop' }])
+    stream(res, HELLO, stop(0), event([{ index: 1, delta: {} }]), stop(1), LAST, DONE)
+  },
+}
+
+describe('a backend server that answers nonsense', () => {
+  let deployment: Deployment
+  let url = ''
+  let server: Server
+  const caller = ChatCaller.create()
+
+  before(async () => {
+    server = createServer((req, res) => {
+      let body = ''
+      req.on('data', (part: Buffer) => (body += part.toString()))
+      req.on('end', () => {
+        const chat = JSON.parse(body) as { messages: { content: string }[] }
+        behaviours[chat.messages[0]?.content ?? '']?.(res)
+      })
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const spec = DEMO_DEPLOYMENTS[0]
+    assert.ok(spec)
+    const engines = spec.engines.slice(0, 1)
+    deployment = await Deployment.start({ ...spec, engines, routers: 0, seed: 1 })
+    const { port } = server.address() as AddressInfo
+    await deployment.setInstance({
+      id: 'bad',
+      role: 'engine',
+      address: `127.0.0.1:${port}`,
+      zone: 'z1',
+      region: 'r1',
+      state: 'live',
+      versions: [VERSION],
+    })
+    // Started last, so that its first list has the server.
+    const router = await deployment.startRouter()
+    await deployment.waitUntilReady()
+    url = `http://${router.address}`
+  })
+  after(async () => {
+    caller.close()
+    server.closeAllConnections()
+    server.close()
+    await deployment.close()
+  })
+
+  function ask(content: string, more: object = {}): Promise<Response> {
+    const body = { model: 'dossier', messages: [{ role: 'user', content }], ...more }
+    return fetch(`${url}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: 'Bearer panel-key', 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    })
+  }
+
+  async function countOf(reason: string): Promise<number> {
+    const text = await (await fetch(`${url}/metrics`)).text()
+    const line = new RegExp(`refusals_total\\{reason="${reason}",ran="unknown"\\} (\\d+)`)
+    return Number(line.exec(text)?.[1] ?? 0)
+  }
+
+  async function assertOthersAreServed(): Promise<void> {
+    const result = await caller.send({
+      address: url.replace('http://', ''),
+      apiKey: 'kebele-key',
+      className: 'queue-check',
+      prompt: 'place 9',
+      stream: true,
+    })
+    assert.ok(result.whole)
+  }
+
+  const plain: [string, string][] = [
+    ['html', 'backend_invalid'],
+    ['shape', 'backend_invalid'],
+    ['usageless', 'backend_invalid'],
+    ['huge', 'backend_invalid'],
+    ['broken', 'backend_failed'],
+    ['garbage', 'backend_failed'],
+    ['closes', 'backend_failed'],
+    ['short', 'backend_truncated'],
+  ]
+  for (const [behaviour, reason] of plain) {
+    it(`refuses with ${reason} after "${behaviour}"`, async () => {
+      const before = await countOf(reason)
+      const res = await ask(behaviour)
+      const { error } = (await res.json()) as { error: { type: string; ran: string } }
+      assert.deepEqual([res.status, error.type, error.ran], [502, reason, 'unknown'])
+      assert.equal(res.headers.get('retry-after'), '1')
+      assert.equal(await countOf(reason), before + 1)
+      await assertOthersAreServed()
+    })
+  }
+
+  it('refuses a stream of another content type before anything is sent', async () => {
+    const res = await ask('html', { stream: true })
+    const { error } = (await res.json()) as { error: { type: string } }
+    assert.equal(error.type, 'backend_invalid')
+  })
+
+  it('refuses an event without end before anything is sent', async () => {
+    const res = await ask('endless', { stream: true })
+    const { error } = (await res.json()) as { error: { type: string } }
+    assert.equal(error.type, 'backend_truncated')
+  })
+
+  for (const behaviour of ['nonsense', 'cut', 'unbilled']) {
+    it(`breaks off an answer that began and is incomplete: ${behaviour}`, async () => {
+      const before = await countOf('backend_truncated')
+      const whole = ask(behaviour, { stream: true }).then((res) => res.text())
+      await assert.rejects(whole)
+      assert.equal(await countOf('backend_truncated'), before + 1)
+      await assertOthersAreServed()
+    })
+  }
+
+  it('passes the usage on to a caller who asked for it', async () => {
+    const options = { stream: true, stream_options: { include_usage: true } }
+    const text = await (await ask('stock', options)).text()
+    assert.ok(text.endsWith(DONE))
+    assert.ok(text.includes('"total_tokens":3'))
+  })
+
+  it('keeps the usage from a caller who did not', async () => {
+    const text = await (await ask('stock', { stream: true })).text()
+    assert.ok(text.endsWith(DONE))
+    assert.ok(!text.includes('total_tokens'))
+    assert.ok(text.includes('"finish_reason":"stop"'))
+  })
+
+  it('passes every choice of an answer on in order', async () => {
+    const text = await (await ask('choices', { stream: true, n: 2 })).text()
+    const indexes = [...text.matchAll(/"index":(\d)/g)].map(([, index]) => index)
+    assert.deepEqual(indexes, ['0', '0', '1', '1'])
+  })
+})
