--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -1,4 +1,5 @@
 /** What an entry instance shares with the others, over one server and one pool of clients. */
+import type { RequestListener } from 'node:http'
 import type {
   Clock,
   ConfigHolder,
@@ -37,6 +38,8 @@
   /** Called for each claim that its range's owner did not decide. */
   readonly onClaimFallback: (kind: ClaimKind) => void
   readonly onError: (err: unknown) => void
+  /** Answers what is no call of the peer service. */
+  readonly fallback: RequestListener
 }
 
 /**
@@ -63,6 +66,7 @@
     const server = await PeerServer.create({
       host: opts.host,
       port: opts.port,
+      fallback: opts.fallback,
       service: {
         exchange: (request) => holder.peers?.exchanges.exchange(request) ?? {},
         fetchConfig: ({ afterRevision }) =>
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -1,6 +1,6 @@
 /** One call of a plain service: identify, admit, claim, dispatch, answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, Ok, notRun, type Refusal, type Result } from '@wagtailway/core'
+import { Err, Ok, notRun, refuse, type Refusal, type Result } from '@wagtailway/core'
 import { readAnswer } from '../backend/backendClient.js'
 import { ANSWER_HEADERS, CALLER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
 import { readBody } from '../http/readBody.js'
@@ -10,6 +10,7 @@
 import { claimRequest } from './claimRequest.js'
 import { dispatch } from './dispatch.js'
 import { findClass, identify } from './identify.js'
+import { describeOutcome, noteAttempt } from './noteDecision.js'
 
 /** Class that is used if the caller names none. */
 const DEFAULT_CLASS = 'default'
@@ -17,6 +18,10 @@
 /** Methods whose repeat has no effect beyond the first run. */
 const SAFE_METHODS = new Set(['GET', 'HEAD'])
 
+/** Final statuses that can be passed on. */
+const MIN_STATUS = 200
+const MAX_STATUS = 599
+
 interface ServiceAnswer {
   readonly status: number
   readonly contentType: string
@@ -44,7 +49,9 @@
   const call = createCall(node, req, res, caller.val.workspace, cls.val)
   if (call.err) return call
   try {
-    return await serve(node, call.val, service, path, body.val)
+    const outcome = await serve(node, call.val, service, path, body.val)
+    call.val.decision.outcome = describeOutcome(outcome)
+    return outcome
   } finally {
     call.val.close()
   }
@@ -66,7 +73,10 @@
     call,
     group: node.backends.ofService(service),
     mayDispatch: () => node.config.isFresh && claim.val.isValid(),
-    attempt: ({ backend }) => callOnce(node, call, backend.address, path, body),
+    attempt: ({ backend }) =>
+      noteAttempt(call, backend, service, () =>
+        callOnce(node, call, backend.address, path, body),
+      ),
     repeatable: () => isRepeatable(node, call, service),
   })
   claim.val.settle(outcome)
@@ -113,6 +123,11 @@
   })
   if (called.err) return called
   const { res, status } = called.val
+  if (status < MIN_STATUS || status > MAX_STATUS) {
+    res.destroy()
+    const message = `The backend server answered with the status ${status}.`
+    return Err(refuse('backend_invalid', 'unknown', message))
+  }
   const read = await readAnswer(res)
   if (read.err) return read
   return Ok({
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -29,11 +29,13 @@
 import { createLog } from './log.js'
 import { RouterMetrics, setMembershipMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
+import { OperatorRoutes } from './operators/operatorRoutes.js'
 import { createClaimTables } from './peers/claimTables.js'
 import type { ClaimTables } from './peers/peerClaims.js'
 import { Peers } from './peers/peers.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
+import { Decisions } from './request/decision.js'
 import type { RouterNode, RouterPolicies } from './routerNode.js'
 
 /** Pause between last attempts to store billing records, in milliseconds. */
@@ -80,7 +82,9 @@
     const holder: { router?: Router } = {}
     const ledger = Ledger.create({ store: platform, incarnation })
     const tables = createClaimTables({ store: platform, random, metrics })
+    const operators = OperatorRoutes.create()
     const peers = await Peers.create({
+      fallback: operators.handle,
       self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
       host: cfg.host,
       port: cfg.peerPort,
@@ -133,6 +137,7 @@
       estimates,
       retryBudget: RetryBudget.create(),
       policies,
+      decisions: Decisions.create({ capacity: cfg.decisionsKept, clock: monotonicClock }),
       metrics,
       log,
       random,
@@ -144,6 +149,7 @@
       },
       inProgress: 0,
     }
+    operators.serve(node)
     const router = new Router(node, platform, peers, ratings, budget, tables)
     await router.#start()
     holder.router = router
