Let stand-ins tell what they ran and a relay break connections

Cause: faults between two parts and counts at the backend servers were missing. Ruled out: asking a stand-in what it ran after the fact, since a killed one can't answer; packet filters, which need privileges. Before: engines told request ids only; no connection could go silent. After: engines and services print each start and finish, streams can be reordered, doubled or paused, the platform gives each caller its own addresses, and a TCP relay cuts, slows or silences connections. Conclusion: every pair of parts can be disturbed without changes to the product.

--- /dev/null
+++ b/packages/scenario/src/relay/index.ts
@@ -0,0 +1,2 @@
+/** TCP relay that injects faults between two parts. */
+export * from './tcpRelay.js'
--- a/packages/standins/src/cli.ts
+++ b/packages/standins/src/cli.ts
@@ -26,6 +26,11 @@
   process.stdout.write(`listening ${address}\n`)
 }
 
+/** Prints one line; writes to a pipe are synchronous, so a kill loses none. */
+function printJson(value: object): void {
+  process.stdout.write(`${JSON.stringify(value)}\n`)
+}
+
 function closeOnSignal(close: () => Promise<void>): void {
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.once(signal, () => {
@@ -63,9 +68,17 @@
       type: 'string',
       describe: 'URL of the platform to be listed at',
     })
+    .option('log-starts', {
+      type: 'boolean',
+      default: false,
+      describe: 'Print each request as it starts and as it finishes',
+    })
     .parse()
   const versions = args.versions.split(',')
-  const standin = await EngineStandin.create({ ...args, versions })
+  const standin = await EngineStandin.create(
+    { ...args, versions },
+    args.logStarts ? printJson : undefined,
+  )
   const listed = { id: args.id, role: 'engine', zone: args.zone, versions }
   await register(args.platform, { ...listed, address: standin.address })
   announce(standin.address)
@@ -86,8 +99,16 @@
       type: 'string',
       describe: 'URL of the platform to be listed at',
     })
+    .option('log-starts', {
+      type: 'boolean',
+      default: false,
+      describe: 'Print each call as it runs',
+    })
     .parse()
-  const standin = await ServiceStandin.create({ port: args.port })
+  const standin = await ServiceStandin.create(
+    { port: args.port },
+    args.logStarts ? printJson : undefined,
+  )
   const listed = { id: args.id, role: 'service', zone: args.zone, service: args.name }
   await register(args.platform, { ...listed, address: standin.address })
   announce(standin.address)
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -3,7 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { z } from 'zod'
 import { JsonServer, sendJson, type Route, type RouteCall } from '../http/jsonServer.js'
-import { answerTokens } from './answerText.js'
+import { answerTokens, promptDigest } from './answerText.js'
 
 export const engineOptionsSchema = z.object({
   port: z.number().int().nonnegative().default(0),
@@ -29,13 +29,33 @@
   truncateNext: z.number().int().nonnegative(),
   /** So many next requests are accepted and never answered. */
   silentNext: z.number().int().nonnegative(),
+  /** So many next streams swap the chunks of each pair. */
+  reorderNext: z.number().int().nonnegative(),
+  /** So many next streams send each chunk twice. */
+  duplicateNext: z.number().int().nonnegative(),
+  /** So many next streams pause in the middle. */
+  pauseNext: z.number().int().nonnegative(),
+  /** Length of such a pause, in milliseconds. */
+  pauseMs: z.number().nonnegative(),
   /** Added before the first token, in milliseconds. */
   slowMs: z.number().nonnegative(),
 })
 
 export type EngineFaults = z.infer<typeof engineFaultsSchema>
 
-const NO_FAULTS: EngineFaults = { failNext: 0, truncateNext: 0, silentNext: 0, slowMs: 0 }
+const NO_FAULTS: EngineFaults = {
+  failNext: 0,
+  truncateNext: 0,
+  silentNext: 0,
+  reorderNext: 0,
+  duplicateNext: 0,
+  pauseNext: 0,
+  pauseMs: 1_000,
+  slowMs: 0,
+}
+
+/** Faults that hit a number of requests and are then over. */
+type CountedFault = Exclude<keyof EngineFaults, 'slowMs' | 'pauseMs'>
 
 const chatRequestSchema = z.object({
   model: z.string(),
@@ -50,9 +70,17 @@
 export interface StartedRequest {
   readonly requestId: string
   readonly versionKey: string
+  /** Digest of the prompt, by which a caller finds its own request. */
+  readonly digest: string
+  readonly idempotencyKey: string
+  /** When it started, in milliseconds since the epoch. */
+  readonly atMs: number
   finished: boolean
 }
 
+/** Receives each request as it starts and again as it finishes. */
+export type StartedSink = (entry: StartedRequest) => void
+
 /**
  * Serves a stand-in engine on loopback.
  *
@@ -66,11 +94,17 @@
   #faults = NO_FAULTS
   #server: JsonServer | undefined
 
-  private constructor(private readonly opts: EngineOptions) {}
+  private constructor(
+    private readonly opts: EngineOptions,
+    private readonly onStarted: StartedSink,
+  ) {}
 
-  static async create(opts: z.input<typeof engineOptionsSchema>): Promise<EngineStandin> {
+  static async create(
+    opts: z.input<typeof engineOptionsSchema>,
+    onStarted: StartedSink = () => undefined,
+  ): Promise<EngineStandin> {
     const resolved = engineOptionsSchema.parse(opts)
-    const engine = new EngineStandin(resolved)
+    const engine = new EngineStandin(resolved, onStarted)
     engine.#server = await JsonServer.create({
       port: resolved.port,
       routes: engine.#routes(),
@@ -135,9 +169,16 @@
     await this.#acquireSlot()
     try {
       if (res.destroyed) return
-      const requestId = String(req.headers['x-request-id'] ?? '')
-      const entry = { requestId, versionKey: parsed.data.model, finished: false }
+      const entry: StartedRequest = {
+        requestId: String(req.headers['x-request-id'] ?? ''),
+        versionKey: parsed.data.model,
+        digest: promptDigest(promptOf(parsed.data)),
+        idempotencyKey: String(req.headers['idempotency-key'] ?? ''),
+        atMs: Date.now(),
+        finished: false,
+      }
       this.#started.push(entry)
+      this.onStarted(entry)
       await this.#generate(parsed.data, entry, res)
     } finally {
       this.#releaseSlot()
@@ -155,7 +196,7 @@
       sendJson(res, 500, { error: 'the engine failed' })
       return
     }
-    const prompt = chat.messages.map((m) => m.content).join('\n')
+    const prompt = promptOf(chat)
     const tokens = answerTokens(
       prompt,
       Math.min(this.opts.tokens, chat.max_tokens ?? Infinity),
@@ -173,7 +214,7 @@
     res: ServerResponse,
   ): Promise<void> {
     await delay(this.opts.betweenTokensMs * tokens.length)
-    entry.finished = true
+    this.#finish(entry)
     const message = { role: 'assistant', content: tokens.join('') }
     sendJson(res, 200, {
       id: entry.requestId,
@@ -191,24 +232,43 @@
     usage: object,
     res: ServerResponse,
   ): Promise<void> {
-    const truncate = this.#takeFault('truncateNext')
+    const plan = this.#planChunks(tokens.length)
     res.writeHead(200, { 'content-type': 'text/event-stream' })
-    for (const [i, content] of tokens.entries()) {
-      if (i > 0) await delay(this.opts.betweenTokensMs)
+    for (const [position, i] of plan.order.entries()) {
+      if (position > 0) await delay(this.opts.betweenTokensMs)
+      if (position === Math.floor(plan.order.length / 2)) await delay(plan.pauseMs)
       if (res.destroyed) return
-      if (truncate && i === Math.floor(tokens.length / 2)) {
-        res.end()
-        return
-      }
-      res.write(event(i, chunk(chat, entry, { delta: { content } })))
+      res.write(event(i, chunk(chat, entry, { delta: { content: tokens[i] } })))
     }
-    entry.finished = true
+    if (plan.truncated) {
+      res.end()
+      return
+    }
+    this.#finish(entry)
     const last = { delta: {}, finish_reason: 'stop' }
     res.write(event(tokens.length, { ...chunk(chat, entry, last), usage }))
     res.end('data: [DONE]\n\n')
   }
 
-  #takeFault(fault: 'failNext' | 'truncateNext' | 'silentNext'): boolean {
+  /** Decides in which order a stream's chunks go out and where it breaks off. */
+  #planChunks(count: number): ChunkPlan {
+    const truncated = this.#takeFault('truncateNext')
+    const all = Array.from({ length: count }, (_, i) => i)
+    let order = truncated ? all.slice(0, Math.floor(count / 2)) : all
+    if (this.#takeFault('reorderNext')) {
+      order = order.map((i) => Math.min(i ^ 1, order.length - 1))
+    }
+    if (this.#takeFault('duplicateNext')) order = order.flatMap((i) => [i, i])
+    const pauseMs = this.#takeFault('pauseNext') ? this.#faults.pauseMs : 0
+    return { order, truncated, pauseMs }
+  }
+
+  #finish(entry: StartedRequest): void {
+    entry.finished = true
+    this.onStarted(entry)
+  }
+
+  #takeFault(fault: CountedFault): boolean {
     if (this.#faults[fault] === 0) return false
     this.#faults = { ...this.#faults, [fault]: this.#faults[fault] - 1 }
     return true
@@ -227,6 +287,17 @@
   }
 }
 
+interface ChunkPlan {
+  /** Numbers of the chunks as they go out. */
+  readonly order: readonly number[]
+  readonly truncated: boolean
+  readonly pauseMs: number
+}
+
+function promptOf(chat: ChatRequest): string {
+  return chat.messages.map((m) => m.content).join('\n')
+}
+
 function chunk(chat: ChatRequest, entry: StartedRequest, choice: object): object {
   return {
     id: entry.requestId,
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -21,6 +21,11 @@
 
 export type PlatformFaults = z.infer<typeof platformFaultsSchema>
 
+/** Path prefix by which a caller of the platform names its view. */
+const VIEW = /^\/views\/([^/]+)\//
+
+const viewSchema = z.record(z.string(), z.string())
+
 const objectKindSchema = objectSchema.shape.kind
 
 const NO_FAULTS: PlatformFaults = {
@@ -39,6 +44,8 @@
  */
 export class PlatformStandin {
   readonly #instances = new Map<string, Instance>()
+  /** Other addresses of instances, as one caller of the platform sees them. */
+  readonly #views = new Map<string, ReadonlyMap<string, string>>()
   readonly #callsByOperation = new Map<string, number>()
   readonly #store = MemoryStore.create((operation) => this.#fate(operation))
   #faults: PlatformFaults = NO_FAULTS
@@ -74,6 +81,15 @@
     this.#lists.push({ atMs: Date.now(), instances: [...this.#instances.values()] })
   }
 
+  /**
+   * Gives one caller of the platform other addresses of some instances, so that a
+   * test can put a relay between two parts. The caller uses `/views/NAME` as its
+   * base path.
+   */
+  setView(name: string, addresses: Readonly<Record<string, string>>): void {
+    this.#views.set(name, new Map(Object.entries(addresses)))
+  }
+
   removeInstance(id: string): void {
     this.#instances.delete(id)
     this.#lists.push({ atMs: Date.now(), instances: [...this.#instances.values()] })
@@ -104,12 +120,12 @@
       handle: (call) => this.#guard(operation, call, handle),
     })
     return [
-      api('GET', /^\/v1\/objects\/([^/]+)\/([^/]+)$/, 'get', (call) => this.#get(call)),
-      api('GET', /^\/v1\/objects\/([^/]+)$/, 'list', (call) => this.#list(call)),
-      api('PUT', /^\/v1\/objects\/([^/]+)\/([^/]+)$/, 'put', (call) => this.#put(call)),
-      api('GET', /^\/v1\/watch\/([^/]+)$/, 'watch', (call) => this.#watch(call)),
-      api('GET', /^\/v1\/instances$/, 'instances', (call) => {
-        sendJson(call.res, 200, { instances: this.#laggingList() })
+      api('GET', /\/v1\/objects\/([^/]+)\/([^/]+)$/, 'get', (call) => this.#get(call)),
+      api('GET', /\/v1\/objects\/([^/]+)$/, 'list', (call) => this.#list(call)),
+      api('PUT', /\/v1\/objects\/([^/]+)\/([^/]+)$/, 'put', (call) => this.#put(call)),
+      api('GET', /\/v1\/watch\/([^/]+)$/, 'watch', (call) => this.#watch(call)),
+      api('GET', /\/v1\/instances$/, 'instances', (call) => {
+        sendJson(call.res, 200, { instances: this.#laggingList(call) })
         return Promise.resolve()
       }),
       ...this.#adminRoutes(),
@@ -134,6 +150,14 @@
           sendJson(res, 200, {})
         },
       },
+      {
+        method: 'PUT',
+        pattern: /^\/admin\/views\/([^/]+)$/,
+        handle: ({ res, params, body }) => {
+          this.setView(params[0] ?? '', viewSchema.parse(JSON.parse(body)))
+          sendJson(res, 200, {})
+        },
+      },
       {
         method: 'DELETE',
         pattern: /^\/admin\/instances\/([^/]+)$/,
@@ -194,10 +218,16 @@
     else sendJson(res, found.ok ? 200 : 503, found.val)
   }
 
-  #laggingList(): Instance[] {
+  /** The list as it stood some time ago, with the addresses of the caller's view. */
+  #laggingList({ url }: RouteCall): Instance[] {
     const until = Date.now() - this.#faults.listLagMs
     const visible = this.#lists.filter(({ atMs }) => atMs <= until)
-    return (visible.at(-1) ?? this.#lists[0])?.instances ?? []
+    const instances = (visible.at(-1) ?? this.#lists[0])?.instances ?? []
+    const view = this.#views.get(VIEW.exec(url.pathname)?.[1] ?? '')
+    return instances.map((instance) => ({
+      ...instance,
+      address: view?.get(instance.id) ?? instance.address,
+    }))
   }
 }
 
--- a/packages/standins/src/service/serviceStandin.ts
+++ b/packages/standins/src/service/serviceStandin.ts
@@ -1,13 +1,31 @@
 /** Stand-in of a plain service beside the engines; it counts what it ran. */
-import { JsonServer, sendJson, type RouteCall } from '../http/jsonServer.js'
+import { setTimeout as delay } from 'node:timers/promises'
+import { z } from 'zod'
+import { JsonServer, sendJson, type Route, type RouteCall } from '../http/jsonServer.js'
+
+export const serviceFaultsSchema = z.object({
+  /** So many next calls run and are answered 500. */
+  failNext: z.number().int().nonnegative(),
+  /** So many next calls run and are never answered. */
+  silentNext: z.number().int().nonnegative(),
+  /** Added to each answer, in milliseconds. */
+  slowMs: z.number().nonnegative(),
+})
+
+export type ServiceFaults = z.infer<typeof serviceFaultsSchema>
 
 /** One call that the service ran. */
 export interface ServiceRun {
   readonly requestId: string
   readonly idempotencyKey: string
   readonly path: string
+  /** When it ran, in milliseconds since the epoch. */
+  readonly atMs: number
 }
 
+/** Receives each call as it runs. */
+export type RunSink = (run: ServiceRun) => void
+
 /**
  * Serves a plain service on loopback; every path under `/` is a call.
  *
@@ -16,26 +34,19 @@
  */
 export class ServiceStandin {
   readonly #runs: ServiceRun[] = []
+  #faults: ServiceFaults = { failNext: 0, silentNext: 0, slowMs: 0 }
   #server: JsonServer | undefined
 
-  static async create(opts: { port: number }): Promise<ServiceStandin> {
-    const standin = new ServiceStandin()
+  private constructor(private readonly onRun: RunSink) {}
+
+  static async create(
+    opts: { port: number },
+    onRun: RunSink = () => undefined,
+  ): Promise<ServiceStandin> {
+    const standin = new ServiceStandin(onRun)
     standin.#server = await JsonServer.create({
       port: opts.port,
-      routes: [
-        {
-          method: 'GET',
-          pattern: /^\/admin\/runs$/,
-          handle: ({ res }) => {
-            sendJson(res, 200, standin.#runs)
-          },
-        },
-        ...['GET', 'POST', 'PUT', 'DELETE'].map((method) => ({
-          method,
-          pattern: /^(\/.*)$/,
-          handle: standin.#run.bind(standin),
-        })),
-      ],
+      routes: standin.#routes(),
     })
     return standin
   }
@@ -48,16 +59,57 @@
     return this.#runs
   }
 
+  setFaults(faults: Partial<ServiceFaults>): void {
+    this.#faults = { ...this.#faults, ...faults }
+  }
+
   async close(): Promise<void> {
     await this.#server?.close()
   }
 
-  #run({ req, res, url, body }: RouteCall): void {
-    this.#runs.push({
+  #routes(): Route[] {
+    return [
+      {
+        method: 'GET',
+        pattern: /^\/admin\/runs$/,
+        handle: ({ res }) => {
+          sendJson(res, 200, this.#runs)
+        },
+      },
+      {
+        method: 'POST',
+        pattern: /^\/admin\/faults$/,
+        handle: ({ res, body }) => {
+          this.setFaults(serviceFaultsSchema.partial().parse(JSON.parse(body)))
+          sendJson(res, 200, this.#faults)
+        },
+      },
+      ...['GET', 'POST', 'PUT', 'DELETE'].map((method) => ({
+        method,
+        pattern: /^(\/.*)$/,
+        handle: this.#run.bind(this),
+      })),
+    ]
+  }
+
+  async #run({ req, res, url, body }: RouteCall): Promise<void> {
+    const run = {
       requestId: String(req.headers['x-request-id'] ?? ''),
       idempotencyKey: String(req.headers['idempotency-key'] ?? ''),
       path: url.pathname,
-    })
-    sendJson(res, 200, { path: url.pathname, received: body.length })
+      atMs: Date.now(),
+    }
+    this.#runs.push(run)
+    this.onRun(run)
+    if (this.#takeFault('silentNext')) return
+    await delay(this.#faults.slowMs)
+    if (this.#takeFault('failNext')) sendJson(res, 500, { error: 'the service failed' })
+    else sendJson(res, 200, { path: url.pathname, received: body.length })
+  }
+
+  #takeFault(fault: 'failNext' | 'silentNext'): boolean {
+    if (this.#faults[fault] === 0) return false
+    this.#faults = { ...this.#faults, [fault]: this.#faults[fault] - 1 }
+    return true
   }
 }
