Scripted scenarios: language, runner, checks at both ends

Cause: the promises had no proof on real processes. Ruled out: a grammar of its own (a parser to keep), JSON (no comments), asking the product what it did (the checks would trust what they test). Before: the demo compared answers with records. After: a YAML file checked by schema gives deployment, traffic, faults and outcomes; checks are pure functions of what callers, backend servers and the platform saw, each fed its violations.

--- a/packages/scenario/src/harness/childProcess.ts
+++ b/packages/scenario/src/harness/childProcess.ts
@@ -14,6 +14,8 @@
   readonly args: readonly string[]
   /** Receives each line that the process logs. */
   readonly onLogLine?: (line: string) => void
+  /** Receives each line that the process prints after its announcement. */
+  readonly onOutLine?: (line: string) => void
 }
 
 /**
@@ -44,7 +46,7 @@
       errors.push(line)
       opts.onLogLine?.(line)
     })
-    const announced = await firstLine(child)
+    const announced = await readOutput(child, opts.onOutLine)
     if (announced === undefined) {
       throw new Error(`${opts.binary} did not start:\n${errors.join('\n')}`)
     }
@@ -88,9 +90,20 @@
   }
 }
 
-async function firstLine(child: ChildProcess): Promise<string | undefined> {
+/** Resolves to the first line; later ones go to `onLine`. */
+async function readOutput(
+  child: ChildProcess,
+  onLine: (line: string) => void = () => undefined,
+): Promise<string | undefined> {
   if (!child.stdout) return undefined
   const lines = createInterface({ input: child.stdout })
-  for await (const line of lines) return line
-  return undefined
+  return new Promise((resolve) => {
+    lines.once('line', (first) => {
+      resolve(first)
+      lines.on('line', onLine)
+    })
+    lines.once('close', () => {
+      resolve(undefined)
+    })
+  })
 }
--- a/packages/scenario/src/harness/deployment.ts
+++ b/packages/scenario/src/harness/deployment.ts
@@ -24,6 +24,16 @@
   /** Names of the plain services, one replica each. */
   readonly services: readonly string[]
   readonly seed: number
+  /** Receives each line that an engine or service prints of its runs. */
+  readonly onRunLine?: (part: string, line: string) => void
+  /** Base URL of the platform that a router is given. */
+  readonly platformUrlOf?: (router: string) => Promise<string>
+  /** Called with the peer address of a router that has started. */
+  readonly onRouter?: (router: string, process: TestProcess) => Promise<void>
+  /** Called once the platform has started. */
+  readonly onPlatform?: (deployment: Deployment) => void
+  /** Called once backend servers have started and before routers do. */
+  readonly onBackends?: (deployment: Deployment) => Promise<void>
 }
 
 const ADMIN_TIMEOUT_MS = 5_000
@@ -71,13 +81,14 @@
     const router = await TestProcess.start({
       binary: 'router/wagtailway-router',
       args: [
-        ...['--node', node, '--zone', zone, '--platform', this.platformUrl],
+        ...['--node', node, '--zone', zone, '--platform', await this.#urlFor(node)],
         ...['--ratings', `http://${this.ratings.address}`],
         ...['--session-keys', SESSION_KEY, '--seed', String(this.opts.seed + index)],
         ...(this.opts.routerFlags ?? []),
       ],
     })
     this.routers.push(router)
+    await this.opts.onRouter?.(node, router)
     await this.setInstance({
       id: node,
       role: 'entry',
@@ -90,6 +101,21 @@
     return router
   }
 
+  /** The process of a part: `n2`, an engine's or service's id, `platform` or `ratings`. */
+  part(name: string): TestProcess {
+    const router = /^n(\d+)$/.exec(name)?.[1]
+    const process =
+      name === 'platform'
+        ? this.platform
+        : name === 'ratings'
+          ? this.ratings
+          : router === undefined
+            ? (this.engines.get(name) ?? this.services.get(name))
+            : this.routers[Number(router) - 1]
+    if (!process) throw new Error(`the deployment has no part "${name}"`)
+    return process
+  }
+
   /** Adds or changes an instance of the platform's list. */
   async setInstance(instance: Instance): Promise<void> {
     await this.admin(this.platform, 'PUT', '/admin/instances', instance)
@@ -98,7 +124,7 @@
   /** Calls an administration route of a stand-in. */
   async admin(
     target: TestProcess,
-    method: 'GET' | 'PUT' | 'POST',
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
     path: string,
     body?: unknown,
   ): Promise<unknown> {
@@ -122,11 +148,16 @@
     await Promise.all(all.map((process) => process.kill()))
   }
 
+  #urlFor(node: string): Promise<string> {
+    return this.opts.platformUrlOf?.(node) ?? Promise.resolve(this.platformUrl)
+  }
+
   async #start(): Promise<void> {
     this.platform = await TestProcess.start({
       binary: 'standins/wagtailway-platform',
       args: [],
     })
+    this.opts.onPlatform?.(this)
     this.ratings = await TestProcess.start({
       binary: 'standins/wagtailway-ratings',
       args: ['--seed', String(this.opts.seed)],
@@ -136,6 +167,7 @@
       ...this.opts.engines.map((spec) => this.#startEngine(spec)),
       ...this.opts.services.map((name) => this.#startService(name)),
     ])
+    await this.opts.onBackends?.(this)
     for (let i = 0; i < this.opts.routers; i++) await this.startRouter()
     await this.waitUntilReady()
   }
@@ -146,7 +178,9 @@
       args: [
         ...['--id', spec.id, '--zone', spec.zone, '--platform', this.platformUrl],
         ...['--versions', spec.versions.join(','), ...(spec.flags ?? [])],
+        ...(this.opts.onRunLine ? ['--log-starts'] : []),
       ],
+      onOutLine: (line) => this.opts.onRunLine?.(spec.id, line),
     })
     this.engines.set(spec.id, engine)
   }
@@ -154,9 +188,13 @@
   async #startService(name: string): Promise<void> {
     const service = await TestProcess.start({
       binary: 'standins/wagtailway-service',
-      args: ['--id', `${name}-1`, '--name', name, '--platform', this.platformUrl],
+      args: [
+        ...['--id', `${name}-1`, '--name', name, '--platform', this.platformUrl],
+        ...(this.opts.onRunLine ? ['--log-starts'] : []),
+      ],
+      onOutLine: (line) => this.opts.onRunLine?.(`${name}-1`, line),
     })
-    this.services.set(name, service)
+    this.services.set(`${name}-1`, service)
   }
 
   async #applyDeclarations(): Promise<void> {
--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -1,6 +1,7 @@
 /** Load tool, scenario runner and checks. */
-export * from './check/billing.js'
+export * from './check/index.js'
 export * from './harness/childProcess.js'
 export * from './harness/deployment.js'
 export * from './load/chatCaller.js'
 export * from './load/openLoop.js'
+export * from './relay/index.js'
--- /dev/null
+++ b/packages/scenario/src/scenario/index.ts
@@ -0,0 +1,5 @@
+/** Scripted scenarios: language, runner and verdicts. */
+export * from './formatReport.js'
+export * from './parseScenario.js'
+export * from './runScenario.js'
+export * from './schema.js'
--- /dev/null
+++ b/packages/scenario/src/scenario/runScenario.ts
@@ -0,0 +1,204 @@
+/** Runs one scenario on real processes and judges its outcomes. */
+import { existsSync } from 'node:fs'
+import { setTimeout as delay } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import {
+  billingSlotSchema,
+  type BillingRecord,
+  type StoredObject,
+} from '@wagtailway/core'
+import type { ServiceRun, StartedRequest } from '@wagtailway/standins'
+import { promptDigest } from '@wagtailway/standins'
+import { checkBilling } from '../check/billing.js'
+import type { CheckResult, Evidence } from '../check/evidence.js'
+import { Deployment } from '../harness/deployment.js'
+import { Balancer } from './balancer.js'
+import { runFault } from './faults.js'
+import { Links } from './links.js'
+import { Observer, noteConfig } from './observer.js'
+import { RunLog } from './runLog.js'
+import { ScenarioCaller } from './scenarioCaller.js'
+import type { Scenario } from './schema.js'
+import { sendTraffic } from './traffic.js'
+
+/** Router flags that make faults show soon; a scenario can set others. */
+const ROUTER_FLAGS: Readonly<Record<string, string | number>> = {
+  'heartbeat-ms': 250,
+  'instance-poll-ms': 250,
+  'flush-ms': 250,
+  'drain-grace-ms': 1_500,
+}
+
+const SETTLE_POLL_MS = 100
+
+/** Time in which a second record of a request would show, in milliseconds. */
+const DOUBLES_MS = 500
+
+/** Longest time for a fault to fire and be undone after the traffic, in milliseconds. */
+const FAULTS_TIMEOUT_MS = 60_000
+
+export interface Verdict {
+  /** As the file states it. */
+  readonly text: string
+  readonly passed: boolean
+  readonly result: CheckResult
+}
+
+export interface ScenarioReport {
+  readonly name: string
+  readonly seed: number
+  readonly verdicts: readonly Verdict[]
+  readonly evidence: Evidence
+}
+
+/**
+ * Starts the deployment, sends the traffic, injects the faults and checks both ends.
+ *
+ * @example
+ * const report = await runScenario(scenario, { seed: 1 })
+ * hasPassed(report)
+ */
+export async function runScenario(
+  scenario: Scenario,
+  opts: { seed: number },
+): Promise<ScenarioReport> {
+  const log = RunLog.create()
+  const links = Links.create(scenario)
+  const balancer = Balancer.create()
+  const caller = ScenarioCaller.create()
+  let deployment: Deployment | undefined
+  try {
+    deployment = await start(scenario, opts.seed, { log, links, balancer })
+    await noteConfig(deployment, log)
+    const observer = Observer.create(deployment, log)
+    const { noticeAfter: noticeAfterMs } = scenario.deployment
+    const ctx = { deployment, balancer, links, log, noticeAfterMs }
+    const faults = scenario.faults.map((fault) => runFault(ctx, fault))
+    const traffic = scenario.traffic.map((entry, index) =>
+      sendTraffic({ traffic: entry, index, seed: opts.seed, balancer, caller, log }),
+    )
+    await Promise.all([...traffic, withTimeout(Promise.all(faults))])
+    await delay(scenario.linger)
+    await settle(deployment, log, scenario.settle)
+    await observer.close()
+  } finally {
+    caller.close()
+    await deployment?.close()
+    await links.close()
+  }
+  return judge(scenario, opts.seed, log.evidence)
+}
+
+/** Judges the stated outcomes; a check that looked at nothing has not passed. */
+export function judge(
+  scenario: Scenario,
+  seed: number,
+  evidence: Evidence,
+): ScenarioReport {
+  const verdicts = scenario.outcomes.map(({ text, check }) => {
+    const result = check(evidence)
+    return { text, result, passed: result.checked > 0 && result.violations.length === 0 }
+  })
+  return { name: scenario.name, seed, verdicts, evidence }
+}
+
+/** Whether every outcome came about. */
+export function hasPassed({ verdicts }: ScenarioReport): boolean {
+  return verdicts.every(({ passed }) => passed)
+}
+
+interface Parts {
+  readonly log: RunLog
+  readonly links: Links
+  readonly balancer: Balancer
+}
+
+function start(
+  { deployment: spec }: Scenario,
+  seed: number,
+  { log, links, balancer }: Parts,
+): Promise<Deployment> {
+  let started: Deployment | undefined
+  return Deployment.start({
+    declarations: declarationsFolder(spec.declarations),
+    routers: spec.routers,
+    routerFlags: toArgs({ ...ROUTER_FLAGS, ...spec.routerFlags }),
+    engines: spec.engines.map((engine) => ({ ...engine, flags: toArgs(engine.flags) })),
+    services: spec.services,
+    seed,
+    onRunLine: (part, line) => {
+      takeRun(log, part, JSON.parse(line))
+    },
+    onPlatform: (deployment) => {
+      started = deployment
+    },
+    platformUrlOf: (router) => links.platformUrl(router, started?.platform.address ?? ''),
+    onBackends: async (deployment) => {
+      for (const [id, process] of [...deployment.engines, ...deployment.services]) {
+        await links.addTarget(deployment, id, process.address)
+      }
+    },
+    onRouter: async (router, process) => {
+      if (started) await links.addTarget(started, router, process.addresses[1] ?? '')
+      balancer.add(router, await links.callerAddress(router, process))
+    },
+  })
+}
+
+function takeRun(log: RunLog, backend: string, line: unknown): void {
+  const isService = 'path' in (line as object)
+  if (isService) {
+    const run = line as ServiceRun
+    const versionKey = backend.replace(/-1$/, '')
+    const digest = promptDigest(run.path)
+    log.addRun({ ...run, backend, versionKey, digest, isService, finished: true })
+  } else {
+    log.addRun({ ...(line as StartedRequest), backend, isService })
+  }
+}
+
+/** Waits until every answer is billed or the time is up, and a little for doubles. */
+async function settle(deployment: Deployment, log: RunLog, ms: number): Promise<void> {
+  const untilMs = Date.now() + ms
+  const answered = log.sent
+    .filter((s) => s.end === 'whole' && s.versionKey !== '')
+    .map(({ requestId }) => requestId)
+  for (;;) {
+    const records = await readRecords(deployment)
+    if (checkBilling(answered, records).unbilled.length === 0) break
+    if (Date.now() > untilMs) break
+    await delay(SETTLE_POLL_MS)
+  }
+  await delay(DOUBLES_MS)
+  log.billed = await readRecords(deployment)
+  await noteConfig(deployment, log)
+}
+
+async function readRecords(deployment: Deployment): Promise<BillingRecord[]> {
+  const path = '/admin/objects/billing'
+  const objects = await deployment.admin(deployment.platform, 'GET', path)
+  return (objects as StoredObject[]).flatMap(
+    ({ value }) => billingSlotSchema.parse(value).records,
+  )
+}
+
+async function withTimeout(faults: Promise<unknown>): Promise<void> {
+  const timer = new AbortController()
+  const late = delay(FAULTS_TIMEOUT_MS, undefined, { signal: timer.signal }).then(() => {
+    throw new Error(`a fault did not happen within ${FAULTS_TIMEOUT_MS} ms`)
+  })
+  try {
+    await Promise.race([faults, late])
+  } finally {
+    timer.abort()
+  }
+}
+
+function declarationsFolder(name: string): string {
+  if (existsSync(name)) return name
+  return fileURLToPath(new URL(`../../../../playground/${name}`, import.meta.url))
+}
+
+function toArgs(flags: Readonly<Record<string, string | number>>): string[] {
+  return Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)])
+}
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -142,6 +142,13 @@
           sendJson(res, 200, this.#faults)
         },
       },
+      {
+        method: 'GET',
+        pattern: /^\/admin\/instances$/,
+        handle: ({ res }) => {
+          sendJson(res, 200, [...this.#instances.values()])
+        },
+      },
       {
         method: 'PUT',
         pattern: /^\/admin\/instances$/,
@@ -166,6 +173,13 @@
           sendJson(res, 200, {})
         },
       },
+      {
+        method: 'GET',
+        pattern: /^\/admin\/objects\/([^/]+)$/,
+        handle: ({ res, params }) => {
+          sendJson(res, 200, this.#store.peek(kindOf(params)))
+        },
+      },
       {
         method: 'GET',
         pattern: /^\/admin\/calls$/,
--- a/packages/wagtailway/src/platform/memoryStore.ts
+++ b/packages/wagtailway/src/platform/memoryStore.ts
@@ -39,6 +39,11 @@
     return this.#calls.get(operation) ?? 0
   }
 
+  /** All objects of a kind, for checks that don't count as calls and meet no faults. */
+  peek(kind: ObjectKind): readonly StoredObject[] {
+    return this.#select(kind, 0, '').objects
+  }
+
   get(
     kind: ObjectKind,
     name: string,
