Experiment tool: policies over workloads, faults and seeds

Decisions need figures beside baselines of the same run. Trials are synchronous functions of policy, workload, fault and seed; goals are bounds on a metric or on its ratio to a baseline.

--- /dev/null
+++ b/packages/scenario/src/experiment/cli.ts
@@ -0,0 +1,61 @@
+/** Command line of `wagtailway-experiment`. */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { EXPERIMENTS } from './experiments.js'
+import { formatResult } from './formatResult.js'
+import { plotResult } from './plotResult.js'
+import { runExperiment } from './runExperiment.js'
+
+/** Runs the command; the exit code is 1 if a goal was missed. */
+export async function run(): Promise<void> {
+  await yargs(hideBin(process.argv))
+    .scriptName('wagtailway-experiment')
+    .env('WAGTAILWAY')
+    .strict()
+    .command('list', 'Lists the experiments', {}, () => {
+      for (const { name, question } of EXPERIMENTS) {
+        process.stdout.write(`${name}: ${question}\n`)
+      }
+    })
+    .command(
+      'run <name>',
+      'Runs an experiment in virtual time',
+      (args) =>
+        args
+          .positional('name', {
+            type: 'string',
+            demandOption: true,
+            choices: EXPERIMENTS.map(({ name }) => name),
+          })
+          .option('seeds', { type: 'number', default: 10, describe: 'Seeds 1 to this' })
+          .option('plots', {
+            type: 'string',
+            describe: 'Folder that receives the plots',
+          }),
+      ({ name, seeds, plots }) => runNamed(name, seeds, plots),
+    )
+    .demandCommand(1)
+    .parse()
+}
+
+async function runNamed(
+  name: string,
+  seeds: number,
+  plots: string | undefined,
+): Promise<void> {
+  const experiment = EXPERIMENTS.find((candidate) => candidate.name === name)
+  if (!experiment) return
+  const result = runExperiment(experiment, seeds, ({ workload, fault, policy }) => {
+    process.stderr.write(`${workload} ${fault} ${policy}\n`)
+  })
+  process.stdout.write(formatResult(result))
+  if (plots !== undefined) {
+    await mkdir(plots, { recursive: true })
+    for (const { fileName, svg } of await plotResult(result)) {
+      await writeFile(join(plots, fileName), svg)
+    }
+  }
+  process.exitCode = result.goals.every(({ isMet }) => isMet) ? 0 : 1
+}
--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -1,5 +1,6 @@
 /** Load tool, scenario runner and checks. */
 export * from './check/billing.js'
+export * from './experiment/index.js'
 export * from './harness/childProcess.js'
 export * from './harness/deployment.js'
 export * from './load/chatCaller.js'
