Choose the cheapest arm shown to meet the targets, from mergeable evidence

Before: a plain mean of this node's own ratings, greedy. Evidence cells grow only at their own incarnation and are merged by the newer copy, so copies count once; epochs let old evidence fade. An arm is a version or a cascade with evidence of its own; a bounded part of the requests tries cheaper arms. Cascades stay off in the router until a class can declare an acceptance rule. Shown by the specs of quality/ and route/.

--- a/packages/router/src/request/chooseVersions.ts
+++ b/packages/router/src/request/chooseVersions.ts
@@ -2,7 +2,10 @@
 import {
   Err,
   Ok,
+  armPrior,
   notRun,
+  type Arm,
+  type ArmEstimates,
   type Candidate,
   type Refusal,
   type Result,
@@ -23,7 +26,7 @@
   const allowed = node.config.current?.allowed(call.cls) ?? []
   const pinned = pinnedVersion(node, call, allowed)
   if (pinned.err) return pinned
-  if (pinned.val) return Ok({ steps: [pinned.val] })
+  if (pinned.val) return Ok(singlePlan(pinned.val))
   const plan = planVersions(node, call, allowed)
   const first = plan?.steps[0]
   if (!plan || !first) {
@@ -32,7 +35,7 @@
   }
   if (!call.cls.sessions) return Ok(plan)
   const kept = await pinSession(node, call, first, allowed)
-  return kept.err ? kept : Ok({ steps: [kept.val] })
+  return kept.err ? kept : Ok(singlePlan(kept.val))
 }
 
 /** Whether a version may get a new request at this moment. */
@@ -48,8 +51,27 @@
   return node.policies.chooseVersions({
     cls: call.cls,
     candidates: allowed.filter(({ key }) => !node.config.current?.isWithdrawn(key)),
-    estimate: (candidate) => node.estimates.estimate(call.classKey, candidate),
+    estimate: (arm) => estimateArm(node, call.classKey, arm),
     hasBackend: (candidate) => (node.backends.serving(candidate.key)?.size ?? 0) > 0,
     random: node.random,
   })
 }
+
+/** Part of the requests that is taken to be in time before any was measured. */
+const ON_TIME_PRIOR = 1
+
+/** Part of a cascade's requests that is taken to go up before any was seen. */
+const ESCALATION_PRIOR = 0.5
+
+function estimateArm(node: RouterNode, classKey: string, arm: Arm): ArmEstimates {
+  const { estimates } = node
+  return {
+    quality: estimates.estimate('quality', classKey, arm.key, armPrior(arm)),
+    onTime: estimates.estimate('onTime', classKey, arm.key, ON_TIME_PRIOR),
+    escalated: estimates.estimate('escalated', classKey, arm.key, ESCALATION_PRIOR),
+  }
+}
+
+function singlePlan(candidate: Candidate): VersionPlan {
+  return { key: candidate.key, steps: [candidate] }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,7 +11,7 @@
   ServerPool,
   SessionPins,
   Ticker,
-  cheapestMeetingTarget,
+  cheapestShownGood,
   concurrencyLimit,
   leastLoaded,
   monotonicClock,
@@ -122,7 +122,7 @@
       url: cfg.ratings,
       node: cfg.node,
       onRating: (classKey, versionKey, score) => {
-        estimates.rate(classKey, versionKey, score)
+        estimates.add('quality', classKey, versionKey, score)
       },
     })
     const node: RouterNode = {
@@ -303,7 +303,7 @@
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
-    chooseVersions: cheapestMeetingTarget,
+    chooseVersions: cheapestShownGood(),
     chooseReplica: leastLoaded(ownLoad),
   }
 }
