--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -303,7 +303,7 @@
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
-    chooseVersions: cheapestShownGood(),
+    chooseVersions: cheapestShownGood({ clock: monotonicClock }),
     chooseReplica: leastLoaded(ownLoad),
   }
 }
--- a/packages/scenario/src/experiment/experiments.ts
+++ b/packages/scenario/src/experiment/experiments.ts
@@ -1,4 +1,8 @@
 /** Every experiment that the command line knows; a new one is added here. */
 import type { Experiment } from './experiment.js'
+import { nineVersionExperiment, versionExperiment } from './versions/versionExperiment.js'
 
-export const EXPERIMENTS: readonly Experiment[] = []
+export const EXPERIMENTS: readonly Experiment[] = [
+  versionExperiment,
+  nineVersionExperiment,
+]
--- a/packages/wagtailway/src/quality/__tests__/evidenceTable.spec.ts
+++ b/packages/wagtailway/src/quality/__tests__/evidenceTable.spec.ts
@@ -12,6 +12,7 @@
     clock: clock.now,
     epochMs: EPOCH_MS,
     epochsKept: 3,
+    cellsKept: 2,
   })
 }
 
@@ -52,6 +53,17 @@
   assert.deepEqual(table.takeChanged(), [])
 })
 
+void test('keeps the sums of epochs whose cells are gone', () => {
+  const clock = VirtualClock.create()
+  const table = createTable('a', clock)
+  const other = createTable('b', clock)
+  other.add('s', [1])
+  table.merge(other.cells())
+  clock.advance(2 * EPOCH_MS)
+  assert.deepEqual(table.cells(), [])
+  assert.deepEqual(table.sums('s'), [{ epoch: 0, values: [1] }])
+})
+
 void test('drops old epochs and does not take them in again', () => {
   const clock = VirtualClock.create()
   const table = createTable('a', clock)
--- a/packages/wagtailway/src/quality/evidenceTable.ts
+++ b/packages/wagtailway/src/quality/evidenceTable.ts
@@ -32,10 +32,16 @@
    */
   readonly epochMs?: number
   /**
-   * Epochs kept; older ones are dropped and no longer taken in.
-   * @default 48
+   * Epochs whose sums are kept.
+   * @default 288
    */
   readonly epochsKept?: number
+  /**
+   * Epochs whose cells are kept and taken in; of older ones only the sums remain,
+   * so that memory doesn't grow with the number of nodes.
+   * @default 6
+   */
+  readonly cellsKept?: number
 }
 
 /** Sums of one epoch over all sources. */
@@ -46,12 +52,15 @@
 
 /** Five minutes. */
 export const DEFAULT_EPOCH_MS = 300_000
-const DEFAULT_EPOCHS_KEPT = 48
+const DEFAULT_EPOCHS_KEPT = 288
+const DEFAULT_CELLS_KEPT = 6
 
 /** Evidence on one subject. */
 interface Subject {
   readonly cells: Map<string, EvidenceCell>
   readonly sums: Map<number, number[]>
+  /** Oldest epoch that may still have cells. */
+  cellsFrom: number
   /** Grows with each change. */
   changes: number
 }
@@ -72,12 +81,14 @@
   readonly #clock: Clock
   readonly #epochMs: number
   readonly #epochsKept: number
+  readonly #cellsKept: number
 
   private constructor(opts: EvidenceTableOptions) {
     this.#source = opts.source
     this.#clock = opts.clock
     this.#epochMs = opts.epochMs ?? DEFAULT_EPOCH_MS
     this.#epochsKept = opts.epochsKept ?? DEFAULT_EPOCHS_KEPT
+    this.#cellsKept = opts.cellsKept ?? DEFAULT_CELLS_KEPT
   }
 
   static create(opts: EvidenceTableOptions): EvidenceTable {
@@ -110,9 +121,8 @@
       const known = this.#subjects
         .get(cell.subject)
         ?.cells.get(cellKey(cell.source, cell.epoch))
-      if (cell.epoch <= this.#oldestDropped || cell.sequence <= (known?.sequence ?? 0)) {
-        continue
-      }
+      const isOld = cell.epoch <= this.epoch - this.#cellsKept
+      if (isOld || cell.sequence <= (known?.sequence ?? 0)) continue
       this.#put(cell, known)
       taken += 1
     }
@@ -126,8 +136,9 @@
     return changed
   }
 
-  /** Every cell, for a node that starts. */
+  /** Every cell that is kept, for a node that starts. */
   cells(): EvidenceCell[] {
+    for (const subject of this.#subjects.values()) this.#dropOld(subject)
     return [...this.#subjects.values()].flatMap(({ cells }) => [...cells.values()])
   }
 
@@ -156,10 +167,6 @@
     this.#subjects.delete(subject)
   }
 
-  get #oldestDropped(): number {
-    return this.epoch - this.#epochsKept
-  }
-
   #put(cell: EvidenceCell, known: EvidenceCell | undefined): void {
     const subject = this.#subjects.get(cell.subject) ?? emptySubject()
     this.#subjects.set(cell.subject, subject)
@@ -173,21 +180,22 @@
   }
 
   #dropOld(subject: Subject): void {
-    const dropped = this.#oldestDropped
-    const oldest = subject.sums.keys().next().value
-    if (oldest === undefined || oldest > dropped) return
-    for (const epoch of subject.sums.keys()) {
-      if (epoch <= dropped) subject.sums.delete(epoch)
-    }
+    const oldCells = this.epoch - this.#cellsKept
+    if (subject.cellsFrom > oldCells) return
+    subject.cellsFrom = oldCells + 1
     for (const [key, cell] of subject.cells) {
-      if (cell.epoch <= dropped) subject.cells.delete(key)
+      if (cell.epoch <= oldCells) subject.cells.delete(key)
+    }
+    const oldSums = this.epoch - this.#epochsKept
+    for (const epoch of subject.sums.keys()) {
+      if (epoch <= oldSums) subject.sums.delete(epoch)
     }
     subject.changes += 1
   }
 }
 
 function emptySubject(): Subject {
-  return { cells: new Map(), sums: new Map(), changes: 0 }
+  return { cells: new Map(), sums: new Map(), cellsFrom: 0, changes: 0 }
 }
 
 function cellKey(source: string, epoch: number): string {
--- a/packages/wagtailway/src/quality/qualityEstimates.ts
+++ b/packages/wagtailway/src/quality/qualityEstimates.ts
@@ -23,7 +23,7 @@
   readonly evidence: EvidenceTable
   /**
    * Epochs after which evidence counts half.
-   * @default 12
+   * @default 36
    */
   readonly halfLifeEpochs?: number
 }
@@ -37,7 +37,7 @@
 /** Epochs that count as recent, the present one included. */
 const RECENT_EPOCHS = 2
 
-const DEFAULT_HALF_LIFE_EPOCHS = 12
+const DEFAULT_HALF_LIFE_EPOCHS = 36
 
 interface CachedEstimate {
   readonly changes: number
--- a/packages/wagtailway/src/route/versionChoice.ts
+++ b/packages/wagtailway/src/route/versionChoice.ts
@@ -6,6 +6,7 @@
  * is shown to be good enough or not. Choice and random draw are apart, so that
  * the choice can be kept while nothing changes.
  */
+import type { Clock } from '../clock.js'
 import {
   CONFIDENT_ERRORS,
   lowerBound,
@@ -31,6 +32,15 @@
    * @default 0.25
    */
   readonly likelyShare?: number
+  /**
+   * Clock by which choices are kept; without one each request gets a new choice.
+   */
+  readonly clock?: Clock
+  /**
+   * How long a choice is kept while the same versions are served, in milliseconds.
+   * @default 5_000
+   */
+  readonly keepMs?: number
 }
 
 /** The arm for most requests and the one on trial. */
@@ -47,6 +57,11 @@
 /** Standard errors by which an arm must miss the latency target to be left out. */
 const LATE_ERRORS = 1
 
+const DEFAULT_KEEP_MS = 5_000
+
+/** Kept choices beyond which all are made anew. */
+const MAX_KEPT = 10_000
+
 const DEFAULT_DOUBTFUL_SHARE = 0.05
 const DEFAULT_LIKELY_SHARE = 0.25
 
@@ -59,20 +74,53 @@
   readonly isLate: boolean
 }
 
+interface KeptChoice {
+  readonly choice: ArmChoice | undefined
+  readonly untilMs: number
+}
+
 /**
  * Creates the policy that serves at the lowest cost shown to meet the targets.
  *
  * @example
- * const policy = cheapestShownGood()
+ * const policy = cheapestShownGood({ clock: monotonicClock })
  * policy(query)?.steps[0]?.key // 'summariser@small'
  */
 export function cheapestShownGood(opts: VersionChoiceOptions = {}): VersionPolicy {
+  const kept = new Map<string, KeptChoice>()
   return (query) => {
-    const choice = chooseArm(query, opts)
+    const choice = keptChoice(kept, query, opts)
     if (!choice) return undefined
-    const isTrial = choice.trial !== undefined && query.random() < choice.trialShare
-    return toPlan(isTrial ? (choice.trial ?? choice.arm) : choice.arm, query)
+    const { arm, trial, trialShare } = choice
+    if (!trial || query.random() >= trialShare) return toPlan(arm, query)
+    return { ...toPlan(trial, query), isTrial: true }
+  }
+}
+
+/** The choice made not long ago for the same class and versions, or else a new one. */
+function keptChoice(
+  kept: Map<string, KeptChoice>,
+  query: VersionQuery,
+  opts: VersionChoiceOptions,
+): ArmChoice | undefined {
+  if (!opts.clock) return chooseArm(query, opts)
+  const nowMs = opts.clock()
+  const key = choiceKey(query)
+  const known = kept.get(key)
+  if (known && nowMs < known.untilMs) return known.choice
+  const choice = chooseArm(query, opts)
+  if (kept.size >= MAX_KEPT) kept.clear()
+  kept.set(key, { choice, untilMs: nowMs + (opts.keepMs ?? DEFAULT_KEEP_MS) })
+  return choice
+}
+
+/** Everything but evidence that a choice depends on. */
+function choiceKey({ cls, candidates, hasBackend, accepts }: VersionQuery): string {
+  let key = `${cls.workspace}/${cls.name} ${cls.quality.target} ${accepts ? 'c' : 's'}`
+  for (const candidate of candidates) {
+    if (hasBackend(candidate)) key += ` ${candidate.key}`
   }
+  return key
 }
 
 /** Chooses without a random draw. */
--- a/packages/wagtailway/src/route/versionPolicy.ts
+++ b/packages/wagtailway/src/route/versionPolicy.ts
@@ -33,6 +33,8 @@
   readonly steps: readonly Candidate[]
   /** Whether the answer of a step that is not the last is good enough; always if absent. */
   readonly accepts?: AcceptanceRule | undefined
+  /** Whether the plan is on trial, so that all of its answers should be rated. */
+  readonly isTrial?: boolean
 }
 
 /** Chooses a plan; `undefined` if no version can serve. */
