--- a/packages/scenario/src/experiment/experiments.ts
+++ b/packages/scenario/src/experiment/experiments.ts
@@ -1,8 +1,16 @@
 /** Every experiment that the command line knows; a new one is added here. */
+import {
+  overloadExperiment,
+  recoveryExperiment,
+  replicaExperiment,
+} from '../loadModel/loadExperiments.js'
 import type { Experiment } from './experiment.js'
 import { nineVersionExperiment, versionExperiment } from './versions/versionExperiment.js'
 
 export const EXPERIMENTS: readonly Experiment[] = [
   versionExperiment,
   nineVersionExperiment,
+  overloadExperiment,
+  recoveryExperiment,
+  replicaExperiment,
 ]
--- a/packages/scenario/src/loadModel/__tests__/loadRun.spec.ts
+++ b/packages/scenario/src/loadModel/__tests__/loadRun.spec.ts
@@ -9,11 +9,12 @@
 
 function run(load: number): ClassOutcome[] {
   const rate = capacityOf(REPLICAS) * load
+  const target = { firstTokenTargetMs: 1_000 }
   const classes: LoadClass[] = [
-    { workspace: 'a', share: 2, priority: 9, rate: () => rate * 0.02 },
-    { workspace: 'a', share: 2, priority: 3, rate: () => rate * 0.38 },
-    { workspace: 'b', share: 1, priority: 5, rate: () => rate * 0.3 },
-    { workspace: 'c', share: 1, priority: 1, rate: () => rate * 0.3 },
+    { workspace: 'a', share: 2, priority: 9, ...target, rate: () => rate * 0.02 },
+    { workspace: 'a', share: 2, priority: 3, ...target, rate: () => rate * 0.38 },
+    { workspace: 'b', share: 1, priority: 5, ...target, rate: () => rate * 0.3 },
+    { workspace: 'c', share: 1, priority: 1, ...target, rate: () => rate * 0.3 },
   ]
   return runLoad({
     createNode: pooled(leastLoaded(ownLoad)),
--- a/packages/scenario/src/loadModel/loadRun.ts
+++ b/packages/scenario/src/loadModel/loadRun.ts
@@ -10,6 +10,8 @@
   readonly workspace: string
   readonly share: number
   readonly priority: number
+  /** Target of the time to the first token, in milliseconds. */
+  readonly firstTokenTargetMs: number
   /** Mean requests a second, by time. */
   readonly rate: (nowMs: number) => number
 }
@@ -43,8 +45,14 @@
   good: number
   late: number
   refused: number
+  /** Runs at a replica, those for callers that had gone included. */
+  runs: number
+  /** Runs whose caller had given up before the first token. */
+  vain: number
   readonly firstToken: Histogram
-  /** Good answers by second of the arrival. */
+  /** Requests by second of the arrival. */
+  readonly offeredBySecond: Map<number, number>
+  /** Good answers by second of the first token. */
   readonly goodBySecond: Map<number, number>
 }
 
@@ -53,13 +61,15 @@
   prefillMs: 50,
   betweenTokensMs: 20,
   meanTokens: 200,
-  firstTokenTargetMs: 1_000,
   reportIntervalMs: 500,
   reportLagMs: 1_000,
 } as const
 
 const MS_PER_SECOND = 1_000
 
+/** Time after the last arrival in which answers still count, in milliseconds. */
+const SETTLE_MS = 10_000
+
 /** A caller asks again after this time if nothing tells it when, in milliseconds. */
 const IMPATIENT_MS = 100
 
@@ -92,7 +102,7 @@
     scheduleArrival(callers)
     return outcome
   })
-  time.runUntil(opts.warmUpMs + opts.durationMs + LOAD_MODEL.firstTokenTargetMs * 10)
+  time.runUntil(opts.warmUpMs + opts.durationMs + SETTLE_MS)
   return outcomes
 }
 
@@ -112,11 +122,13 @@
   time.after(gapMs, () => {
     if (time.now() > opts.warmUpMs + opts.durationMs) return
     const tokens = Math.ceil(-Math.log(1 - random()) * LOAD_MODEL.meanTokens)
-    const { firstTokenTargetMs } = LOAD_MODEL
-    const request = { ...cls, firstTokenTargetMs, tokens }
+    const request = { ...cls, tokens }
     const counts = time.now() >= opts.warmUpMs
-    if (counts) callers.outcome.offered += 1
-    attempt(callers, request, time.now(), counts, opts.callerRetries ?? 0)
+    if (counts) {
+      callers.outcome.offered += 1
+      countSecond(callers.outcome.offeredBySecond, time.now())
+    }
+    attempt(callers, request, counts, opts.callerRetries ?? 0)
     scheduleArrival(callers)
   })
 }
@@ -125,7 +137,6 @@
 function attempt(
   callers: Callers,
   request: ModelRequest,
-  arrivedMs: number,
   counts: boolean,
   retries: number,
 ): void {
@@ -135,7 +146,7 @@
   let settled = false
   const again = (waitMs: number): void => {
     time.after(waitMs, () => {
-      attempt(callers, request, arrivedMs, counts, retries - 1)
+      attempt(callers, request, counts, retries - 1)
     })
   }
   if (retries > 0) {
@@ -148,9 +159,13 @@
   }
   node?.submit(request, {
     onFirstToken: () => {
-      if (settled) return
+      if (counts) outcome.runs += 1
+      if (settled) {
+        if (counts) outcome.vain += 1
+        return
+      }
       settled = true
-      if (counts) countFirstToken(outcome, request, time.now() - sentMs, arrivedMs)
+      if (counts) countFirstToken(outcome, request, sentMs, time.now())
     },
     onDone: () => undefined,
     onRefused: (refusal) => {
@@ -170,17 +185,22 @@
 function countFirstToken(
   outcome: ClassOutcome,
   request: ModelRequest,
-  firstTokenMs: number,
-  arrivedMs: number,
+  sentMs: number,
+  nowMs: number,
 ): void {
+  const firstTokenMs = nowMs - sentMs
   outcome.firstToken.recordValue(Math.max(1, Math.round(firstTokenMs)))
   if (firstTokenMs > request.firstTokenTargetMs) {
     outcome.late += 1
     return
   }
   outcome.good += 1
-  const second = Math.floor(arrivedMs / MS_PER_SECOND)
-  outcome.goodBySecond.set(second, (outcome.goodBySecond.get(second) ?? 0) + 1)
+  countSecond(outcome.goodBySecond, nowMs)
+}
+
+function countSecond(counts: Map<number, number>, atMs: number): void {
+  const second = Math.floor(atMs / MS_PER_SECOND)
+  counts.set(second, (counts.get(second) ?? 0) + 1)
 }
 
 /** Nodes see each replica's load as it was some time ago. */
@@ -208,7 +228,10 @@
     good: 0,
     late: 0,
     refused: 0,
+    runs: 0,
+    vain: 0,
     firstToken: build(),
+    offeredBySecond: new Map(),
     goodBySecond: new Map(),
   }
 }
--- a/packages/wagtailway/src/admit/adaptiveWindow.ts
+++ b/packages/wagtailway/src/admit/adaptiveWindow.ts
@@ -5,6 +5,7 @@
  * they come later, so that the windows of all nodes together settle where the
  * replica's queue is short, without the nodes telling each other.
  */
+import { DecayingAverage } from './decayingAverage.js'
 
 export interface AdaptiveWindowOptions {
   /**
@@ -28,17 +29,28 @@
    */
   readonly decrease?: number
   /**
-   * Growth of the window for each full window of fast answers.
-   * @default 0.1
+   * Growth for each full window of answers while the replica has next to no queue.
+   * @default 0.5
    */
-  readonly increase?: number
+  readonly fastIncrease?: number
+  /**
+   * Growth for each full window of answers while it has a short queue.
+   * @default 0.05
+   */
+  readonly slowIncrease?: number
 }
 
 /** Part of the window that must be in use for it to grow. */
 const USED_FRACTION = 0.75
 
-/** Below this pressure the window grows; from here to one it stays. */
-const GROW_BELOW = 0.6
+/** Below this mean pressure the window grows fast. */
+const FAST_BELOW = 0.1
+
+/** Below this pressure the window grows slowly; from here to one it stays. */
+const SLOW_BELOW = 0.6
+
+/** Weight of one answer in the mean pressure. */
+const PRESSURE_WEIGHT = 0.1
 
 /**
  * Additive increase, multiplicative decrease by the ratio of latency and goal.
@@ -53,7 +65,9 @@
   readonly #min: number
   readonly #max: number
   readonly #decrease: number
-  readonly #increase: number
+  readonly #fastIncrease: number
+  readonly #slowIncrease: number
+  readonly #pressure = DecayingAverage.create(PRESSURE_WEIGHT)
   #limit: number
   #inFlight = 0
   #started = 0
@@ -64,7 +78,8 @@
     this.#min = opts.min ?? 1
     this.#max = opts.max ?? 256
     this.#decrease = opts.decrease ?? 0.9
-    this.#increase = opts.increase ?? 0.1
+    this.#fastIncrease = opts.fastIncrease ?? 0.5
+    this.#slowIncrease = opts.slowIncrease ?? 0.05
     this.#limit = opts.initial ?? 4
   }
 
@@ -105,10 +120,13 @@
    * @param pressure Latency divided by its goal.
    */
   observe(request: number, pressure: number): void {
+    this.#pressure.add(pressure)
     if (pressure > 1) {
       if (request > this.#decreasedAt) this.#shrink()
-    } else if (pressure < GROW_BELOW && this.#isUsed) {
-      this.#limit = Math.min(this.#max, this.#limit + this.#increase / this.#limit)
+    } else if (pressure < SLOW_BELOW && this.#isUsed) {
+      const isIdle = (this.#pressure.value ?? 0) < FAST_BELOW
+      const increase = isIdle ? this.#fastIncrease : this.#slowIncrease
+      this.#limit = Math.min(this.#max, this.#limit + increase / this.#limit)
     }
   }
 
--- a/packages/wagtailway/src/admit/fairQueue.ts
+++ b/packages/wagtailway/src/admit/fairQueue.ts
@@ -2,9 +2,10 @@
  * Waiting requests of many workspaces, served by share and by priority.
  *
  * What each workspace was served lately is held against its share. Workspaces
- * that don't get all they ask for are kept level; above the lowest of them a
- * workspace may run only as far as the priority of its next request allows, so
- * that its own less important work can't use up the room for its important one.
+ * that don't get all they ask for are kept level. A request counts as within its
+ * workspace's share if what the workspace was served at the request's priority
+ * or above is not beyond that level: less important work of the same workspace
+ * doesn't count against it, but makes room for it later.
  */
 import type { Clock } from '../clock.js'
 import { DecayingSum } from './decayingSum.js'
@@ -19,7 +20,8 @@
 
 interface Lane<T> {
   readonly items: T[]
-  readonly served: DecayingSum
+  /** Items served lately, by priority. */
+  readonly served: readonly DecayingSum[]
   share: number
   /** When the workspace last asked for anything. */
   askedMs: number
@@ -34,14 +36,9 @@
    * @default 20_000
    */
   readonly shareMs?: number
-  /**
-   * How far above the lowest level a workspace may run at the highest priority.
-   * @default 0.3
-   */
-  readonly lead?: number
 }
 
-const MAX_PRIORITY = 9
+const PRIORITIES = 10
 
 /** A workspace counts as short of capacity for so long after it had to wait, in milliseconds. */
 const SHORT_MS = 2_000
@@ -58,13 +55,11 @@
   readonly #lanes = new Map<string, Lane<T>>()
   readonly #clock: Clock
   readonly #shareMs: number
-  readonly #lead: number
   #size = 0
 
   private constructor(opts: FairQueueOptions) {
     this.#clock = opts.clock
     this.#shareMs = opts.shareMs ?? 20_000
-    this.#lead = opts.lead ?? 0.2
   }
 
   static create<T extends QueueItem>(opts: FairQueueOptions): FairQueue<T> {
@@ -90,13 +85,13 @@
     if (!lane || !item) return undefined
     this.#size -= 1
     lane.shortMs = this.#clock()
-    lane.served.add(1)
+    lane.served[item.priority]?.add(1)
     return item
   }
 
   /** Notes an item that was served without waiting. */
   pass(item: T): void {
-    this.#ask(item).served.add(1)
+    this.#ask(item).served[item.priority]?.add(1)
   }
 
   /** Notes an item that was refused. */
@@ -129,7 +124,7 @@
     return own + others
   }
 
-  /** Whether the item's workspace has not run further ahead than the item's priority allows. */
+  /** Whether the item is within its workspace's share. */
   isWithinShare(item: T): boolean {
     return this.#isEligible(this.#ask(item), item, this.#level())
   }
@@ -145,7 +140,10 @@
     const known = this.#lanes.get(item.workspace)
     const lane = known ?? this.#newLane(item)
     if (!known || nowMs - known.askedMs > this.#shareMs) {
-      lane.served.set(this.#level() * item.share)
+      lane.served.forEach((sum) => {
+        sum.set(0)
+      })
+      lane.served.at(-1)?.set(this.#level() * item.share)
     }
     lane.askedMs = nowMs
     lane.share = item.share
@@ -153,7 +151,9 @@
   }
 
   #newLane({ workspace, share }: T): Lane<T> {
-    const served = DecayingSum.create(this.#clock, this.#shareMs)
+    const served = Array.from({ length: PRIORITIES }, () =>
+      DecayingSum.create(this.#clock, this.#shareMs),
+    )
     const lane = {
       items: [],
       served,
@@ -171,7 +171,7 @@
     let level = Infinity
     for (const lane of this.#lanes.values()) {
       const isShort = lane.items.length > 0 || lane.shortMs > shortAfterMs
-      if (isShort) level = Math.min(level, levelOf(lane))
+      if (isShort) level = Math.min(level, levelOf(lane, 0))
     }
     return Number.isFinite(level) ? level : 0
   }
@@ -187,25 +187,26 @@
     return next
   }
 
-  /** Within their allowances the priority decides, beyond them the service so far. */
+  /** Within the shares the priority decides, beyond them the service so far. */
   #goesFirst(a: Lane<T>, first: T, b: Lane<T>, second: T, level: number): boolean {
     const eligible = this.#isEligible(a, first, level)
     if (eligible !== this.#isEligible(b, second, level)) return eligible
     if (eligible && first.priority !== second.priority) {
       return first.priority > second.priority
     }
-    return levelOf(a) < levelOf(b)
+    return levelOf(a, first.priority) < levelOf(b, second.priority)
   }
 
   #isEligible(lane: Lane<T>, { priority, share }: T, level: number): boolean {
-    const allowance = level * this.#lead * (priority / MAX_PRIORITY) ** 2
-    return levelOf(lane) <= level + allowance + 1 / share
+    return levelOf(lane, priority) <= level + 1 / share
   }
 }
 
-/** Service by share. */
-function levelOf<T>({ served, share }: Lane<T>): number {
-  return served.value / share
+/** Service at a priority or above, by share. */
+function levelOf<T>({ served, share }: Lane<T>, priority: number): number {
+  let total = 0
+  for (const sum of served.slice(priority)) total += sum.value
+  return total / share
 }
 
 /** Index behind the items with at least this priority. */
--- a/packages/wagtailway/src/admit/serverPool.ts
+++ b/packages/wagtailway/src/admit/serverPool.ts
@@ -109,6 +109,7 @@
   readonly #holdMs = DecayingAverage.create(AVERAGE_WEIGHT)
   readonly #firstTokenMs = DecayingAverage.create(AVERAGE_WEIGHT)
   readonly #leastFirstTokenMs: LeastLately
+  readonly #leastTargetMs: LeastLately
   /** Least time by token of answers that came in one piece, in milliseconds. */
   readonly #leastPerTokenMs: LeastLately
   /** One for a request that was let in, zero for one that was refused. */
@@ -117,6 +118,7 @@
   private constructor(private readonly opts: ServerPoolOptions) {
     this.#queue = FairQueue.create<Waiting>({ clock: opts.clock })
     this.#leastFirstTokenMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
+    this.#leastTargetMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
     this.#leastPerTokenMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
   }
 
@@ -222,7 +224,9 @@
     delayMs: number,
     targetMs: number,
   ): void {
-    const goalMs = targetMs * GOAL_FRACTION
+    // The replica's queue delays all classes, so the most demanding one sets the goal.
+    this.#leastTargetMs.add(targetMs)
+    const goalMs = this.#leastTargetMs.value * GOAL_FRACTION
     this.#servers.get(replicaId)?.window.observe(request, delayMs / goalMs)
     this.#startWaiting()
   }
