Change the configuration on real processes under faults

Cause: virtual time says nothing about sockets, timers and real pauses. After: `wagtailway-capacity processes` kills, freezes or takes the platform away as a write goes out and watches every router's revision and readiness.

--- a/packages/scenario/src/capacity/cli.ts
+++ b/packages/scenario/src/capacity/cli.ts
@@ -1,9 +1,11 @@
 /** Command line of `wagtailway-capacity`. */
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { formatProcesses, processTrials } from './processReport.js'
+import type { ProcessTrial } from './processTrial.js'
 import { formatSlopes } from './slopeReport.js'
 import { measureSlope } from './slopes.js'
-import { formatSpread, spreadTrials, violations } from './spreadReport.js'
+import { IN_FORCE_MS, formatSpread, spreadTrials, violations } from './spreadReport.js'
 
 /** Runs one of the benches; the exit code is 1 if anything that must hold was broken. */
 export async function run(): Promise<void> {
@@ -47,5 +49,20 @@
         process.stdout.write(`${formatSlopes(points, args.at)}\n`)
       },
     )
+    .command(
+      'processes',
+      'A configuration change while something fails, on real processes',
+      (args) =>
+        args
+          .option('routers', { type: 'number', default: 8 })
+          .option('trials', { type: 'number', default: 3, describe: 'Of each fault' }),
+      async (args) => {
+        const trials = await processTrials(args)
+        process.stdout.write(`${formatProcesses(trials)}\n`)
+        const isBad = ({ heldMs, lastOldMs, reverted }: ProcessTrial): boolean =>
+          heldMs > IN_FORCE_MS || lastOldMs > IN_FORCE_MS || reverted > 0
+        process.exitCode = trials.some(isBad) ? 1 : 0
+      },
+    )
     .parseAsync()
 }
