Measure false removals; keep a suspected member for a minute

Cause: 32 nodes for 0.1 h under 10 % loss and 10 s freezes removed one live node: two freezes within 20 s of each other outlast the suspicion. Ruled out: lost refutations; the removal followed the second freeze. After: 60 s; a suspected member gets no work meanwhile, so waiting is cheap.

--- a/packages/scenario/src/capacity/__tests__/exchangeFaults.spec.ts
+++ b/packages/scenario/src/capacity/__tests__/exchangeFaults.spec.ts
@@ -62,7 +62,7 @@
   run(actions: readonly Action[]): void {
     const { events } = this.fleet
     for (const action of actions) {
-      events.at(WARM_UP_MS + action.atMs, () => {
+      events.after(WARM_UP_MS + action.atMs, () => {
         this.#begin(action)
       })
     }
--- a/packages/scenario/src/capacity/cli.ts
+++ b/packages/scenario/src/capacity/cli.ts
@@ -1,6 +1,7 @@
 /** Command line of `wagtailway-capacity`. */
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { falseRemovals } from './falseRemovals.js'
 import { formatProcesses, processTrials } from './processReport.js'
 import type { ProcessTrial } from './processTrial.js'
 import { formatSlopes } from './slopeReport.js'
@@ -42,6 +43,7 @@
           .option('changes', { type: 'number', default: 1 })
           .option('outage', { type: 'boolean', default: false })
           .option('seconds', { type: 'number', default: 60 })
+          .option('warmUpSeconds', { type: 'number', default: 60 })
           .option('at', { type: 'number', default: 430 }),
       (args) => {
         const sizes = args.sizes.split(',').map(Number)
@@ -64,5 +66,19 @@
         process.exitCode = trials.some(isBad) ? 1 : 0
       },
     )
+    .command(
+      'removals',
+      'False removals of live nodes under loss and freezes, in virtual time',
+      (args) =>
+        args
+          .option('nodes', { type: 'number', default: 64 })
+          .option('hours', { type: 'number', default: 3 })
+          .option('freezes-per-hour', { type: 'number', default: 6 })
+          .option('freeze-ms', { type: 'number', default: 10_000 }),
+      (args) => {
+        const found = falseRemovals(args)
+        process.stdout.write(`${JSON.stringify(found, undefined, 2)}\n`)
+      },
+    )
     .parseAsync()
 }
--- a/packages/scenario/src/capacity/processTrial.ts
+++ b/packages/scenario/src/capacity/processTrial.ts
@@ -4,7 +4,7 @@
 import { PlatformClient } from '@wagtailway/platform'
 import { get } from 'node:http'
 import type { TestProcess } from '../harness/childProcess.js'
-import { Deployment } from '../harness/deployment.js'
+import type { Deployment } from '../harness/deployment.js'
 
 export const PROCESS_FAULTS = ['none', 'kill', 'freeze', 'platformOutage'] as const
 
--- a/packages/scenario/src/capacity/slopes.ts
+++ b/packages/scenario/src/capacity/slopes.ts
@@ -31,9 +31,10 @@
   /** Whether the platform is away in the measured time. */
   readonly outage: boolean
   readonly seconds: number
+  /** Time for the fleet's start to die down before the measurement. */
+  readonly warmUpSeconds: number
 }
 
-const WARM_UP_MS = 60_000
 const MS_PER_SECOND = 1_000
 const BYTES_PER_KB = 1_024
 
@@ -41,13 +42,14 @@
 export function measureSlope(opts: SlopeOptions): SlopePoint {
   const heapBefore = heapBytes()
   const fleet = VirtualFleet.create({ ...opts, config: sampleConfig(SAMPLE_SIZE) })
-  fleet.events.runUntil(WARM_UP_MS)
+  const warmUpMs = opts.warmUpSeconds * MS_PER_SECOND
+  fleet.events.runUntil(warmUpMs)
   const heapKb = (heapBytes() - heapBefore) / BYTES_PER_KB / opts.nodes
   schedule(fleet, opts)
   const before = count(fleet)
   const bytesBefore = new Map(fleet.nodes.map((node) => [node, node.sentBytes]))
   const cpuBefore = process.cpuUsage()
-  fleet.events.runUntil(WARM_UP_MS + opts.seconds * MS_PER_SECOND)
+  fleet.events.runUntil(warmUpMs + opts.seconds * MS_PER_SECOND)
   const cpu = process.cpuUsage(cpuBefore)
   const after = count(fleet)
   const perNode = opts.nodes * opts.seconds
--- a/packages/scenario/src/capacity/spreadTrial.ts
+++ b/packages/scenario/src/capacity/spreadTrial.ts
@@ -72,10 +72,10 @@
   const longestMs = isOutage(opts.fault) ? LONGEST_OUTAGE_MS : LONGEST_FAULT_MS
   const durationMs = 3_000 + fleet.random() * longestMs
   const harmed = new Set<VirtualNode>()
-  fleet.events.at(faultAtMs, () => {
+  fleet.events.after(faultAtMs - fleet.events.now(), () => {
     begin(fleet, opts.fault, durationMs, harmed)
   })
-  fleet.events.at(faultAtMs + durationMs, () => {
+  fleet.events.after(faultAtMs + durationMs - fleet.events.now(), () => {
     end(fleet)
   })
   if (opts.fault === 'startInOutage') startLate(fleet, faultAtMs + durationMs / 2)
@@ -85,7 +85,9 @@
     storedAtMs >= outageAtMs && storedAtMs < outageAtMs + durationMs
       ? outageAtMs + durationMs
       : storedAtMs
-  fleet.events.at(writeAtMs, () => fleet.platform.store(sampleConfig(SAMPLE_SIZE, 1)))
+  fleet.events.after(writeAtMs - fleet.events.now(), () =>
+    fleet.platform.store(sampleConfig(SAMPLE_SIZE, 1)),
+  )
   return observe(fleet, opts, writeAtMs, harmed)
 }
 
@@ -206,7 +208,7 @@
 
 /** Starts a node that knows one peer only. */
 function startLate(fleet: VirtualFleet, atMs: number): void {
-  fleet.events.at(atMs, () => {
+  fleet.events.after(atMs - fleet.events.now(), () => {
     const [peer] = fleet.nodes
     fleet.startNode(peer ? [peer.identity.address] : [])
   })
--- a/packages/scenario/src/capacity/virtualFleet.ts
+++ b/packages/scenario/src/capacity/virtualFleet.ts
@@ -1,7 +1,7 @@
 /** Many entry instances in one process and in virtual time, with faults. */
 import { seededRandom, type Effective, type Random } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
-import { EventQueue } from './eventQueue.js'
+import { VirtualTime } from '../loadModel/virtualTime.js'
 import { VirtualNode, type VirtualNetwork } from './virtualNode.js'
 import { VirtualPlatform } from './virtualPlatform.js'
 
@@ -39,7 +39,7 @@
  * fleet.events.runUntil(20_000)
  */
 export class VirtualFleet {
-  readonly events = EventQueue.create()
+  readonly events = VirtualTime.create()
   readonly platform = VirtualPlatform.create(this.events.now)
   readonly random: Random
   readonly nodes: VirtualNode[] = []
@@ -158,7 +158,7 @@
       step()
       return
     }
-    this.events.at(node.frozenUntilMs, () => {
+    this.events.after(node.frozenUntilMs - this.events.now(), () => {
       this.#runThawed(node, step)
     })
   }
--- a/packages/scenario/src/capacity/virtualNode.ts
+++ b/packages/scenario/src/capacity/virtualNode.ts
@@ -18,7 +18,7 @@
   ExchangeRequestSchema,
   ExchangeResponseSchema,
 } from '@wagtailway/protocol'
-import type { EventQueue } from './eventQueue.js'
+import type { VirtualTime } from '../loadModel/virtualTime.js'
 import type { VirtualPlatform } from './virtualPlatform.js'
 
 /** Pause between two ticks of the exchanges, in milliseconds. */
@@ -58,7 +58,7 @@
 
 export interface VirtualNodeOptions {
   readonly identity: MemberIdentity
-  readonly events: EventQueue
+  readonly events: VirtualTime
   readonly network: VirtualNetwork
   readonly platform: VirtualPlatform
   readonly seed: number
--- a/packages/wagtailway/src/member/constants.ts
+++ b/packages/wagtailway/src/member/constants.ts
@@ -6,8 +6,8 @@
 /** Failed attempts after which a target no longer counts as alive at this node alone. */
 export const UNREACHABLE_ATTEMPTS = 2
 
-/** Time that a suspected member has to refute, in milliseconds; longer than a usual freeze. */
-export const SUSPECT_MS = 20_000
+/** Time that a suspected member has to refute, in milliseconds; several times a usual freeze. */
+export const SUSPECT_MS = 60_000
 
 /** Time that a removed member is remembered so that late updates don't bring it back, in milliseconds. */
 export const TOMBSTONE_MS = 600_000
