--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -1,10 +1,13 @@
 /** Counters and gauges of the router. */
 import type { ExchangeNode } from '@wagtailway/core'
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 
 /** Buckets of request times, in seconds. */
 const SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
 
+/** Pause between two samples of the event loop's delay, in milliseconds. */
+const EVENT_LOOP_SAMPLE_MS = 100
+
 const MS_PER_SECOND = 1_000
 
 /** Sets the gauges of membership and of the configuration's spread. */
@@ -189,6 +192,12 @@
   }
 
   static create(): RouterMetrics {
-    return new RouterMetrics()
+    const metrics = new RouterMetrics()
+    // Processor time and memory, against which control is budgeted.
+    collectDefaultMetrics({
+      register: metrics.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS,
+    })
+    return metrics
   }
 }
--- a/packages/scenario/src/capacity/cli.ts
+++ b/packages/scenario/src/capacity/cli.ts
@@ -4,6 +4,7 @@
 import { falseRemovals } from './falseRemovals.js'
 import { formatProcesses, processTrials } from './processReport.js'
 import type { ProcessTrial } from './processTrial.js'
+import { measureIdle } from './idleProcesses.js'
 import { formatSlopes } from './slopeReport.js'
 import { measureSlope } from './slopes.js'
 import { IN_FORCE_MS, formatSpread, spreadTrials, violations } from './spreadReport.js'
@@ -80,5 +81,19 @@
         process.stdout.write(`${JSON.stringify(found, undefined, 2)}\n`)
       },
     )
+    .command(
+      'idle',
+      'What real routers spend on each other while no caller comes',
+      (args) =>
+        args
+          .option('sizes', { type: 'string', default: '4,8,16' })
+          .option('seconds', { type: 'number', default: 30 }),
+      async (args) => {
+        for (const routers of args.sizes.split(',').map(Number)) {
+          const cost = await measureIdle({ ...args, routers })
+          process.stdout.write(`${JSON.stringify(cost)}\n`)
+        }
+      },
+    )
     .parseAsync()
 }
--- a/packages/scenario/src/capacity/processTrial.ts
+++ b/packages/scenario/src/capacity/processTrial.ts
@@ -2,9 +2,9 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { CONFIG_OBJECT, effectiveSchema, type Effective } from '@wagtailway/core'
 import { PlatformClient } from '@wagtailway/platform'
-import { get } from 'node:http'
 import type { TestProcess } from '../harness/childProcess.js'
 import type { Deployment } from '../harness/deployment.js'
+import { fetchText, metricOf } from './routerMetrics.js'
 
 export const PROCESS_FAULTS = ['none', 'kill', 'freeze', 'platformOutage'] as const
 
@@ -20,7 +20,6 @@
 }
 
 const POLL_MS = 50
-const POLL_TIMEOUT_MS = 300
 const FAULT_MS = 6_000
 const TRIAL_MS = 14_000
 
@@ -122,27 +121,7 @@
 async function stateOf(router: TestProcess): Promise<RouterState | undefined> {
   const metrics = await fetchText(`http://${router.address}/metrics`)
   const ready = await fetchText(`http://${router.address}/readyz`)
-  const revision = /^wagtailway_config_revision (\d+)/m.exec(metrics?.body ?? '')?.[1]
+  const revision = metricOf(metrics?.body ?? '', 'wagtailway_config_revision')
   if (revision === undefined || !ready) return undefined
-  return { revision: Number(revision), isReady: ready.status === 200 }
-}
-
-function fetchText(url: string): Promise<{ status: number; body: string } | undefined> {
-  return new Promise((resolve) => {
-    const req = get(url, { agent: false, timeout: POLL_TIMEOUT_MS }, (res) => {
-      let body = ''
-      res.setEncoding('utf8')
-      res.on('data', (part: string) => (body += part))
-      res.on('end', () => {
-        resolve({ status: res.statusCode ?? 0, body })
-      })
-      res.on('error', () => {
-        resolve(undefined)
-      })
-    })
-    req.on('timeout', () => req.destroy())
-    req.on('error', () => {
-      resolve(undefined)
-    })
-  })
+  return { revision, isReady: ready.status === 200 }
 }
