Spread every section of the configuration

Cause: the sections were listed by hand, and grants, which came later, were dropped at every node that got its configuration from a peer. Before: both new specs fail. After: the sections come from the schema. Conclusion: configItems.spec.ts passes.

--- a/packages/wagtailway/src/spread/configItems.ts
+++ b/packages/wagtailway/src/spread/configItems.ts
@@ -3,20 +3,14 @@
 import { effectiveSchema, versionKey, type Effective } from '../config/effective.js'
 import type { ItemSet } from './itemHistory.js'
 
-const SECTIONS = [
-  'workspaces',
-  'models',
-  'services',
-  'classes',
-  'rollouts',
-  'withdrawals',
-] as const
+const SECTIONS = Object.keys(effectiveSchema.shape) as (keyof Effective)[]
 
 const identitySchema = z.object({
   workspace: z.string().optional(),
   model: z.string().optional(),
   version: z.string().optional(),
   name: z.string().optional(),
+  owner: z.string().optional(),
 })
 
 /** Splits a configuration into items. */
@@ -42,9 +36,9 @@
 }
 
 function identityOf(value: unknown): string {
-  const { workspace, model, version, name } = identitySchema.parse(value)
+  const { workspace, model, version, name, owner } = identitySchema.parse(value)
   if (model !== undefined) return versionKey(model, version ?? '')
-  return [workspace, name].filter((part) => part !== undefined).join('/')
+  return [workspace, name ?? owner].filter((part) => part !== undefined).join('/')
 }
 
 function uniqueKey(items: ItemSet, key: string): string {
