--- a/packages/platform/src/platformClient.ts
+++ b/packages/platform/src/platformClient.ts
@@ -41,6 +41,14 @@
   readonly onFailure?: (kind: CallKind) => void
 }
 
+interface PlatformCall {
+  readonly body?: unknown
+  /** Time that the platform may wait before it answers, in milliseconds. */
+  readonly waitMs?: number
+  /** An earlier response whose body is used again if the text is the same. */
+  readonly previous?: JsonResponse | undefined
+}
+
 type CallResult = Result<JsonResponse, Unavailable>
 
 /**
@@ -54,6 +62,8 @@
 export class PlatformClient implements ObjectStore {
   readonly #agent = new Agent({ keepAlive: true })
   readonly #timeoutMs: number
+  /** The newest list and the answer that it came in. */
+  #listed: { res: JsonResponse; instances: readonly Instance[] } | undefined
 
   private constructor(private readonly opts: PlatformClientOptions) {
     this.#timeoutMs = opts.timeoutMs ?? 2_000
@@ -86,7 +96,7 @@
     ifRevision: number,
   ): Promise<Result<StoredObject, Conflict | Unavailable>> {
     const path = `${objectPath(kind, name)}?ifRevision=${ifRevision}`
-    const called = await this.#call('put', 'PUT', path, value)
+    const called = await this.#call('put', 'PUT', path, { body: value })
     if (called.err) return called
     if (called.val.status === 409) {
       const { revision } = conflictSchema.parse(called.val.body)
@@ -101,14 +111,22 @@
     waitMs: number,
   ): Promise<Result<ObjectList, Unavailable>> {
     const path = `/v1/watch/${kind}?afterRevision=${afterRevision}&waitMs=${waitMs}`
-    const called = await this.#call('watch', 'GET', path, undefined, waitMs)
+    const called = await this.#call('watch', 'GET', path, { waitMs })
     return called.err ? called : Ok(objectListSchema.parse(called.val.body))
   }
 
-  /** The platform's list of live and leaving instances, which lags behind. */
-  async instances(): Promise<Result<Instance[], Unavailable>> {
-    const called = await this.#call('instances', 'GET', '/v1/instances')
-    return called.err ? called : Ok(instanceListSchema.parse(called.val.body).instances)
+  /**
+   * The platform's list of live and leaving instances, which lags behind; the same
+   * array as before if nothing has changed.
+   */
+  async instances(): Promise<Result<readonly Instance[], Unavailable>> {
+    const previous = this.#listed?.res
+    const called = await this.#call('instances', 'GET', '/v1/instances', { previous })
+    if (called.err) return called
+    const res = called.val
+    if (this.#listed && res.body === previous?.body) return Ok(this.#listed.instances)
+    this.#listed = { res, instances: instanceListSchema.parse(res.body).instances }
+    return Ok(this.#listed.instances)
   }
 
   close(): void {
@@ -119,8 +137,7 @@
     kind: CallKind,
     method: 'GET' | 'PUT',
     path: string,
-    body?: unknown,
-    waitMs = 0,
+    call: PlatformCall = {},
   ): Promise<CallResult> {
     const verdict = this.opts.budget?.admit(kind) ?? 'admitted'
     if (verdict !== 'admitted') {
@@ -128,7 +145,7 @@
       return unavailable(HELD_BACK[verdict])
     }
     this.opts.onCall?.(kind)
-    const called = await this.#send(method, path, body, waitMs)
+    const called = await this.#send(method, path, call)
     this.opts.budget?.ended(kind, called.ok)
     if (called.err) this.opts.onFailure?.(kind)
     return called
@@ -137,8 +154,7 @@
   async #send(
     method: 'GET' | 'PUT',
     path: string,
-    body: unknown,
-    waitMs: number,
+    { body, waitMs = 0, previous }: PlatformCall,
   ): Promise<CallResult> {
     try {
       const res = await requestJson({
@@ -146,6 +162,7 @@
         url: `${this.opts.url}${path}`,
         timeoutMs: this.#timeoutMs + waitMs,
         agent: this.#agent,
+        previous,
         ...(body === undefined ? {} : { body }),
       })
       if (res.status >= 500) return unavailable(`The platform answered ${res.status}.`)
--- a/packages/platform/src/requestJson.ts
+++ b/packages/platform/src/requestJson.ts
@@ -9,12 +9,15 @@
   readonly timeoutMs: number
   readonly agent?: Agent
   readonly headers?: Readonly<Record<string, string>>
+  /** An earlier response; its body is used again if the text is the same. */
+  readonly previous?: JsonResponse | undefined
 }
 
 export interface JsonResponse {
   readonly status: number
   /** Parsed body; `undefined` if it is empty. */
   readonly body: unknown
+  readonly text: string
 }
 
 /**
@@ -52,8 +55,8 @@
         clearTimeout(timer)
         try {
           const text = Buffer.concat(parts).toString()
-          const body: unknown = text === '' ? undefined : JSON.parse(text)
-          resolve({ status: res.statusCode ?? 0, body })
+          const body = parseBody(text, req.previous)
+          resolve({ status: res.statusCode ?? 0, body, text })
         } catch (err) {
           fail(err)
         }
@@ -71,3 +74,8 @@
     outgoing.end(payload)
   })
 }
+
+function parseBody(text: string, previous: JsonResponse | undefined): unknown {
+  if (text === previous?.text) return previous.body
+  return text === '' ? undefined : JSON.parse(text)
+}
--- a/packages/wagtailway/src/member/exchangePlan.ts
+++ b/packages/wagtailway/src/member/exchangePlan.ts
@@ -3,7 +3,7 @@
 import type { Random } from '../random.js'
 import type { MemberIdentity } from './member.js'
 import type { MemberTable } from './memberTable.js'
-import { watchersOf } from './watchers.js'
+import { LIST_WATCHERS_PER_ZONE, watchersOf } from './watchers.js'
 
 /** A peer to exchange with; its name is unknown while only an address is known. */
 export interface ExchangeTarget {
@@ -28,7 +28,7 @@
   #listed: readonly ExchangeTarget[] = []
   #watcherTurn = 0
   #plannedAt = -1
-  #isWatcher = false
+  #rank = -1
   #watchers: ExchangeTarget[] = []
 
   private constructor(private readonly opts: ExchangePlanOptions) {}
@@ -45,7 +45,12 @@
   /** Whether this node watches the platform for its zone. */
   get isWatcher(): boolean {
     this.#replan()
-    return this.#isWatcher
+    return this.#rank >= 0
+  }
+
+  /** Whether this node polls the list of instances for its zone. */
+  get isListWatcher(): boolean {
+    return this.isWatcher && this.#rank < LIST_WATCHERS_PER_ZONE
   }
 
   /** The next member in a shuffled round over all, suspected ones included. */
@@ -72,13 +77,13 @@
     const { self } = members
     const alive = members.alive()
     const own = watchersOf(self.zone, [self, ...alive])
-    this.#isWatcher = own.some(({ node }) => node === self.node)
+    this.#rank = own.findIndex(({ node }) => node === self.node)
     const zones = new Set(alive.map(({ zone }) => zone))
     zones.delete(self.zone)
     // A watcher compares with those of the other zones; the rest ask their own zone's first.
     const elsewhere = [...zones].flatMap((zone) => watchersOf(zone, alive, 1))
     const others = own.filter(({ node }) => node !== self.node)
-    const near = this.#isWatcher ? [] : byKey(self.node, others)
+    const near = this.#rank >= 0 ? [] : byKey(self.node, others)
     this.#watchers = [...near, ...byKey(self.node, elsewhere)]
   }
 
--- a/packages/wagtailway/src/member/watchers.ts
+++ b/packages/wagtailway/src/member/watchers.ts
@@ -5,6 +5,9 @@
 /** Nodes of each zone that watch the platform. */
 export const WATCHERS_PER_ZONE = 6
 
+/** Of these, nodes that also poll the list of instances, which is the larger read. */
+export const LIST_WATCHERS_PER_ZONE = 2
+
 /**
  * Watchers of a zone, the same at every node that knows the same members.
  *
--- a/packages/wagtailway/src/spread/__tests__/instanceHolder.spec.ts
+++ b/packages/wagtailway/src/spread/__tests__/instanceHolder.spec.ts
@@ -42,6 +42,22 @@
     assert.deepEqual(holder.instances, [LEAVING])
   })
 
+  it('takes the same array as a look that found no change', () => {
+    const clock = VirtualClock.create(10_000)
+    const holder = create(clock)
+    const list = [LIVE]
+    holder.saw(list, 0)
+    clock.advance(3_000)
+    assert.equal(holder.saw(list, 100), false)
+    assert.equal(holder.ageMs, 100)
+    const other = create(clock)
+    other.saw([LIVE, { id: 's2', state: 'live' }], 0)
+    holder.receive(other.deltaFrom(holder.hash), 0)
+    clock.advance(1_000)
+    assert.equal(holder.saw(list, 0), true)
+    assert.deepEqual(holder.instances, list)
+  })
+
   it('follows a peer by deltas, and by the whole list from an unknown one', () => {
     const clock = VirtualClock.create(10_000)
     const from = create(clock)
--- a/packages/wagtailway/src/spread/exchangeNode.ts
+++ b/packages/wagtailway/src/spread/exchangeNode.ts
@@ -115,7 +115,7 @@
 
   /** Whether to ask the platform for the list of instances now. */
   get isListLookDue(): boolean {
-    return this.#listLooks.isDue(this.isWatcher, this.instances.ageMs)
+    return this.#listLooks.isDue(this.#plan.isListWatcher, this.instances.ageMs)
   }
 
   /** Moves on by one tick; returns what to send. */
--- a/packages/wagtailway/src/spread/instanceHolder.ts
+++ b/packages/wagtailway/src/spread/instanceHolder.ts
@@ -42,6 +42,8 @@
   /** Descriptions that were live before they were seen leaving. */
   readonly #heldBack = new Map<string, { json: string; sinceMs: number }>()
   #view: readonly T[] | undefined
+  /** The array of the newest own look, while it is what is held. */
+  #seen: readonly T[] | undefined
   #parsed = new Map<string, T>()
   #sawAtMs = Number.NEGATIVE_INFINITY
 
@@ -75,9 +77,15 @@
 
   /** Takes in a look made `ageMs` ago; returns whether the list changed. */
   saw(instances: readonly T[], ageMs: number): boolean {
+    if (instances === this.#seen) {
+      this.confirm(this.hash, ageMs)
+      return false
+    }
     const { idOf } = this.opts
     const items = instances.map((i) => [idOf(i), JSON.stringify(i)] as const)
-    return this.#takeOver(new Map(items), ageMs)
+    const changed = this.#takeOver(new Map(items), ageMs)
+    this.#seen = hashItems(new Map(items)) === this.hash ? instances : undefined
+    return changed
   }
 
   /** Notes that the same list was seen `ageMs` ago. */
@@ -104,6 +112,7 @@
     const hash = hashItems(items)
     if (hash === this.hash) return false
     const before = this.#history.latest
+    this.#seen = undefined
     this.#history.put(hash, items)
     this.#parsed = new Map([...items.values()].map((json) => [json, this.#parse(json)]))
     this.#holdBack(before, items)
