--- /dev/null
+++ b/packages/scenario/src/capacity/cli.ts
@@ -0,0 +1,99 @@
+/** Command line of `wagtailway-capacity`. */
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { falseRemovals } from './falseRemovals.js'
+import { formatProcesses, processTrials } from './processReport.js'
+import type { ProcessTrial } from './processTrial.js'
+import { measureIdle } from './idleProcesses.js'
+import { formatSlopes } from './slopeReport.js'
+import { measureSlope } from './slopes.js'
+import { IN_FORCE_MS, formatSpread, spreadTrials, violations } from './spreadReport.js'
+
+/** Runs one of the benches; the exit code is 1 if anything that must hold was broken. */
+export async function run(): Promise<void> {
+  await yargs(hideBin(process.argv))
+    .scriptName('wagtailway-capacity')
+    .env('WAGTAILWAY')
+    .strict()
+    .demandCommand(1)
+    .option('seed', { type: 'number', default: 1 })
+    .option('loss', { type: 'number', default: 0, describe: 'Share of messages lost' })
+    .command(
+      'spread',
+      'A configuration change while something fails, in virtual time',
+      (args) =>
+        args
+          .option('nodes', { type: 'number', default: 64 })
+          .option('trials', { type: 'number', default: 200 }),
+      (args) => {
+        const trials = spreadTrials(args)
+        const bad = violations(trials)
+        process.stdout.write(`${formatSpread(trials)}\n`)
+        for (const trial of bad) process.stdout.write(`${JSON.stringify(trial)}\n`)
+        process.exitCode = bad.length === 0 ? 0 : 1
+      },
+    )
+    .command(
+      'slopes',
+      'Control bytes, processor time and platform calls of fleets of growing size',
+      (args) =>
+        args
+          .option('sizes', { type: 'string', default: '8,16,32,64,128,256,430' })
+          .option('replicas', { type: 'number', default: 0 })
+          .option('replacements', { type: 'number', default: 1 })
+          .option('changes', { type: 'number', default: 1 })
+          .option('outage', { type: 'boolean', default: false })
+          .option('seconds', { type: 'number', default: 60 })
+          .option('warmUpSeconds', { type: 'number', default: 60 })
+          .option('at', { type: 'number', default: 430 }),
+      (args) => {
+        const sizes = args.sizes.split(',').map(Number)
+        const points = sizes.map((nodes) => measureSlope({ ...args, nodes }))
+        process.stdout.write(`${formatSlopes(points, args.at)}\n`)
+      },
+    )
+    .command(
+      'processes',
+      'A configuration change while something fails, on real processes',
+      (args) =>
+        args
+          .option('routers', { type: 'number', default: 8 })
+          .option('trials', { type: 'number', default: 3, describe: 'Of each fault' }),
+      async (args) => {
+        const trials = await processTrials(args)
+        process.stdout.write(`${formatProcesses(trials)}\n`)
+        const isBad = ({ heldMs, lastOldMs, reverted }: ProcessTrial): boolean =>
+          heldMs > IN_FORCE_MS || lastOldMs > IN_FORCE_MS || reverted > 0
+        process.exitCode = trials.some(isBad) ? 1 : 0
+      },
+    )
+    .command(
+      'removals',
+      'False removals of live nodes under loss and freezes, in virtual time',
+      (args) =>
+        args
+          .option('nodes', { type: 'number', default: 64 })
+          .option('hours', { type: 'number', default: 3 })
+          .option('freezes-per-hour', { type: 'number', default: 6 })
+          .option('freeze-ms', { type: 'number', default: 10_000 }),
+      (args) => {
+        const found = falseRemovals(args)
+        process.stdout.write(`${JSON.stringify(found, undefined, 2)}\n`)
+      },
+    )
+    .command(
+      'idle',
+      'What real routers spend on each other while no caller comes',
+      (args) =>
+        args
+          .option('sizes', { type: 'string', default: '4,8,16' })
+          .option('seconds', { type: 'number', default: 30 }),
+      async (args) => {
+        for (const routers of args.sizes.split(',').map(Number)) {
+          const cost = await measureIdle({ ...args, routers })
+          process.stdout.write(`${JSON.stringify(cost)}\n`)
+        }
+      },
+    )
+    .parseAsync()
+}
--- a/packages/wagtailway/src/member/constants.ts
+++ b/packages/wagtailway/src/member/constants.ts
@@ -6,8 +6,8 @@
 /** Failed attempts after which a target no longer counts as alive at this node alone. */
 export const UNREACHABLE_ATTEMPTS = 2
 
-/** Time that a suspected member has to refute, in milliseconds; longer than a usual freeze. */
-export const SUSPECT_MS = 20_000
+/** Time that a suspected member has to refute, in milliseconds; several times a usual freeze. */
+export const SUSPECT_MS = 60_000
 
 /** Time that a removed member is remembered so that late updates don't bring it back, in milliseconds. */
 export const TOMBSTONE_MS = 600_000
@@ -31,7 +31,7 @@
 export const UPDATES_PER_MESSAGE = 8
 
 /** Times that an update is sent on, per doubling of the number of members. */
-export const SENDS_PER_DOUBLING = 3
+export const SENDS_PER_DOUBLING = 1
 
 /** Shortest time between two comparisons of all buckets, in milliseconds. */
 export const SYNC_INTERVAL_MS = 5_000
--- a/packages/wagtailway/src/spread/exchangeNode.ts
+++ b/packages/wagtailway/src/spread/exchangeNode.ts
@@ -115,7 +115,7 @@
 
   /** Whether to ask the platform for the list of instances now. */
   get isListLookDue(): boolean {
-    return this.#listLooks.isDue(this.isWatcher, this.instances.ageMs)
+    return this.#listLooks.isDue(this.#plan.isListWatcher, this.instances.ageMs)
   }
 
   /** Moves on by one tick; returns what to send. */
@@ -174,7 +174,7 @@
   /** Takes in an answer that came `transitMs` after its request was sent. */
   answered(target: ExchangeTarget, res: ExchangeResponse, transitMs: number): void {
     if (target.node !== undefined) this.members.answered(target.node)
-    this.members.receive(res)
+    this.members.tell(this.members.receive(res))
     this.values.receive(res.values)
     this.#compareRevision(res.configRevision, target.address)
     this.config.heardOf(res.knownRevision)
