--- a/packages/wagtailway/src/claim/claimRange.ts
+++ b/packages/wagtailway/src/claim/claimRange.ts
@@ -25,7 +25,7 @@
 const MAX_BACKOFF_MS = 128
 
 /** Longest wait of a note for a write to ride on, in milliseconds. */
-const NOTE_DELAY_MS = { done: 1_000, given_up: 100 }
+const NOTE_DELAY_MS = { done: 5_000, given_up: 100 }
 
 /** Attempts to write notes that no claim waits with. */
 const MAX_NOTE_ATTEMPTS = 4
