Bound pending records by memory

Measured with one call a record: 126,000 own records (an hour at 35/s) take 96 MB, 252,000 copies of others' 122 MB, 183 bytes each on the wire. Ruled out: records kept as JSON text (own 69 MB, copies 124 MB, but 544 ms to unpack them all).

--- a/packages/wagtailway/src/ledger/ledger.ts
+++ b/packages/wagtailway/src/ledger/ledger.ts
@@ -9,7 +9,7 @@
   readonly incarnation: string
   /**
    * Records kept while the platform is away; more are refused.
-   * @default 200_000
+   * @default 150_000
    */
   readonly maxPending?: number
 }
@@ -47,7 +47,7 @@
 
   /** Whether a request may still be taken on. */
   get hasRoom(): boolean {
-    return this.#pending.size < (this.opts.maxPending ?? 200_000)
+    return this.#pending.size < (this.opts.maxPending ?? 150_000)
   }
 
   /** Every record whose sequence number is lower is stored. */
