Give claims a share of the platform's calls by the ranges owned

Cause: the budget divides calls evenly among instances, 0.7 writes/s each at 430, but the writes of a range come from its owner alone; at that size an owner's claims would have been held back and refused. After: 150 reads and 150 writes/s for all ranges of both tables, divided by ranges owned; an instance without a range has an even share for its fallbacks.

--- a/packages/router/src/peers/peerClaims.ts
+++ b/packages/router/src/peers/peerClaims.ts
@@ -51,6 +51,11 @@
     return new PeerClaims(opts)
   }
 
+  /** Number of ranges whose writes this instance groups. */
+  get ownedRanges(): number {
+    return this.of.claim.ownedRanges + this.of.session.ownedRanges
+  }
+
   /** Serves a claim of another instance. */
   async receive(request: ClaimRequest): Promise<Omit<ClaimResponse, '$typeName'>> {
     const table = this.#tableOf(request.kind)
--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -18,7 +18,7 @@
   type Result,
 } from '@wagtailway/core'
 import { ANSWER_HEADERS, CALLER_HEADERS, CLAIM_TIMEOUT_MS } from '../constants.js'
-import { SESSION_RETENTION_MS } from '../peers/claimTables.js'
+import { SESSION_RETENTION_MS } from '../peers/claimStore.js'
 import type { RouterNode } from '../routerNode.js'
 import type { Call } from './call.js'
 import { headerText } from './identify.js'
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,11 +5,9 @@
   ExchangeNode,
   InstanceHolder,
   Ledger,
-  PinBacklog,
   QualityEstimates,
   RetryBudget,
   ServerPool,
-  SessionPins,
   Ticker,
   cheapestShownGood,
   concurrencyLimit,
@@ -18,7 +16,6 @@
   ownLoad,
   seededRandom,
   wallClock,
-  type Claims,
   type MemberIdentity,
   type Random,
 } from '@wagtailway/core'
@@ -30,9 +27,9 @@
 import { RouterMetrics, setMembershipMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
 import { OperatorRoutes } from './operators/operatorRoutes.js'
-import { createClaimTables } from './peers/claimTables.js'
-import type { ClaimTables } from './peers/peerClaims.js'
+import { ClaimStore } from './peers/claimStore.js'
 import { Peers } from './peers/peers.js'
+import { createSessionPins } from './peers/sessionPins.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
 import { Decisions } from './request/decision.js'
@@ -68,7 +65,7 @@
     private readonly peers: Peers,
     private readonly ratings: RatingsClient,
     private readonly budget: CallBudget,
-    private readonly tables: ClaimTables,
+    private readonly claimStore: ClaimStore,
   ) {}
 
   static async create(cfg: ResolvedRouterOptions): Promise<Router> {
@@ -81,7 +78,7 @@
     // The peers tell of changes only after the router exists.
     const holder: { router?: Router } = {}
     const ledger = Ledger.create({ store: platform, incarnation })
-    const tables = createClaimTables({ store: platform, random, metrics })
+    const claimStore = ClaimStore.create({ platform: cfg.platform, random, metrics })
     const operators = OperatorRoutes.create()
     const peers = await Peers.create({
       fallback: operators.handle,
@@ -97,7 +94,7 @@
       },
       store: platform,
       ledger,
-      tables,
+      tables: claimStore.tables,
       onRecovered: (count) => {
         metrics.recoveredRecords.inc(count)
         log.info('stored records of instances that went silent', { count })
@@ -150,7 +147,7 @@
       inProgress: 0,
     }
     operators.serve(node)
-    const router = new Router(node, platform, peers, ratings, budget, tables)
+    const router = new Router(node, platform, peers, ratings, budget, claimStore)
     await router.#start()
     holder.router = router
     return router
@@ -180,8 +177,7 @@
     await this.#pinTicker.close()
     await this.#loops.close()
     await this.ratings.close()
-    this.tables.claim.close()
-    this.tables.session.close()
+    this.claimStore.close()
     await this.peers.close()
     this.node.client.close()
     this.platform.close()
@@ -217,7 +213,7 @@
     })
     this.#pinTicker = Ticker.create({
       intervalMs: PIN_FLUSH_MS,
-      step: () => node.sessions.flush(),
+      step: () => this.#keepClaims(),
       onError: (err) => {
         node.log.error('session pins were not written', err)
       },
@@ -227,6 +223,12 @@
     this.#server = await CallerServer.create({ node, isReady })
   }
 
+  async #keepClaims(): Promise<void> {
+    const { peers, node } = this
+    this.claimStore.shareCalls(peers.claims.ownedRanges, node.members.alive().length + 1)
+    await node.sessions.flush()
+  }
+
   async #storeRecords(): Promise<void> {
     const { node } = this
     for (let i = 0; i < LAST_FLUSH_ATTEMPTS; i++) {
@@ -287,19 +289,6 @@
     .map(({ id, address }) => ({ node: id, address }))
 }
 
-function createSessionPins(claims: Claims, metrics: RouterMetrics): SessionPins {
-  const backlog = PinBacklog.create({
-    claim: (request) => claims.claim(request),
-    onConflict: () => {
-      metrics.sessionPins.inc({ source: 'conflict' })
-    },
-    onDrop: () => {
-      metrics.sessionPins.inc({ source: 'dropped' })
-    },
-  })
-  return SessionPins.create({ claims, backlog })
-}
-
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
--- a/packages/wagtailway/src/claim/claimRouter.ts
+++ b/packages/wagtailway/src/claim/claimRouter.ts
@@ -85,6 +85,15 @@
     return this.opts.table.claim(request, leftMs)
   }
 
+  /** Number of ranges whose writes this node groups. */
+  get ownedRanges(): number {
+    let owned = 0
+    for (let i = 0; i < this.opts.table.rangeCount; i++) {
+      if (!this.#ownerOfRange(`r${i}`)) owned += 1
+    }
+    return owned
+  }
+
   /** Says what became of a claim, to the range's owner and else to the own table. */
   note(key: string, holder: string, note: ClaimNote): void {
     const owner = this.#ownerOf(key)
@@ -115,11 +124,14 @@
 
   /** The member that groups the range's writes; `undefined` if it is this node. */
   #ownerOf(key: string): M | undefined {
+    return this.#ownerOfRange(this.opts.table.rangeOf(key))
+  }
+
+  #ownerOfRange(range: string): M | undefined {
     const nowMs = this.opts.clock()
     const isTrusted = ({ node }: ClaimOwner): boolean =>
       (this.#suspectUntilMs.get(node) ?? nowMs) <= nowMs
     const others = this.opts.alive().filter(isTrusted)
-    const range = this.opts.table.rangeOf(key)
     const nodes: (M | undefined)[] = [undefined, ...others]
     const idOf = (member: M | undefined): string => (member ?? this.opts.self).node
     return rendezvous(range, nodes, idOf)[0]
--- a/packages/wagtailway/src/claim/claimTable.ts
+++ b/packages/wagtailway/src/claim/claimTable.ts
@@ -74,7 +74,7 @@
   readonly permanent?: boolean
   /**
    * Mean pause between two writes of one range by this node, in milliseconds.
-   * @default 250
+   * @default 450
    */
   readonly writeIntervalMs?: number
   /**
@@ -106,7 +106,7 @@
   retentionMs: 3_600_000,
   renews: false,
   permanent: false,
-  writeIntervalMs: 250,
+  writeIntervalMs: 450,
   writeBurst: 8,
   maxObjectBytes: 900_000,
   timeoutMs: 2_000,
@@ -135,6 +135,10 @@
     return new ClaimTable({ ...DEFAULTS, ...opts })
   }
 
+  get rangeCount(): number {
+    return this.#ranges.length
+  }
+
   /** Name of the range that a key belongs to. */
   rangeOf(key: string): string {
     return `r${this.#indexOf(key)}`
--- a/packages/wagtailway/src/ledger/__tests__/copySender.spec.ts
+++ b/packages/wagtailway/src/ledger/__tests__/copySender.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { VirtualClock } from '../../clock.js'
-import type { MemberIdentity } from '../../member/memberTable.js'
+import type { MemberIdentity } from '../../member/member.js'
 import { MemoryStore } from '../../platform/memoryStore.js'
 import type { CopyBatch } from '../copyKeeper.js'
 import { CopySender } from '../copySender.js'
