Answer claims at once while another one tries a silent platform

Cause: while the platform gave no answer, every claim that came during a try waited up to 2 s with it. After: one group at a time tries; the others are refused, not run, at once. A gauge tells the copies kept.

--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -132,6 +132,11 @@
     help: 'Billing records stored for instances that went silent',
     registers: [this.registry],
   })
+  readonly copiesKept = new Gauge({
+    name: 'wagtailway_record_copies_kept',
+    help: 'Copies of billing records kept for other instances',
+    registers: [this.registry],
+  })
   readonly claimEvents = new Counter({
     name: 'wagtailway_claim_events_total',
     help: 'Events of claims on idempotency keys and sessions, by kind and event',
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -225,6 +225,7 @@
 
   async #keepClaims(): Promise<void> {
     const { peers, node } = this
+    node.metrics.copiesKept.set(peers.copies.count)
     this.claimStore.shareCalls(peers.claims.ownedRanges, node.members.alive().length + 1)
     await node.sessions.flush()
   }
--- /dev/null
+++ b/packages/wagtailway/src/claim/__tests__/claimRouter.spec.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { monotonicClock } from '../../clock.js'
+import { startTimer } from '../../csp/timers.js'
+import { MemoryStore } from '../../platform/memoryStore.js'
+import { seededRandom } from '../../random.js'
+import { ClaimRouter, type ClaimRouterOptions } from '../claimRouter.js'
+import { ClaimTable, type ClaimVerdict } from '../claimTable.js'
+import { Grant } from '../grant.js'
+
+interface Member {
+  readonly node: string
+}
+
+const deps = { clock: monotonicClock, wallClock: () => 1_000, startTimer }
+const GRANTED: ClaimVerdict = { type: 'granted' }
+
+function tableOn(store: MemoryStore): ClaimTable {
+  return ClaimTable.create({ store, kind: 'claim', random: seededRandom(1), ...deps })
+}
+
+function setUp(send: ClaimRouterOptions<Member>['send']) {
+  const store = MemoryStore.create()
+  const table = tableOn(store)
+  const router = ClaimRouter.create<Member>({
+    table,
+    self: { node: 'n0' },
+    alive: () => [{ node: 'n1' }],
+    send,
+    sendNote: () => Promise.reject(new Error('no answer')),
+    ownerTimeoutMs: 5,
+    ...deps,
+  })
+  // A key whose range belongs to the other member.
+  const keys = Array.from({ length: 1_000 }, (_, i) => `k${i}`)
+  return { store, table, router, keys }
+}
+
+describe('ClaimRouter', () => {
+  it('shares the ranges between the members alive', async () => {
+    let sent = 0
+    const { router, keys, table } = setUp(() => {
+      sent += 1
+      return Promise.resolve(GRANTED)
+    })
+    await Promise.all(
+      keys.slice(0, 100).map((key) => router.claim({ key, holder: key, value: '' })),
+    )
+    assert.ok(sent > 20 && sent < 80, `${sent} of 100 sent`)
+    assert.ok(router.ownedRanges > 5 && router.ownedRanges < 27)
+    table.close()
+  })
+
+  it('keeps the grant of an owner whose answer was lost', async () => {
+    const { router, table, store, keys } = setUp(async (_, request) => {
+      const owner = tableOn(store)
+      assert.deepEqual(await owner.claim(request), GRANTED)
+      owner.close()
+      throw new Error('the answer was lost')
+    })
+    for (const key of keys.slice(0, 10)) {
+      const verdict = await router.claim({ key, holder: `h-${key}`, value: '' })
+      assert.deepEqual(verdict, GRANTED)
+      const again = await router.claim({ key, holder: 'other', value: '' })
+      assert.equal(again.type, 'held')
+    }
+    table.close()
+  })
+
+  it('passes over an owner that does not answer', async () => {
+    let sent = 0
+    const { router, table, keys } = setUp(() => {
+      sent += 1
+      return new Promise(() => undefined)
+    })
+    for (const key of keys.slice(0, 20)) {
+      const verdict = await router.claim({ key, holder: 'h', value: '' })
+      assert.deepEqual(verdict, GRANTED)
+    }
+    assert.equal(sent, 1)
+    table.close()
+  })
+})
+
+describe('Grant', () => {
+  it('lapses long before its key is forgotten', async () => {
+    let nowMs = 0
+    const claims = {
+      claim: () => Promise.resolve(GRANTED),
+      note: () => undefined,
+    }
+    const clock = (): number => nowMs
+    const grant = Grant.create({ claims, key: 'k', holder: 'h', clock })
+    assert.equal(grant.isValid, false)
+    await grant.claim()
+    assert.equal(grant.isValid, true)
+    nowMs = 60_000
+    assert.equal(grant.isValid, false)
+  })
+
+  it('gives its key up if nothing was sent', async () => {
+    const notes: string[] = []
+    const claims = {
+      claim: (): Promise<ClaimVerdict> => Promise.resolve({ type: 'unavailable' }),
+      note: (key: string, holder: string, note: string) => {
+        notes.push(`${key} ${holder} ${note}`)
+      },
+    }
+    const clock = (): number => 0
+    const grant = Grant.create({ claims, key: 'k', holder: 'h', clock })
+    await grant.claim()
+    assert.deepEqual(notes, ['k h given_up'])
+  })
+})
--- a/packages/wagtailway/src/claim/__tests__/claimTable.spec.ts
+++ b/packages/wagtailway/src/claim/__tests__/claimTable.spec.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { monotonicClock } from '../../clock.js'
+import { VirtualClock, monotonicClock } from '../../clock.js'
 import { startTimer } from '../../csp/timers.js'
 import { seededRandom } from '../../random.js'
 import { MemoryStore, type CallFault } from '../../platform/memoryStore.js'
-import { ClaimTable } from '../claimTable.js'
+import type { ObjectStore } from '../../platform/objectStore.js'
+import { ClaimTable, type ClaimVerdict } from '../claimTable.js'
 
 const wallClock = (): number => 1_000
 
@@ -106,4 +107,28 @@
     assert.equal(await claim('a'), 'granted')
     table.close()
   })
+
+  it('lets one group try a silent platform and answers the others at once', async () => {
+    const clock = VirtualClock.create()
+    const lost = MemoryStore.create(() => 'lost')
+    const silent = new Promise<never>(() => undefined)
+    let isSilent = false
+    const store: ObjectStore = {
+      get: (kind, name) => (isSilent ? silent : lost.get(kind, name)),
+      list: () => silent,
+      watch: () => silent,
+      put: () => silent,
+    }
+    const opts = { ...deps, clock: clock.now, store, ranges: 1 }
+    const table = ClaimTable.create({ ...opts, kind: 'claim' })
+    const claim = (key: string): Promise<ClaimVerdict> =>
+      table.claim({ key, holder: key, value: '' })
+    assert.equal((await claim('a')).type, 'unavailable')
+    isSilent = true
+    clock.advance(1_000)
+    void claim('b')
+    // The first try never ends; this one must not wait for it.
+    assert.equal((await claim('c')).type, 'unavailable')
+    table.close()
+  })
 })
--- a/packages/wagtailway/src/claim/claimRange.ts
+++ b/packages/wagtailway/src/claim/claimRange.ts
@@ -46,6 +46,7 @@
   #entries: ClaimEntries = {}
   #revision = 0
   #loaded = false
+  #isAway = false
   #running = false
   #closed = false
   readonly #pace: WritePace
@@ -68,7 +69,7 @@
   claim(request: ClaimRequest, timeoutMs = this.opts.timeoutMs): Promise<ClaimVerdict> {
     const known = this.#knownHeld(request)
     if (known) return Promise.resolve(known)
-    if (this.#closed || this.opts.clock() < this.#awayUntilMs) {
+    if (this.#closed || this.#mustNotWait()) {
       this.opts.onEvent('away')
       return Promise.resolve(UNAVAILABLE)
     }
@@ -144,6 +145,12 @@
     }
   }
 
+  /** While the platform is away one group at a time tries it; others get their answer at once. */
+  #mustNotWait(): boolean {
+    if (!this.#isAway) return false
+    return this.#running || this.opts.clock() < this.#awayUntilMs
+  }
+
   #entryOf(digest: string): ClaimEntry | undefined {
     const entry = this.#entries[digest]
     return entry && this.#notes.applyToOne(digest, entry)
@@ -169,6 +176,7 @@
     onEvent('put')
     const written = await store.put(kind, this.name, next, this.#revision)
     if (written.ok) {
+      this.#isAway = false
       this.#entries = next
       this.#revision = written.val.revision
       this.#notes.settle(next)
@@ -236,11 +244,13 @@
     this.#entries = claimEntriesSchema.parse(read.val?.value ?? {})
     this.#revision = read.val?.revision ?? 0
     this.#loaded = true
+    this.#isAway = false
     return true
   }
 
   #goAway(group: readonly PendingClaim[]): void {
     this.opts.onEvent('away')
+    this.#isAway = true
     this.#awayUntilMs = this.opts.clock() + AWAY_MS
     this.#notes.postpone()
     decideAll(group, UNAVAILABLE)
--- /dev/null
+++ b/packages/wagtailway/src/session/__tests__/sessionPins.spec.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { ClaimRequest, ClaimVerdict } from '../../claim/claimTable.js'
+import type { Candidate } from '../../config/effective.js'
+import { PinBacklog } from '../pinBacklog.js'
+import { hasOneChoice, publishedChoice } from '../publishedChoice.js'
+import { SessionPins } from '../sessionPins.js'
+
+const first = {
+  key: 'panel/dossier/s1',
+  holder: 'q1',
+  proposed: 'm@v2',
+  published: 'm@v1',
+  isOnlyChoice: false,
+}
+
+function setUp(answer: (request: ClaimRequest) => ClaimVerdict) {
+  const asked: ClaimRequest[] = []
+  const claim = (request: ClaimRequest): Promise<ClaimVerdict> => {
+    asked.push(request)
+    return Promise.resolve(answer(request))
+  }
+  let conflicts = 0
+  const onConflict = (): void => {
+    conflicts += 1
+  }
+  const backlog = PinBacklog.create({ claim, onConflict })
+  const pins = SessionPins.create({ claims: { claim }, backlog })
+  return { pins, backlog, asked, conflictCount: () => conflicts }
+}
+
+describe('SessionPins', () => {
+  it('takes the version of whoever was first', async () => {
+    const { pins } = setUp(() => ({
+      type: 'held',
+      holder: 'q0',
+      value: 'm@v3',
+      done: false,
+    }))
+    assert.deepEqual(await pins.pin(first), { version: 'm@v3', source: 'held' })
+  })
+
+  it('takes the published version while no claim can be made, and keeps it', async () => {
+    let isAway = true
+    const { pins, backlog, asked } = setUp(() => ({
+      type: isAway ? 'unavailable' : 'granted',
+    }))
+    assert.deepEqual(await pins.pin(first), { version: 'm@v1', source: 'published' })
+    await pins.flush()
+    assert.equal(backlog.size, 1)
+    assert.deepEqual(await pins.pin(first), { version: 'm@v1', source: 'backlog' })
+    isAway = false
+    await pins.flush()
+    assert.equal(backlog.size, 0)
+    assert.equal(asked.at(-1)?.value, 'm@v1')
+  })
+
+  it('waits for no write where there is no other choice', async () => {
+    const { pins, asked } = setUp(() => ({ type: 'granted' }))
+    const pin = await pins.pin({ ...first, isOnlyChoice: true })
+    assert.deepEqual(pin, { version: 'm@v1', source: 'only_choice' })
+    assert.equal(asked.length, 0)
+    await pins.flush()
+    assert.equal(asked.length, 1)
+  })
+
+  it('counts a pin that was meanwhile written with another version', async () => {
+    const { pins, conflictCount } = setUp(() => ({
+      type: 'held',
+      holder: 'q0',
+      value: 'm@v3',
+      done: false,
+    }))
+    await pins.pin({ ...first, isOnlyChoice: true })
+    await pins.flush()
+    assert.equal(conflictCount(), 1)
+  })
+})
+
+function candidate(version: string, price: number, expectedQuality: number): Candidate {
+  return {
+    model: 'm',
+    version,
+    key: `m@${version}`,
+    promptPrice: price,
+    completionPrice: price,
+    expectedQuality,
+  }
+}
+
+describe('publishedChoice', () => {
+  const cls = { quality: { target: 0.8, atLeast: 0 } } as unknown as Parameters<
+    typeof publishedChoice
+  >[1]
+  const rollout = { owner: 'o', model: 'm', from: 'v1', to: 'v2', exposureBudget: 10 }
+  const good = candidate('v1', 3, 0.9)
+  const newer = candidate('v2', 1, 0.9)
+  const weak = candidate('v3', 2, 0.5)
+
+  it('leaves out the version under roll-out and those below the target', () => {
+    const usable = [weak, newer, good]
+    assert.equal(publishedChoice('s', cls, usable, [rollout])?.key, 'm@v1')
+    assert.equal(publishedChoice('s', cls, usable, [])?.key, 'm@v2')
+  })
+
+  it('takes the version under roll-out if there is no other', () => {
+    assert.equal(publishedChoice('s', cls, [newer], [rollout])?.key, 'm@v2')
+  })
+
+  it('does not depend on the order of the versions', () => {
+    const twin = candidate('v4', 3, 0.9)
+    for (let i = 0; i < 20; i++) {
+      const one = publishedChoice(`s${i}`, cls, [good, twin], [])
+      assert.equal(publishedChoice(`s${i}`, cls, [twin, good], []), one)
+    }
+  })
+
+  it('sees one choice only without a roll-out of the model', () => {
+    assert.equal(hasOneChoice([good], []), true)
+    assert.equal(hasOneChoice([good], [rollout]), false)
+    assert.equal(hasOneChoice([good, weak], []), false)
+  })
+})
