--- a/packages/wagtailway/src/ledger/copySender.ts
+++ b/packages/wagtailway/src/ledger/copySender.ts
@@ -25,10 +25,16 @@
   readonly clock: Clock
   readonly startTimer: StartTimer
   /**
-   * Members that get each record; the release waits for the first of them.
+   * Members that get each record. The first gets it at once and the release waits
+   * for it; the others get it a little later.
    * @default 2
    */
   readonly copies?: number
+  /**
+   * Time in which records for the other members are gathered, in milliseconds.
+   * @default 200
+   */
+  readonly gatherMs?: number
   /**
    * Longest wait for one message, in milliseconds.
    * @default 250
@@ -80,9 +86,10 @@
   async copy(entry: LedgerEntry): Promise<boolean> {
     for (let round = 0; round < MAX_ROUNDS; round++) {
       const targets = this.#targets()
-      if (targets.length === 0) return false
-      const sent = targets.map((target) => this.#push(target, entry))
-      if (await firstTrue(sent)) return true
+      const [first, ...others] = targets
+      if (!first) return false
+      for (const other of others) void this.#push(other, entry, this.#gatherMs)
+      if (await this.#push(first, entry)) return true
     }
     return false
   }
@@ -115,10 +122,21 @@
     await this.#drain(target, lane)
   }
 
-  #push(target: M, entry: LedgerEntry): Promise<boolean> {
+  get #gatherMs(): number {
+    return this.opts.gatherMs ?? 200
+  }
+
+  #push(target: M, entry: LedgerEntry, gatherMs = 0): Promise<boolean> {
     const lane = this.#laneOf(target)
     return new Promise((settle) => {
       lane.waiting.push({ entry, settle })
+      if (gatherMs === 0) void this.#drain(target, lane)
+      else if (lane.waiting.length === 1) this.#drainLater(target, lane, gatherMs)
+    })
+  }
+
+  #drainLater(target: M, lane: Lane, gatherMs: number): void {
+    this.opts.startTimer(gatherMs, () => {
       void this.#drain(target, lane)
     })
   }
@@ -173,17 +191,3 @@
     return lane
   }
 }
-
-/** Resolves to true as soon as one promise does, to false once all gave false. */
-function firstTrue(promises: readonly Promise<boolean>[]): Promise<boolean> {
-  return new Promise((resolve) => {
-    for (const promise of promises) {
-      void promise.then((value) => {
-        if (value) resolve(true)
-      })
-    }
-    void Promise.all(promises).then(() => {
-      resolve(false)
-    })
-  })
-}
