Copy to a member that failed a moment ago rather than to none

Cause: on a busy machine the first copies at a start timed out, both members were passed over for 3 s and 118 of 266 answers were released without a copy (trial, three routers, 100 requests/s, load 33).

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -41,6 +41,9 @@
 /** Pause between writes of session pins that were answered before, in milliseconds. */
 const PIN_FLUSH_MS = 500
 
+/** Time after which an instance is ready though it knows no other, in milliseconds. */
+const PEERS_WAIT_MS = 5_000
+
 /** Attempts to store billing records before a leaving instance relies on its copies. */
 const LAST_FLUSH_ATTEMPTS = 25
 
@@ -218,8 +221,17 @@
         node.log.error('session pins were not written', err)
       },
     })
+    const startMs = node.clock()
+    // Answers given before another instance is known have no copy of their record.
+    const hasPeers = (): boolean =>
+      node.members.alive().length > 0 ||
+      entriesOf(this.#instances).length <= 1 ||
+      node.clock() - startMs > PEERS_WAIT_MS
     const isReady = (): boolean =>
-      !this.#leaving && peers.node.instances.hash !== 0 && node.config.isFresh
+      !this.#leaving &&
+      peers.node.instances.hash !== 0 &&
+      node.config.isFresh &&
+      hasPeers()
     this.#server = await CallerServer.create({ node, isReady })
   }
 
--- a/packages/wagtailway/src/ledger/copySender.ts
+++ b/packages/wagtailway/src/ledger/copySender.ts
@@ -177,10 +177,13 @@
 
   #targets(): M[] {
     const nowMs = this.opts.clock()
-    const trusted = this.opts
-      .alive()
-      .filter(({ incarnation }) => (this.#suspectUntilMs.get(incarnation) ?? 0) <= nowMs)
-    return chooseCopyTargets(this.opts.self, trusted, this.opts.copies ?? 2)
+    const alive = this.opts.alive()
+    const trusted = alive.filter(
+      ({ incarnation }) => (this.#suspectUntilMs.get(incarnation) ?? 0) <= nowMs,
+    )
+    // A member that failed a moment ago is still better than no copy.
+    const usable = trusted.length > 0 ? trusted : alive
+    return chooseCopyTargets(this.opts.self, usable, this.opts.copies ?? 2)
   }
 
   #laneOf({ incarnation }: M): Lane {
