Bound a range's pause after retries by one interval

Cause: retries overdrew the bucket, so later claims paused for several intervals, the owner's answer came too late and others wrote the range as well.

--- a/packages/wagtailway/src/claim/claimRange.ts
+++ b/packages/wagtailway/src/claim/claimRange.ts
@@ -238,7 +238,6 @@
 
   async #reload(): Promise<boolean> {
     this.opts.onEvent('get')
-    this.#pace.take()
     const read = await this.opts.store.get(this.opts.kind, this.name)
     if (read.err) return false
     this.#entries = claimEntriesSchema.parse(read.val?.value ?? {})
--- a/packages/wagtailway/src/claim/writePace.ts
+++ b/packages/wagtailway/src/claim/writePace.ts
@@ -33,9 +33,9 @@
     return Math.max(0, (1 - this.#available()) * writeIntervalMs)
   }
 
-  /** Notes a write; retries may overdraw. */
+  /** Notes a write; a retry without a token makes the next one wait no longer than the pause. */
   take(): void {
-    this.#tokens = this.#available() - 1
+    this.#tokens = Math.max(0, this.#available() - 1)
     this.#filledAtMs = this.opts.clock()
   }
 
