--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,11 +5,9 @@
   ExchangeNode,
   InstanceHolder,
   Ledger,
-  PinBacklog,
   QualityEstimates,
   RetryBudget,
   ServerPool,
-  SessionPins,
   Ticker,
   cheapestShownGood,
   concurrencyLimit,
@@ -18,7 +16,6 @@
   ownLoad,
   seededRandom,
   wallClock,
-  type Claims,
   type MemberIdentity,
   type Random,
 } from '@wagtailway/core'
@@ -30,9 +27,9 @@
 import { RouterMetrics, setMembershipMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
 import { OperatorRoutes } from './operators/operatorRoutes.js'
-import { createClaimTables } from './peers/claimTables.js'
-import type { ClaimTables } from './peers/peerClaims.js'
+import { ClaimStore } from './peers/claimStore.js'
 import { Peers } from './peers/peers.js'
+import { createSessionPins } from './peers/sessionPins.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
 import { Decisions } from './request/decision.js'
@@ -44,6 +41,9 @@
 /** Pause between writes of session pins that were answered before, in milliseconds. */
 const PIN_FLUSH_MS = 500
 
+/** Time after which an instance is ready though it knows no other, in milliseconds. */
+const PEERS_WAIT_MS = 5_000
+
 /** Attempts to store billing records before a leaving instance relies on its copies. */
 const LAST_FLUSH_ATTEMPTS = 25
 
@@ -68,7 +68,7 @@
     private readonly peers: Peers,
     private readonly ratings: RatingsClient,
     private readonly budget: CallBudget,
-    private readonly tables: ClaimTables,
+    private readonly claimStore: ClaimStore,
   ) {}
 
   static async create(cfg: ResolvedRouterOptions): Promise<Router> {
@@ -81,7 +81,7 @@
     // The peers tell of changes only after the router exists.
     const holder: { router?: Router } = {}
     const ledger = Ledger.create({ store: platform, incarnation })
-    const tables = createClaimTables({ store: platform, random, metrics })
+    const claimStore = ClaimStore.create({ platform: cfg.platform, random, metrics })
     const operators = OperatorRoutes.create()
     const peers = await Peers.create({
       fallback: operators.handle,
@@ -97,7 +97,7 @@
       },
       store: platform,
       ledger,
-      tables,
+      tables: claimStore.tables,
       onRecovered: (count) => {
         metrics.recoveredRecords.inc(count)
         log.info('stored records of instances that went silent', { count })
@@ -150,7 +150,7 @@
       inProgress: 0,
     }
     operators.serve(node)
-    const router = new Router(node, platform, peers, ratings, budget, tables)
+    const router = new Router(node, platform, peers, ratings, budget, claimStore)
     await router.#start()
     holder.router = router
     return router
@@ -180,8 +180,7 @@
     await this.#pinTicker.close()
     await this.#loops.close()
     await this.ratings.close()
-    this.tables.claim.close()
-    this.tables.session.close()
+    this.claimStore.close()
     await this.peers.close()
     this.node.client.close()
     this.platform.close()
@@ -217,16 +216,32 @@
     })
     this.#pinTicker = Ticker.create({
       intervalMs: PIN_FLUSH_MS,
-      step: () => node.sessions.flush(),
+      step: () => this.#keepClaims(),
       onError: (err) => {
         node.log.error('session pins were not written', err)
       },
     })
+    const startMs = node.clock()
+    // Answers given before another instance is known have no copy of their record.
+    const hasPeers = (): boolean =>
+      node.members.alive().length > 0 ||
+      entriesOf(this.#instances).length <= 1 ||
+      node.clock() - startMs > PEERS_WAIT_MS
     const isReady = (): boolean =>
-      !this.#leaving && peers.node.instances.hash !== 0 && node.config.isFresh
+      !this.#leaving &&
+      peers.node.instances.hash !== 0 &&
+      node.config.isFresh &&
+      hasPeers()
     this.#server = await CallerServer.create({ node, isReady })
   }
 
+  async #keepClaims(): Promise<void> {
+    const { peers, node } = this
+    node.metrics.copiesKept.set(peers.copies.count)
+    this.claimStore.shareCalls(peers.claims.ownedRanges, node.members.alive().length + 1)
+    await node.sessions.flush()
+  }
+
   async #storeRecords(): Promise<void> {
     const { node } = this
     for (let i = 0; i < LAST_FLUSH_ATTEMPTS; i++) {
@@ -287,19 +302,6 @@
     .map(({ id, address }) => ({ node: id, address }))
 }
 
-function createSessionPins(claims: Claims, metrics: RouterMetrics): SessionPins {
-  const backlog = PinBacklog.create({
-    claim: (request) => claims.claim(request),
-    onConflict: () => {
-      metrics.sessionPins.inc({ source: 'conflict' })
-    },
-    onDrop: () => {
-      metrics.sessionPins.inc({ source: 'dropped' })
-    },
-  })
-  return SessionPins.create({ claims, backlog })
-}
-
 function defaultPolicies(cfg: ResolvedRouterOptions): RouterPolicies {
   return {
     admit: concurrencyLimit(cfg.maxInProgress),
--- a/packages/wagtailway/src/claim/claimRouter.ts
+++ b/packages/wagtailway/src/claim/claimRouter.ts
@@ -38,8 +38,9 @@
   readonly clock: Clock
   readonly startTimer: StartTimer
   /**
-   * Longest wait for another member before the own table is asked, in milliseconds.
-   * @default 400
+   * Longest wait for another member before the own table is asked, in milliseconds;
+   * longer than the pause between two writes of a range.
+   * @default 800
    */
   readonly ownerTimeoutMs?: number
   /** Called once for each claim that the owner did not decide. */
@@ -85,6 +86,15 @@
     return this.opts.table.claim(request, leftMs)
   }
 
+  /** Number of ranges whose writes this node groups. */
+  get ownedRanges(): number {
+    let owned = 0
+    for (let i = 0; i < this.opts.table.rangeCount; i++) {
+      if (!this.#ownerOfRange(`r${i}`)) owned += 1
+    }
+    return owned
+  }
+
   /** Says what became of a claim, to the range's owner and else to the own table. */
   note(key: string, holder: string, note: ClaimNote): void {
     const owner = this.#ownerOf(key)
@@ -104,7 +114,7 @@
     request: ClaimRequest,
     deadlineMs: number,
   ): Promise<ClaimVerdict> {
-    const { clock, startTimer, send, ownerTimeoutMs = 400 } = this.opts
+    const { clock, startTimer, send, ownerTimeoutMs = 800 } = this.opts
     const waitMs = Math.min(ownerTimeoutMs, deadlineMs - clock())
     const sent = send(owner, request, waitMs).catch(() => undefined)
     const verdict = await within(startTimer, waitMs, sent, undefined)
@@ -115,11 +125,14 @@
 
   /** The member that groups the range's writes; `undefined` if it is this node. */
   #ownerOf(key: string): M | undefined {
+    return this.#ownerOfRange(this.opts.table.rangeOf(key))
+  }
+
+  #ownerOfRange(range: string): M | undefined {
     const nowMs = this.opts.clock()
     const isTrusted = ({ node }: ClaimOwner): boolean =>
       (this.#suspectUntilMs.get(node) ?? nowMs) <= nowMs
     const others = this.opts.alive().filter(isTrusted)
-    const range = this.opts.table.rangeOf(key)
     const nodes: (M | undefined)[] = [undefined, ...others]
     const idOf = (member: M | undefined): string => (member ?? this.opts.self).node
     return rendezvous(range, nodes, idOf)[0]
