Create failures without a stack

Cause: ts-results records a stack with each Err, translated through source maps; the profile of 3,000 plain requests put 718 ms into it (dispatch makes one for each request). Conclusion: kept for the refusals, which must stay cheap under overload; to be measured again on a quiet machine.

--- a/packages/wagtailway/src/result.ts
+++ b/packages/wagtailway/src/result.ts
@@ -5,4 +5,20 @@
 
 // ts-results is CommonJS, so its values come through the default import.
 export const Ok = tsResults.Ok
-export const Err = tsResults.Err
+
+/**
+ * Creates the result of an operation that failed. ts-results records a stack with each
+ * one, which costs more than most requests do; failures here are expected and typed.
+ *
+ * @example
+ * return Err(notRun('overloaded', 'All replicas are busy.'))
+ */
+export function Err<E>(val: E): ReturnType<typeof tsResults.Err<E>> {
+  const limit = Error.stackTraceLimit
+  Error.stackTraceLimit = 0
+  try {
+    return tsResults.Err(val)
+  } finally {
+    Error.stackTraceLimit = limit
+  }
+}
