--- a/packages/scenario/src/demo/runDemo.ts
+++ b/packages/scenario/src/demo/runDemo.ts
@@ -1,11 +1,12 @@
 /** Runs one deployment of the playground under load and checks both ends. */
 import { setTimeout as delay } from 'node:timers/promises'
 import { classKey, seededRandom, type Random } from '@wagtailway/core'
-import type { StartedRequest } from '@wagtailway/standins'
+import type { ServiceRun, StartedRequest } from '@wagtailway/standins'
 import { checkBilling, readBilling, type BillingCheck } from '../check/billing.js'
 import { Deployment } from '../harness/deployment.js'
 import { ChatCaller, type ChatResult } from '../load/chatCaller.js'
 import { openLoop } from '../load/openLoop.js'
+import { ServiceCaller } from '../load/serviceCaller.js'
 import { ClassStats } from './classStats.js'
 import type { DemoClass, DemoDeployment } from './deployments.js'
 
@@ -20,9 +21,11 @@
   readonly name: string
   readonly classes: ReadonlyMap<string, ClassStats>
   readonly billed: number
-  /** Answered requests that no engine has finished. */
-  readonly unknownToEngines: readonly string[]
-  /** Answered requests that engines have run more than once. */
+  /** Answered calls of plain services. */
+  readonly serviceAnswers: number
+  /** Answered requests that no backend server has finished. */
+  readonly unknownToBackends: readonly string[]
+  /** Answered requests that backend servers have run more than once. */
   readonly ranTwice: readonly string[]
 }
 
@@ -40,7 +43,7 @@
   const deployment = await Deployment.start({ ...spec, ...opts })
   try {
     await setQualities(deployment, spec)
-    const { classes, answered } = await sendAll(deployment, spec, opts)
+    const { classes, answered, serviceAnswered } = await sendAll(deployment, spec, opts)
     const records = await waitForBilling(deployment.platformUrl, answered)
     for (const record of records) {
       const stats = classes.get(record.classKey)
@@ -48,13 +51,15 @@
     }
     const billing = checkBilling(answered, records)
     const runs = await finishedRuns(deployment)
+    const all = [...answered, ...serviceAnswered]
     return {
       name: spec.name,
       classes,
       billed: records.length,
+      serviceAnswers: serviceAnswered.length,
       ...billing,
-      unknownToEngines: answered.filter((id) => !runs.has(id)),
-      ranTwice: answered.filter((id) => (runs.get(id) ?? 0) > 1),
+      unknownToBackends: all.filter((id) => !runs.has(id)),
+      ranTwice: all.filter((id) => (runs.get(id) ?? 0) > 1),
     }
   } finally {
     await deployment.close()
@@ -72,11 +77,17 @@
   deployment: Deployment,
   spec: DemoDeployment,
   opts: DemoOptions,
-): Promise<{ classes: Map<string, ClassStats>; answered: string[] }> {
+): Promise<{
+  classes: Map<string, ClassStats>
+  answered: string[]
+  serviceAnswered: string[]
+}> {
   const random = seededRandom(opts.seed)
   const caller = ChatCaller.create()
+  const services = ServiceCaller.create()
   const classes = new Map<string, ClassStats>()
   const answered: string[] = []
+  const serviceAnswered: string[] = []
   await openLoop({
     count: opts.requests,
     ratePerSecond: opts.ratePerSecond,
@@ -84,22 +95,36 @@
     send: async (index, dueMs) => {
       const cls = pickClass(spec.classes, random)
       const router = deployment.routers[index % deployment.routers.length]
-      const result = await caller.send({
+      const common = {
         address: router?.address ?? '',
         apiKey: cls.apiKey,
         className: cls.className,
-        prompt: `${cls.className} request ${index}`,
-        stream: cls.stream,
-        headers: sessionHeaders(cls, index),
-      })
+      }
+      const result =
+        cls.service === undefined
+          ? await caller.send({
+              ...common,
+              prompt: `${cls.className} request ${index}`,
+              stream: cls.stream,
+              headers: { ...sessionHeaders(cls, index), ...onceHeaders(cls, index) },
+            })
+          : await services.send({
+              ...common,
+              service: cls.service,
+              path: `/items/${index}`,
+              nonIdempotent: cls.nonIdempotent === true,
+            })
       const stats = statsOf(classes, cls)
       const quality = spec.qualities[result.versionKey] ?? 0
       stats.add(result, performance.now() - dueMs, cls.stream, quality)
-      if (isAnswered(result)) answered.push(result.requestId)
+      if (!isAnswered(result)) return
+      const list = cls.service === undefined ? answered : serviceAnswered
+      list.push(result.requestId)
     },
   })
   caller.close()
-  return { classes, answered }
+  services.close()
+  return { classes, answered, serviceAnswered }
 }
 
 function isAnswered(result: ChatResult): boolean {
@@ -111,6 +136,15 @@
   return { 'wagtailway-session': `s${Math.floor(index / SESSION_LENGTH)}` }
 }
 
+/** A request that must run at most once has a key, by which a repeat would be known. */
+function onceHeaders(cls: DemoClass, index: number): Record<string, string> {
+  if (cls.nonIdempotent !== true) return {}
+  return {
+    'wagtailway-non-idempotent': 'true',
+    'idempotency-key': `${cls.className}-${index}`,
+  }
+}
+
 function pickClass(classes: readonly DemoClass[], random: Random): DemoClass {
   const total = classes.reduce((sum, { weight }) => sum + weight, 0)
   let left = random() * total
@@ -122,7 +156,8 @@
 }
 
 function statsOf(classes: Map<string, ClassStats>, cls: DemoClass): ClassStats {
-  const key = classKey(cls.workspace, cls.className)
+  const name = classKey(cls.workspace, cls.className)
+  const key = cls.service === undefined ? name : `${name} ${cls.service}`
   const stats = classes.get(key) ?? ClassStats.create()
   classes.set(key, stats)
   return stats
@@ -150,5 +185,11 @@
       if (finished) runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
     }
   }
+  for (const service of deployment.services.values()) {
+    const ran = await deployment.admin(service, 'GET', '/admin/runs')
+    for (const { requestId } of ran as ServiceRun[]) {
+      runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
+    }
+  }
   return runs
 }
