--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -23,7 +23,7 @@
 import { claimRequest, type RunLeave } from './claimRequest.js'
 import { completeOnce, type Answer } from './completeOnce.js'
 import { dispatch } from './dispatch.js'
-import { findClass, identify } from './identify.js'
+import { checkModel, findClass, identify } from './identify.js'
 import { describeOutcome, noteAttempt, notePlan } from './noteDecision.js'
 import { prepareChat, type PreparedChat } from './prepareChat.js'
 import { recordAnswer } from './recordAnswer.js'
@@ -42,6 +42,8 @@
   if (chat.err) return chat
   const cls = findClass(caller.val, req, chat.val.model)
   if (cls.err) return cls
+  const forbidden = checkModel(cls.val, chat.val.model)
+  if (forbidden) return Err(forbidden)
   const call = createCall(node, req, res, caller.val.workspace, cls.val)
   if (call.err) return call
   try {
--- a/packages/router/src/request/identify.ts
+++ b/packages/router/src/request/identify.ts
@@ -64,6 +64,14 @@
   return Err(notRun('class_unknown', message))
 }
 
+/** A request names its class as the model, or a model that its class allows. */
+export function checkModel(cls: EffectiveClass, model: string): Refusal | undefined {
+  const names = [cls.name, ...cls.allow.map((allowance) => allowance.model)]
+  if (names.includes(model)) return undefined
+  const message = `Class "${cls.name}" allows no model "${model}"; use one of ${names.join(', ')}.`
+  return notRun('model_not_allowed', message)
+}
+
 /** A header's single value; `undefined` if it is absent or empty. */
 export function headerText(req: IncomingMessage, name: string): string | undefined {
   const value = req.headers[name]
--- a/packages/scenario/src/load/__tests__/badInput.spec.ts
+++ b/packages/scenario/src/load/__tests__/badInput.spec.ts
@@ -117,6 +117,16 @@
       404,
       'class_unknown',
     ],
+    [
+      'a forbidden model',
+      post(
+        GOOD_BODY.replace('queue-check', 'drafter'),
+        AUTH,
+        'wagtailway-class: queue-check',
+      ),
+      403,
+      'model_not_allowed',
+    ],
     ['no JSON', post('{"model":', AUTH), 400, 'bad_request'],
     ['wrong types', post('{"model":7,"messages":{}}', AUTH), 400, 'bad_request'],
     [
