--- /dev/null
+++ b/packages/scenario/bin/wagtailway-load.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { run } from '../dist/load/cli.js'
+
+await run()
--- /dev/null
+++ b/packages/scenario/src/load/__tests__/operators.spec.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+import { EXIT, explain, status, withdraw } from '@wagtailway/ctl'
+import { PlatformClient } from '@wagtailway/platform'
+import { DEMO_DEPLOYMENTS } from '../../demo/deployments.js'
+import { Deployment } from '../../harness/deployment.js'
+import { ChatCaller } from '../chatCaller.js'
+
+const POLL_MS = 50
+
+describe('operators of a running deployment', () => {
+  let deployment: Deployment
+  let client: PlatformClient
+  const caller = ChatCaller.create()
+
+  before(async () => {
+    const spec = DEMO_DEPLOYMENTS[0]
+    assert.ok(spec)
+    const engines = spec.engines.slice(0, 1)
+    deployment = await Deployment.start({ ...spec, engines, routers: 2, seed: 1 })
+    client = PlatformClient.create({ url: deployment.platformUrl })
+  })
+  after(async () => {
+    caller.close()
+    client.close()
+    await deployment.close()
+  })
+
+  function ask(): ReturnType<ChatCaller['send']> {
+    return caller.send({
+      address: deployment.routers[1]?.address ?? '',
+      apiKey: 'kebele-key',
+      className: 'queue-check',
+      prompt: 'place 9',
+      stream: false,
+    })
+  }
+
+  it('see where the configuration is in force', async () => {
+    const report = await status(client)
+    assert.equal(report.code, EXIT.ok, report.lines.join('\n'))
+    assert.match(report.lines.join('\n'), /in force on 2 of 2 entry instances/)
+  })
+
+  it('learn why a request went where it went', async () => {
+    const { requestId } = await ask()
+    const report = await explain(client, requestId)
+    const text = report.lines.join('\n')
+    assert.equal(report.code, EXIT.ok, text)
+    assert.match(text, /kebele\/queue-check at n2/)
+    assert.match(text, /planned summariser@small/)
+    assert.match(text, /sent to gebeta-e1 .* for summariser@small/)
+    assert.match(text, /gebeta-e1: answered/)
+  })
+
+  it('are told that nothing is known of an unknown request', async () => {
+    const report = await explain(client, '00000000-0000-0000-0000-000000000000')
+    assert.equal(report.code, EXIT.notFound)
+  })
+
+  it('do not show callers what they may see themselves', async () => {
+    const { requestId } = await ask()
+    const url = `http://${deployment.routers[1]?.address ?? ''}`
+    for (const path of ['/operator/status', `/operator/decisions/${requestId}`]) {
+      assert.equal((await fetch(url + path)).status, 404, path)
+    }
+  })
+
+  it('withdraw a version, and see the instances that are silent', async () => {
+    const report = await withdraw(client, {
+      model: 'summariser',
+      version: 'small',
+      reason: 'ranks a household twice',
+    })
+    assert.equal(report.code, EXIT.ok, report.lines.join('\n'))
+    let refusal = ''
+    while (refusal === '') {
+      refusal = (await ask()).refusal
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS))
+    }
+    assert.equal(refusal, 'no_version')
+    await deployment.routers[0]?.kill()
+    const after = await status(client)
+    assert.equal(after.code, EXIT.incomplete)
+    assert.match(after.lines.join('\n'), /n1 \(z1\): silent/)
+    assert.match(after.lines.join('\n'), /kebele\/queue-check \[versions_changed\]/)
+  })
+})
