--- a/packages/scenario/src/harness/deployment.ts
+++ b/packages/scenario/src/harness/deployment.ts
@@ -209,7 +209,8 @@
   }
 }
 
-async function waitReady(address: string): Promise<void> {
+/** Waits until a router says that it is ready; rejects if that takes too long. */
+export async function waitReady(address: string): Promise<void> {
   const until = Date.now() + READY_TIMEOUT_MS
   while (Date.now() < until) {
     const url = `http://${address}/readyz`
--- a/packages/scenario/src/scenario/balancer.ts
+++ b/packages/scenario/src/scenario/balancer.ts
@@ -10,6 +10,7 @@
  */
 export class Balancer {
   readonly #routers = new Map<string, string>()
+  readonly #waiters: (() => void)[] = []
   #turn = 0
 
   static create(): Balancer {
@@ -18,6 +19,14 @@
 
   add(name: string, address: string): void {
     this.#routers.set(name, address)
+    for (const wake of this.#waiters) wake()
+  }
+
+  /** Resolves once there are so many routers. */
+  async holds(count: number): Promise<void> {
+    while (this.#routers.size < count) {
+      await new Promise<void>((wake) => this.#waiters.push(wake))
+    }
   }
 
   remove(name: string): void {
--- a/packages/scenario/src/scenario/cli.ts
+++ b/packages/scenario/src/scenario/cli.ts
@@ -28,9 +28,9 @@
       'run <files..>',
       'Run scenarios and print a verdict for each stated outcome',
       (y) => y.positional('files', FILES).options(RUN_OPTIONS),
-      async ({ files, seed, repeat }) => {
+      async ({ files, ...opts }) => {
         const scenarios = await readScenarios(files ?? [])
-        if (scenarios) await runAll(scenarios, seed, repeat)
+        if (scenarios) await runAll(scenarios, opts)
       },
     )
     .parse()
@@ -41,8 +41,15 @@
 const RUN_OPTIONS = {
   seed: { type: 'number', default: 1, describe: 'Seed of the random numbers' },
   repeat: { type: 'number', default: 1, describe: 'Runs of each scenario' },
+  jobs: { type: 'number', default: 1, describe: 'Scenarios run at once' },
 } as const
 
+interface RunOptions {
+  readonly seed: number
+  readonly repeat: number
+  readonly jobs: number
+}
+
 /** Reads all files; prints every finding and returns nothing if there are any. */
 async function readScenarios(files: readonly string[]): Promise<Scenario[] | undefined> {
   const parsed = await Promise.all(
@@ -57,19 +64,37 @@
   return undefined
 }
 
-async function runAll(
-  scenarios: readonly Scenario[],
-  seed: number,
-  repeat: number,
-): Promise<void> {
+interface Job {
+  readonly scenario: Scenario
+  readonly seed: number
+}
+
+/** Runs each scenario `repeat` times, with a new seed each time, `jobs` at once. */
+async function runAll(scenarios: readonly Scenario[], opts: RunOptions): Promise<void> {
+  const queue: Job[] = Array.from({ length: opts.repeat }, (_, i) =>
+    scenarios.map((scenario) => ({ scenario, seed: opts.seed + i })),
+  ).flat()
+  const total = queue.length
   let failed = 0
-  for (let i = 0; i < repeat; i++) {
-    for (const scenario of scenarios) {
-      const report = await runScenario(scenario, { seed: seed + i })
-      process.stdout.write(formatReport(report))
-      if (!hasPassed(report)) failed += 1
+  const work = async (): Promise<void> => {
+    for (let job = queue.shift(); job; job = queue.shift()) {
+      if (!(await runJob(job))) failed += 1
     }
   }
-  process.stdout.write(`${scenarios.length * repeat} runs, ${failed} failed\n`)
+  await Promise.all(Array.from({ length: opts.jobs }, work))
+  process.stdout.write(`${total} runs, ${failed} failed\n`)
   process.exitCode = failed === 0 ? 0 : 1
 }
+
+/** Runs one scenario and prints its verdicts; returns whether it has passed. */
+async function runJob({ scenario, seed }: Job): Promise<boolean> {
+  try {
+    const report = await runScenario(scenario, { seed })
+    process.stdout.write(formatReport(report))
+    return hasPassed(report)
+  } catch (err) {
+    const why = err instanceof Error ? (err.stack ?? err.message) : String(err)
+    process.stdout.write(`FAIL ${scenario.name} (seed ${seed}) did not run: ${why}\n`)
+    return false
+  }
+}
--- a/packages/scenario/src/scenario/runScenario.ts
+++ b/packages/scenario/src/scenario/runScenario.ts
@@ -11,7 +11,7 @@
 import { promptDigest } from '@wagtailway/standins'
 import { checkBilling } from '../check/billing.js'
 import type { CheckResult, Evidence } from '../check/evidence.js'
-import { Deployment } from '../harness/deployment.js'
+import { Deployment, waitReady } from '../harness/deployment.js'
 import { Balancer } from './balancer.js'
 import { runFault } from './faults.js'
 import { Links } from './links.js'
@@ -69,6 +69,7 @@
   let deployment: Deployment | undefined
   try {
     deployment = await start(scenario, opts.seed, { log, links, balancer })
+    await balancer.holds(scenario.deployment.routers)
     await noteConfig(deployment, log)
     const observer = Observer.create(deployment, log)
     const { noticeAfter: noticeAfterMs } = scenario.deployment
@@ -140,7 +141,14 @@
     },
     onRouter: async (router, process) => {
       if (started) await links.addTarget(started, router, process.addresses[1] ?? '')
-      balancer.add(router, await links.callerAddress(router, process))
+      const address = await links.callerAddress(router, process)
+      // The balancer sends nothing to an instance that has never been ready.
+      void waitReady(process.address).then(
+        () => {
+          balancer.add(router, address)
+        },
+        () => undefined,
+      )
     },
   })
 }
