--- a/packages/router/src/backend/readStream.ts
+++ b/packages/router/src/backend/readStream.ts
@@ -1,8 +1,8 @@
 /**
  * Reads a streamed answer and checks that it is whole.
  *
- * Events may carry increasing numbers: then a repeated number is dropped, and a gap
- * makes the answer incomplete. So do a missing end, missing usage or a broken connection.
+ * Events may carry increasing numbers: then they are put in order, a repeated number is
+ * dropped, and a gap makes the answer incomplete. So do a missing end, missing usage or a broken connection.
  */
 import type { IncomingMessage } from 'node:http'
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
@@ -22,6 +22,9 @@
 /** Longest event, in characters. */
 const MAX_EVENT_LENGTH = 1_048_576
 
+/** Events that may wait for one that is missing. */
+const MAX_EARLY = 64
+
 export interface StreamEnd {
   /** The chunks that end the answer, not yet passed on. */
   readonly last: readonly Chunk[]
@@ -70,6 +73,8 @@
   readonly #events: EventSourceMessage[] = []
   readonly #parser = createParser({ onEvent: (event) => this.#events.push(event) })
   #nextId = 0
+  /** Events that came before their turn, by their number. */
+  readonly #early = new Map<number, EventSourceMessage>()
   #unparsed = 0
   /** Chunks from the first that says why a choice ended; the end may follow them. */
   #held: Chunk[] = []
@@ -82,7 +87,8 @@
   }
 
   get end(): StreamEnd | undefined {
-    if (!this.#done || !this.#usage || this.#held.length === 0) return undefined
+    if (!this.#done || this.#early.size > 0) return undefined
+    if (!this.#usage || this.#held.length === 0) return undefined
     return { last: this.#held, usage: this.#usage }
   }
 
@@ -102,7 +108,10 @@
       this.#done = true
       return []
     }
-    if (event.id !== undefined && !this.#isNext(event.id)) return []
+    return this.#inOrder(event).flatMap((ready) => this.#parse(ready))
+  }
+
+  #parse(event: EventSourceMessage): Chunk[] {
     const chunk = chunkSchema.safeParse(parseJson(event.data))
     if (chunk.success) return this.#pass(chunk.data)
     this.fault = 'a chunk is not a chat completion chunk'
@@ -124,15 +133,21 @@
     return passed
   }
 
-  #isNext(id: string): boolean {
-    const number = Number(id)
-    if (number < this.#nextId) return false
-    if (number > this.#nextId) {
-      this.fault = `chunk ${this.#nextId} is missing`
-      return false
+  /** Events that are next in order now that this one has come; a doubled one is dropped. */
+  #inOrder(event: EventSourceMessage): EventSourceMessage[] {
+    const number = Number.parseInt(event.id ?? '', 10)
+    if (Number.isNaN(number)) return [event]
+    if (number >= this.#nextId) this.#early.set(number, event)
+    const ready: EventSourceMessage[] = []
+    let next = this.#early.get(this.#nextId)
+    while (next) {
+      ready.push(next)
+      this.#early.delete(this.#nextId)
+      this.#nextId += 1
+      next = this.#early.get(this.#nextId)
     }
-    this.#nextId += 1
-    return true
+    if (this.#early.size > MAX_EARLY) this.fault = `chunk ${this.#nextId} is missing`
+    return ready
   }
 }
 
--- a/packages/scenario/src/harness/childProcess.ts
+++ b/packages/scenario/src/harness/childProcess.ts
@@ -41,6 +41,11 @@
     const child = spawn(process.execPath, ['--enable-source-maps', path, ...opts.args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     })
+    const killWithParent = (): void => {
+      child.kill('SIGKILL')
+    }
+    process.once('exit', killWithParent)
+    child.once('exit', () => process.off('exit', killWithParent))
     const errors: string[] = []
     createInterface({ input: child.stderr }).on('line', (line) => {
       errors.push(line)
--- a/packages/scenario/src/scenario/runLog.ts
+++ b/packages/scenario/src/scenario/runLog.ts
@@ -1,5 +1,6 @@
 /** Gathers the evidence of a run while it happens. */
 import type { BillingRecord } from '@wagtailway/core'
+import type { TraceEntry } from '../trace/index.js'
 import type {
   AcceptedConfig,
   AppliedChange,
@@ -22,6 +23,8 @@
  */
 export class RunLog {
   readonly sent: SentRequest[] = []
+  /** Callers' wishes as a trace keeps them. */
+  readonly trace: TraceEntry[] = []
   readonly configs: AcceptedConfig[] = []
   readonly samples: RouterSample[] = []
   readonly leavings: PartEvent[] = []
@@ -31,6 +34,7 @@
   billed: readonly BillingRecord[] = []
   readonly #runs = new Map<string, StartedRun>()
   readonly #waiters: { milestone: Milestone; count: number; wake: () => void }[] = []
+  readonly #startMs = Date.now()
   #answers = 0
   #starts = 0
 
@@ -38,6 +42,10 @@
     return new RunLog()
   }
 
+  addWish(wish: Omit<TraceEntry, 'atMs'>): void {
+    this.trace.push({ atMs: Date.now() - this.#startMs, ...wish })
+  }
+
   addSent(sent: SentRequest): void {
     this.sent.push(sent)
     if (sent.end === 'whole') this.#answers += 1
--- a/packages/scenario/src/scenario/schema.ts
+++ b/packages/scenario/src/scenario/schema.ts
@@ -34,7 +34,7 @@
   noticeAfter: durationSchema.default(1_000),
 })
 
-const trafficSchema = z.strictObject({
+export const trafficSchema = z.strictObject({
   /** `workspace/class`. */
   class: z.string().regex(/^[^/]+\/[^/]+$/, 'write workspace/class'),
   /** API key; that of the playground by default. */
--- a/packages/scenario/src/scenario/traffic.ts
+++ b/packages/scenario/src/scenario/traffic.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { seededRandom, type Random } from '@wagtailway/core'
 import { isWholeAnswer, promptDigest } from '@wagtailway/standins'
+import type { TraceEntry } from '../trace/index.js'
 import type { Balancer } from './balancer.js'
 import type { RunLog } from './runLog.js'
 import {
@@ -14,14 +15,18 @@
 
 const MS_PER_SECOND = 1_000
 
-export interface TrafficOptions {
+/** What sending takes. */
+export interface Senders {
+  readonly balancer: Balancer
+  readonly caller: ScenarioCaller
+  readonly log: RunLog
+}
+
+export interface TrafficOptions extends Senders {
   readonly traffic: Traffic
   /** Number of the traffic in its file; with the seed it makes the random numbers. */
   readonly index: number
   readonly seed: number
-  readonly balancer: Balancer
-  readonly caller: ScenarioCaller
-  readonly log: RunLog
 }
 
 /** One wish of a caller, whatever it takes to have it answered. */
@@ -74,15 +79,16 @@
 const DEFAULT_SESSION = { length: 1, together: 1, token: true, pause: 0 }
 
 /** Sends a wish's copies at once; resolves to the session's token, if one came. */
-export async function sendWish(opts: TrafficOptions, wish: Wish): Promise<string> {
+export async function sendWish(opts: Senders, wish: Wish): Promise<string> {
   const { copies } = wish.traffic
+  opts.log.addWish(traceOf(wish))
   const tokens = await Promise.all(
     Array.from({ length: copies }, () => sendUntilWhole(opts, wish)),
   )
   return tokens.find((token) => token !== '') ?? ''
 }
 
-async function sendUntilWhole(opts: TrafficOptions, wish: Wish): Promise<string> {
+async function sendUntilWhole(opts: Senders, wish: Wish): Promise<string> {
   const { retries, retryPause } = wish.traffic
   for (let i = 0; ; i++) {
     const { end, sessionToken } = await sendOnce(opts, wish)
@@ -91,7 +97,7 @@
   }
 }
 
-async function sendOnce(opts: TrafficOptions, wish: Wish): Promise<CallerResult> {
+async function sendOnce(opts: Senders, wish: Wish): Promise<CallerResult> {
   const { traffic, id, session } = wish
   const router = opts.balancer.next(traffic.via)
   const call = toRequest(wish, router.address)
@@ -165,3 +171,18 @@
     }),
   }
 }
+
+/** The wish as a trace keeps it. */
+function traceOf({ traffic, session }: Wish): Omit<TraceEntry, 'atMs'> {
+  return {
+    class: traffic.class,
+    stream: traffic.stream,
+    service: traffic.service,
+    session,
+    nonIdempotent: traffic.nonIdempotent,
+    retries: traffic.retries,
+    copies: traffic.copies,
+    deadlineMs: traffic.deadline,
+    leaveAfterMs: traffic.leaveAfter,
+  }
+}
--- /dev/null
+++ b/packages/scenario/src/trace/index.ts
@@ -0,0 +1,2 @@
+/** Recorded traffic. */
+export * from './schema.js'
