Keep sessions on one version when theirs is withdrawn at their start

Cause: a class with one version left took the short cut that asks nobody for the session's pin; a first request after a withdrawal could so start on a second version.

--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -92,7 +92,8 @@
     holder: call.requestId,
     proposed: proposed.key,
     published: published.key,
-    isOnlyChoice: hasOneChoice(usable, rollouts),
+    // A withdrawn version may have been chosen before it was withdrawn.
+    isOnlyChoice: hasOneChoice(config?.allowed(call.cls) ?? [], rollouts),
   }
   const { version, source } = await node.sessions.pin(first, CLAIM_TIMEOUT_MS)
   node.metrics.sessionPins.inc({ source })
--- a/packages/scenario/src/check/evidence.ts
+++ b/packages/scenario/src/check/evidence.ts
@@ -32,14 +32,15 @@
  *
  * - `whole`: the whole answer to its own prompt
  * - `wrong`: an answer that looks complete but is not that
- * - `refused`: a typed refusal
+ * - `refused`: a refusal, which must be typed
+ * - `failed`: the error that a plain service gave as its answer
  * - `broken`: the connection broke after it was sent
  * - `unreached`: no connection was made
  * - `left`: the caller went away itself
  * - `hung`: no end within the caller's patience
  */
 export type RequestEnd =
-  'whole' | 'wrong' | 'refused' | 'broken' | 'unreached' | 'left' | 'hung'
+  'whole' | 'wrong' | 'refused' | 'failed' | 'broken' | 'unreached' | 'left' | 'hung'
 
 /** One run at a backend server. */
 export interface StartedRun {
--- a/packages/scenario/src/scenario/operators.ts
+++ b/packages/scenario/src/scenario/operators.ts
@@ -2,7 +2,11 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { documentSchema, type DeclarationDocument } from '@wagtailway/core'
+import {
+  declarationSchema,
+  documentSchema,
+  type DeclarationDocument,
+} from '@wagtailway/core'
 import { apply } from '@wagtailway/ctl'
 import { PlatformClient } from '@wagtailway/platform'
 import { stringify } from 'yaml'
@@ -47,7 +51,7 @@
   const path = '/admin/objects/declaration'
   const objects = await deployment.admin(deployment.platform, 'GET', path)
   const documents = (objects as { value: unknown }[]).map((o) =>
-    documentSchema.parse(o.value),
+    documentSchema.parse(declarationSchema.parse(o.value).document),
   )
   const found = documents.find(({ models }) => models.some(({ name }) => name === model))
   if (!found) throw new Error(`no document declares model "${model}"`)
@@ -61,7 +65,7 @@
   try {
     const file = join(folder, 'document.yaml')
     await writeFile(file, stringify(document))
-    return await apply(client, [file], () => undefined)
+    return await apply(client, [file], () => undefined, { acceptMoves: true })
   } finally {
     client.close()
     await rm(folder, { recursive: true })
--- a/packages/scenario/src/scenario/runLog.ts
+++ b/packages/scenario/src/scenario/runLog.ts
@@ -34,7 +34,7 @@
   billed: readonly BillingRecord[] = []
   readonly #runs = new Map<string, StartedRun>()
   readonly #waiters: { milestone: Milestone; count: number; wake: () => void }[] = []
-  readonly #startMs = Date.now()
+  #startMs = Date.now()
   #answers = 0
   #starts = 0
 
@@ -42,6 +42,11 @@
     return new RunLog()
   }
 
+  /** Marks the start of the traffic, from which traces count. */
+  begin(): void {
+    this.#startMs = Date.now()
+  }
+
   addWish(wish: Omit<TraceEntry, 'atMs'>): void {
     this.trace.push({ atMs: Date.now() - this.#startMs, ...wish })
   }
--- a/packages/scenario/src/scenario/runScenario.ts
+++ b/packages/scenario/src/scenario/runScenario.ts
@@ -86,6 +86,7 @@
     const { noticeAfter: noticeAfterMs } = scenario.deployment
     const ctx = { deployment, balancer, links, log, noticeAfterMs }
     const faults = scenario.faults.map((fault) => runFault(ctx, fault))
+    log.begin()
     const senders = { balancer, caller, log }
     const traffic = opts.replay
       ? [sendTrace(senders, opts.replay)]
--- a/packages/scenario/src/scenario/traffic.ts
+++ b/packages/scenario/src/scenario/traffic.ts
@@ -135,6 +135,7 @@
   const common = {
     address,
     headers: headersOf(wish, className),
+    isService: traffic.service !== undefined,
     leaveAfterMs: traffic.leaveAfter,
     readPauseMs: traffic.readPause,
   }
