--- a/packages/wagtailway/src/config/moves.ts
+++ b/packages/wagtailway/src/config/moves.ts
@@ -1,5 +1,6 @@
 /** What a change of the configuration does to each class's traffic. */
-import { cheapestMeetingTarget } from '../route/versionPolicy.js'
+import { declaredEstimates } from '../route/cascadeArms.js'
+import { greedyOnMeans } from '../route/versionBaselines.js'
 import { ConfigIndex } from './configIndex.js'
 import {
   classKey,
@@ -149,10 +150,10 @@
 
 /** The version that owners' expected qualities alone would choose; ratings may choose otherwise. */
 function firstChoice(index: ConfigIndex, cls: EffectiveClass): string {
-  const plan = cheapestMeetingTarget({
+  const plan = greedyOnMeans({
     cls,
     candidates: index.usable(cls),
-    estimate: ({ expectedQuality }) => ({ mean: expectedQuality, count: 0 }),
+    estimate: declaredEstimates,
     hasBackend: () => true,
     random: () => 0,
   })
