--- a/packages/scenario/src/experiment/experiments.ts
+++ b/packages/scenario/src/experiment/experiments.ts
@@ -1,8 +1,11 @@
 /** Every experiment that the command line knows; a new one is added here. */
 import type { Experiment } from './experiment.js'
+import { goodRolloutExperiment, rolloutExperiment } from './rollouts/rolloutExperiment.js'
 import { nineVersionExperiment, versionExperiment } from './versions/versionExperiment.js'
 
 export const EXPERIMENTS: readonly Experiment[] = [
   versionExperiment,
   nineVersionExperiment,
+  rolloutExperiment,
+  goodRolloutExperiment,
 ]
