--- a/packages/scenario/src/experiment/cli.ts
+++ b/packages/scenario/src/experiment/cli.ts
@@ -3,8 +3,10 @@
 import { join } from 'node:path'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { measureDecisions } from './bench/decisionBench.js'
 import { EXPERIMENTS } from './experiments.js'
 import { formatResult } from './formatResult.js'
+import { runLiveRollout } from './live/liveRollout.js'
 import { plotResult } from './plotResult.js'
 import { runExperiment } from './runExperiment.js'
 
@@ -36,6 +38,29 @@
           }),
       ({ name, seeds, plots }) => runNamed(name, seeds, plots),
     )
+    .command('bench', 'Measures the processor time of a decision', {}, () => {
+      for (const { name, micros } of measureDecisions()) {
+        const interval = `[${micros.low.toFixed(2)}, ${micros.high.toFixed(2)}]`
+        process.stdout.write(`${name}: ${micros.mean.toFixed(2)} us ${interval}\n`)
+      }
+    })
+    .command(
+      'live-rollout',
+      'Turns a version bad under live traffic, on real processes',
+      (args) =>
+        args
+          .option('routers', { type: 'number', default: 3 })
+          .option('rate', { type: 'number', default: 60, describe: 'Requests a second' })
+          .option('seconds', { type: 'number', default: 60 })
+          .option('seed', { type: 'number', default: 1 }),
+      async ({ routers, rate, seconds, seed }) => {
+        const opts = { routers, ratePerSecond: rate, seconds, seed }
+        const report = await runLiveRollout(opts)
+        process.stdout.write(`${JSON.stringify(report, undefined, 2)}\n`)
+        const isSafe = report.withdrawnAt !== undefined
+        process.exitCode = isSafe && report.exposedAfterWithdrawal === 0 ? 0 : 1
+      },
+    )
     .demandCommand(1)
     .parse()
 }
