End idle connections while leaving; distrust the list after a pause

Causes, both found by scenarios that failed first: idle connections were closed once, when leaving began, so a connection that was busy then held the process for its keep-alive minute (drain-long-streams: not ended 60 s after SIGTERM); a process frozen for 6 s dispatched by the list of before (leaving-router-frozen: one request to an engine that left 5.5 s earlier). Ruled out: an age bound on the list alone, which would refuse everything for some seconds at the start of each outage of the platform. Windows start by doubling, since three instances before one engine queued needlessly.

--- a/packages/router/src/http/callerServer.ts
+++ b/packages/router/src/http/callerServer.ts
@@ -16,6 +16,9 @@
 
 const SERVICE_PATH = /^\/v1\/services\/([a-z0-9.-]+)([/?].*)?$/
 const MAX_CONNECTIONS = 10_000
+/** Pause between two closings of idle connections while leaving, in milliseconds. */
+const IDLE_SWEEP_MS = 100
+
 const KEEP_ALIVE_MS = 60_000
 
 export interface CallerServerOptions {
@@ -81,8 +84,12 @@
         resolve()
       })
     })
-    this.#server.closeIdleConnections()
+    // A connection that is busy now falls idle only after its answer.
+    const sweep = setInterval(() => {
+      this.#server.closeIdleConnections()
+    }, IDLE_SWEEP_MS)
     await closed
+    clearInterval(sweep)
   }
 
   /** Takes care of everything that isn't an ordinary request. */
--- a/packages/router/src/request/chooseVersions.ts
+++ b/packages/router/src/request/chooseVersions.ts
@@ -45,6 +45,7 @@
 export function mayDispatch(node: RouterNode, candidate: Candidate): boolean {
   const { config, rollouts } = node
   if (rollouts.isWithdrawn(candidate.key)) return false
+  if (!node.isListCurrent()) return false
   return config.isFresh && config.current?.isWithdrawn(candidate.key) === false
 }
 
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -72,7 +72,7 @@
     node,
     call,
     group: node.backends.ofService(service),
-    mayDispatch: () => node.config.isFresh && claim.val.isValid(),
+    mayDispatch: () => node.isListCurrent() && node.config.isFresh && claim.val.isValid(),
     attempt: ({ backend }) =>
       noteAttempt(call, backend, service, () =>
         callOnce(node, call, backend.address, path, body),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -6,6 +6,7 @@
   ExchangeNode,
   InstanceHolder,
   Ledger,
+  PauseGuard,
   QualityEstimates,
   RetryBudget,
   ServerPool,
@@ -86,6 +87,7 @@
     const ledger = Ledger.create({ store: platform, incarnation })
     const claimStore = ClaimStore.create({ platform: cfg.platform, random, metrics })
     const operators = OperatorRoutes.create()
+    const pauses = PauseGuard.create({ clock: monotonicClock })
     const peers = await Peers.create({
       fallback: operators.handle,
       self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
@@ -94,7 +96,10 @@
       clock: monotonicClock,
       intervalMs: cfg.heartbeatMs,
       createNode: (self) => createExchangeNode(cfg, self, random),
-      onChange: () => holder.router?.refresh(),
+      onChange: () => {
+        pauses.beat()
+        holder.router?.refresh()
+      },
       onBytes: (bytes) => {
         metrics.controlBytes.inc(bytes)
       },
@@ -167,6 +172,8 @@
       requestRating: (answer) => {
         ratings.request(answer)
       },
+      isListCurrent: () =>
+        pauses.isCurrent(peers.node.instances.ageMs) || peers.config.isGoingOn,
       inProgress: 0,
     }
     operators.serve(node)
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -61,6 +61,8 @@
   readonly wallClock: Clock
   readonly copyRecord: CopyRecord
   readonly requestRating: RequestRating
+  /** Whether the list of backend servers is younger than this process's last pause. */
+  readonly isListCurrent: () => boolean
   /** Requests in progress. */
   inProgress: number
 }
--- a/packages/wagtailway/src/admit/adaptiveWindow.ts
+++ b/packages/wagtailway/src/admit/adaptiveWindow.ts
@@ -124,12 +124,17 @@
     if (pressure > 1) {
       if (request > this.#decreasedAt) this.#shrink()
     } else if (pressure < SLOW_BELOW && this.#isUsed) {
-      const isIdle = (this.#pressure.value ?? 0) < FAST_BELOW
-      const increase = isIdle ? this.#fastIncrease : this.#slowIncrease
-      this.#limit = Math.min(this.#max, this.#limit + increase / this.#limit)
+      this.#limit = Math.min(this.#max, this.#limit + this.#growth)
     }
   }
 
+  /** Until the first decrease the window doubles with each full window of answers. */
+  get #growth(): number {
+    if (this.#decreasedAt === 0) return 1
+    const isIdle = (this.#pressure.value ?? 0) < FAST_BELOW
+    return (isIdle ? this.#fastIncrease : this.#slowIncrease) / this.#limit
+  }
+
   get #isUsed(): boolean {
     return this.#inFlight >= this.#limit * USED_FRACTION
   }
