--- a/packages/scenario/src/capacity/virtualNode.ts
+++ b/packages/scenario/src/capacity/virtualNode.ts
@@ -1,13 +1,11 @@
 /** One entry instance of a fleet in virtual time: the real exchanging part, driven by events. */
-import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { fromBinary } from '@bufbuild/protobuf'
 import {
   ExchangeNode,
   InstanceHolder,
   seededRandom,
   type Clock,
   type DeltaResponse,
-  type ExchangeRequest,
-  type ExchangeResponse,
   type ExchangeTarget,
   type MemberIdentity,
   type Random,
@@ -19,6 +17,7 @@
   ExchangeResponseSchema,
 } from '@wagtailway/protocol'
 import type { VirtualTime } from '../loadModel/virtualTime.js'
+import { encodeDelta, encodeRequest, encodeResponse } from './encodeMessages.js'
 import type { VirtualPlatform } from './virtualPlatform.js'
 
 /** Pause between two ticks of the exchanges, in milliseconds. */
@@ -146,7 +145,7 @@
   }
 
   #exchangeWith(target: ExchangeTarget): void {
-    const request = this.#encodeRequest(this.exchange.request(target))
+    const request = this.#count(encodeRequest(this.exchange.request(target)))
     this.opts.network.call(
       this,
       target.address,
@@ -191,7 +190,7 @@
     this.opts.network.call(
       this,
       address,
-      (peer) => peer.#encodeDelta(ask(peer)),
+      (peer) => peer.#count(encodeDelta(ask(peer))),
       (bytes, transitMs) => {
         const { revision, ageMs, delta } = fromBinary(DeltaResponseSchema, bytes)
         if (delta) take({ revision, ageMs, delta }, transitMs)
@@ -259,42 +258,11 @@
   #serveExchange(bytes: Uint8Array): Uint8Array {
     const request = fromBinary(ExchangeRequestSchema, bytes)
     if (!request.from) return new Uint8Array()
-    return this.#encodeResponse(this.exchange.answer({ ...request, from: request.from }))
-  }
-
-  #encodeRequest(request: ExchangeRequest): Uint8Array {
-    const init = {
-      ...request,
-      updates: [...request.updates],
-      bucketHashes: [...request.bucketHashes],
-      values: [...request.values],
-    }
     return this.#count(
-      toBinary(ExchangeRequestSchema, create(ExchangeRequestSchema, init)),
+      encodeResponse(this.exchange.answer({ ...request, from: request.from })),
     )
   }
 
-  #encodeResponse(response: ExchangeResponse): Uint8Array {
-    const init = {
-      ...response,
-      updates: [...response.updates],
-      bucketHashes: [...response.bucketHashes],
-      values: [...response.values],
-      claimAges: new Uint8Array(response.claimAges),
-    }
-    return this.#count(
-      toBinary(ExchangeResponseSchema, create(ExchangeResponseSchema, init)),
-    )
-  }
-
-  #encodeDelta({ delta, ...rest }: DeltaResponse): Uint8Array {
-    const init = {
-      ...rest,
-      delta: { ...delta, changed: [...delta.changed], removed: [...delta.removed] },
-    }
-    return this.#count(toBinary(DeltaResponseSchema, create(DeltaResponseSchema, init)))
-  }
-
   #count(bytes: Uint8Array): Uint8Array {
     this.sentBytes += bytes.byteLength
     this.sentMessages += 1
