--- a/packages/scenario/src/capacity/cli.ts
+++ b/packages/scenario/src/capacity/cli.ts
@@ -24,12 +24,14 @@
       (args) =>
         args
           .option('nodes', { type: 'number', default: 64 })
-          .option('trials', { type: 'number', default: 200 }),
+          .option('trials', { type: 'number', default: 200 })
+          .option('json', { type: 'boolean', default: false, describe: 'Each trial' }),
       (args) => {
         const trials = spreadTrials(args)
         const bad = violations(trials)
-        process.stdout.write(`${formatSpread(trials)}\n`)
-        for (const trial of bad) process.stdout.write(`${JSON.stringify(trial)}\n`)
+        if (!args.json) process.stdout.write(`${formatSpread(trials)}\n`)
+        for (const trial of args.json ? trials : bad)
+          process.stdout.write(`${JSON.stringify(trial)}\n`)
         process.exitCode = bad.length === 0 ? 0 : 1
       },
     )
