Tell a session's pin from memory while the platform is away

Cause: a pin seen before an outage was not told once it was due for renewal, so a caller without a token could get another version (new test, seen failing). After: a lasting claim is told until it expires.

--- a/packages/wagtailway/src/claim/__tests__/claimTable.spec.ts
+++ b/packages/wagtailway/src/claim/__tests__/claimTable.spec.ts
@@ -141,4 +141,31 @@
     assert.equal((await claim('c')).type, 'unavailable')
     table.close()
   })
+
+  it('tells a lasting claim from memory while the platform is away', async () => {
+    let isAway = false
+    let nowMs = 1_000
+    const table = ClaimTable.create({
+      ...deps,
+      wallClock: () => nowMs,
+      store: MemoryStore.create(() => (isAway ? 'lost' : 'none')),
+      kind: 'session',
+      retentionMs: 10_000,
+      renews: true,
+      permanent: true,
+    })
+    const claim = (holder: string): Promise<ClaimVerdict> =>
+      table.claim({ key: 's1', holder, value: holder })
+    await claim('v1')
+    isAway = true
+    // Old enough to be renewed, which can't be done now.
+    nowMs += 6_000
+    for (let i = 0; i < 2; i++) {
+      const verdict = await claim('v2')
+      assert.deepEqual(verdict, { type: 'held', holder: 'v1', value: 'v1', done: false })
+    }
+    nowMs += 6_000
+    assert.equal((await claim('v2')).type, 'unavailable')
+    table.close()
+  })
 })
--- a/packages/wagtailway/src/claim/claimRange.ts
+++ b/packages/wagtailway/src/claim/claimRange.ts
@@ -71,7 +71,7 @@
     if (known) return Promise.resolve(known)
     if (this.#closed || this.#mustNotWait()) {
       this.opts.onEvent('away')
-      return Promise.resolve(UNAVAILABLE)
+      return Promise.resolve(this.#remembered(request))
     }
     const verdict = this.#queue.add(request, timeoutMs)
     void this.#run()
@@ -145,6 +145,13 @@
     }
   }
 
+  /** What is known without the platform: a lasting claim stands until it expires. */
+  #remembered({ key, holder }: ClaimRequest): ClaimVerdict {
+    const entry = this.#entryOf(key)
+    if (!entry || !this.#isLasting(entry) || this.#isExpired(entry)) return UNAVAILABLE
+    return verdictOf(entry, holder)
+  }
+
   /** While the platform is away one group at a time tries it; others get their answer at once. */
   #mustNotWait(): boolean {
     if (!this.#isAway) return false
@@ -252,8 +259,9 @@
     this.#isAway = true
     this.#awayUntilMs = this.opts.clock() + AWAY_MS
     this.#notes.postpone()
-    decideAll(group, UNAVAILABLE)
-    decideAll(this.#queue.drain(), UNAVAILABLE)
+    for (const { request, decide } of [...group, ...this.#queue.drain()]) {
+      decide(this.#remembered(request))
+    }
   }
 
   #backOff(attempt: number): Promise<void> {
