--- a/packages/scenario/src/bench/routerBench.ts
+++ b/packages/scenario/src/bench/routerBench.ts
@@ -11,7 +11,7 @@
 const MS_PER_SECOND = 1_000
 
 /** Load before the measured one, so that code is compiled and connections stand. */
-const WARM_UP_REQUESTS = 300
+const WARM_UP_REQUESTS = 3_000
 
 export interface BenchLoad {
   readonly ratePerSecond: number
