--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -39,11 +39,12 @@
   const states = asked.map((one) => stateOf(one, revision))
   const missing = states.filter(({ state }) => state !== 'in_force')
   return {
-    code: missing.length === 0 ? EXIT.ok : EXIT.incomplete,
+    code: missing.length === 0 && states.length > 0 ? EXIT.ok : EXIT.incomplete,
     lines: [
       `revision ${revision}`,
       ...owners.flatMap(describeOwner),
       `in force on ${states.length - missing.length} of ${states.length} entry instances`,
+      ...(states.length === 0 ? ['the platform lists no entry instance'] : []),
       ...missing.map(describeInstance),
     ],
     data: { revision, owners, instances: states },
