End a leaving router although callers keep their connections

Cause: idle connections were closed once, when most were still busy; a router with kept connections ended 60 s after SIGTERM or later.

--- a/packages/router/src/http/callerServer.ts
+++ b/packages/router/src/http/callerServer.ts
@@ -16,6 +16,9 @@
 
 const SERVICE_PATH = /^\/v1\/services\/([a-z0-9.-]+)([/?].*)?$/
 const MAX_CONNECTIONS = 10_000
+/** Pause between looks for idle connections while closing, in milliseconds. */
+const IDLE_CHECK_MS = 50
+
 const KEEP_ALIVE_MS = 60_000
 
 export interface CallerServerOptions {
@@ -81,8 +84,12 @@
         resolve()
       })
     })
-    this.#server.closeIdleConnections()
+    // A busy connection that its caller keeps becomes idle once its answer is sent.
+    const idle = setInterval(() => {
+      this.#server.closeIdleConnections()
+    }, IDLE_CHECK_MS)
     await closed
+    clearInterval(idle)
   }
 
   /** Takes care of everything that isn't an ordinary request. */
