--- a/packages/router/src/request/chooseVersions.ts
+++ b/packages/router/src/request/chooseVersions.ts
@@ -1,6 +1,8 @@
 /** Chooses the versions that may answer a request. */
 import {
   Err,
+  ESCALATION_PRIOR,
+  ON_TIME_PRIOR,
   Ok,
   armPrior,
   notRun,
@@ -57,12 +59,6 @@
   })
 }
 
-/** Part of the requests that is taken to be in time before any was measured. */
-const ON_TIME_PRIOR = 1
-
-/** Part of a cascade's requests that is taken to go up before any was seen. */
-const ESCALATION_PRIOR = 0.5
-
 function estimateArm(node: RouterNode, classKey: string, arm: Arm): ArmEstimates {
   const { estimates } = node
   return {
--- a/packages/scenario/src/experiment/versions/classTrial.ts
+++ b/packages/scenario/src/experiment/versions/classTrial.ts
@@ -1,6 +1,8 @@
 /** Half a day of one class under one version policy. */
 import {
+  ESCALATION_PRIOR,
   EvidenceTable,
+  ON_TIME_PRIOR,
   QualityEstimates,
   VirtualClock,
   acceptNonEmpty,
@@ -134,8 +136,13 @@
     candidates: workloadClass.candidates,
     estimate: (arm): ArmEstimates => ({
       quality: estimates.estimate('quality', workloadClass.key, arm.key, armPrior(arm)),
-      onTime: estimates.estimate('onTime', workloadClass.key, arm.key, 1),
-      escalated: estimates.estimate('escalated', workloadClass.key, arm.key, 0.5),
+      onTime: estimates.estimate('onTime', workloadClass.key, arm.key, ON_TIME_PRIOR),
+      escalated: estimates.estimate(
+        'escalated',
+        workloadClass.key,
+        arm.key,
+        ESCALATION_PRIOR,
+      ),
     }),
     hasBackend: () => true,
     accepts: acceptNonEmpty,
--- a/packages/wagtailway/src/config/moves.ts
+++ b/packages/wagtailway/src/config/moves.ts
@@ -1,5 +1,6 @@
 /** What a change of the configuration does to each class's traffic. */
-import { versionCost } from '../route/cascadeArms.js'
+import { declaredEstimates } from '../route/cascadeArms.js'
+import { greedyOnMeans } from '../route/versionBaselines.js'
 import { ConfigIndex } from './configIndex.js'
 import {
   classKey,
@@ -149,13 +150,14 @@
 
 /** The version that owners' expected qualities alone would choose; ratings may choose otherwise. */
 function firstChoice(index: ConfigIndex, cls: EffectiveClass): string {
-  const usable = index.usable(cls)
-  const good = usable.filter((c) => c.expectedQuality >= cls.quality.target)
-  const ranked =
-    good.length > 0
-      ? good.toSorted((a, b) => versionCost(a) - versionCost(b))
-      : usable.toSorted((a, b) => b.expectedQuality - a.expectedQuality)
-  return ranked[0]?.key ?? NONE
+  const plan = greedyOnMeans({
+    cls,
+    candidates: index.usable(cls),
+    estimate: declaredEstimates,
+    hasBackend: () => true,
+    random: () => 0,
+  })
+  return plan?.steps[0]?.key ?? NONE
 }
 
 function rolloutsOf(index: ConfigIndex, cls: EffectiveClass): string {
--- a/packages/wagtailway/src/quality/qualityEstimates.ts
+++ b/packages/wagtailway/src/quality/qualityEstimates.ts
@@ -39,6 +39,8 @@
 
 const DEFAULT_HALF_LIFE_EPOCHS = 36
 
+const NO_SCORES: ScoreSums = { count: 0, sum: 0, squares: 0 }
+
 interface CachedEstimate {
   readonly changes: number
   readonly epoch: number
@@ -105,11 +107,7 @@
   }
 
   #compute(subject: string, epoch: number, priorMean: number): MeasureEstimate {
-    const prior: ScorePrior = {
-      mean: priorMean,
-      weight: PRIOR_WEIGHT,
-      deviation: PRIOR_DEVIATION,
-    }
+    const prior = priorOf(priorMean)
     const epochs = this.#evidence.sums(subject)
     const recent = epochs.filter((sums) => sums.epoch > epoch - RECENT_EPOCHS)
     return {
@@ -119,6 +117,16 @@
   }
 }
 
+/** The estimate before any score arrives. */
+export function priorEstimate(mean: number): MeasureEstimate {
+  const estimate = estimateScore(NO_SCORES, priorOf(mean))
+  return { lasting: estimate, recent: estimate }
+}
+
+function priorOf(mean: number): ScorePrior {
+  return { mean, weight: PRIOR_WEIGHT, deviation: PRIOR_DEVIATION }
+}
+
 function subjectOf(measure: Measure, classKey: string, planKey: string): string {
   return `${measure} ${classKey} ${planKey}`
 }
--- a/packages/wagtailway/src/route/cascadeArms.ts
+++ b/packages/wagtailway/src/route/cascadeArms.ts
@@ -1,5 +1,7 @@
 /** Plans that a class may use: single versions, and cascades of two. */
 import type { Candidate } from '../config/effective.js'
+import { priorEstimate } from '../quality/qualityEstimates.js'
+import type { ArmEstimates } from './versionPolicy.js'
 
 /** One way to answer a request. */
 export interface Arm {
@@ -33,6 +35,26 @@
   return sum / arm.steps.length
 }
 
+/** Part of the requests that is taken to be in time before any was measured. */
+export const ON_TIME_PRIOR = 1
+
+/** Part of a cascade's requests that is taken to go up before any was seen. */
+export const ESCALATION_PRIOR = 0.5
+
+/**
+ * What the owners' declarations alone tell of an arm.
+ *
+ * @example
+ * declaredEstimates(arm).quality.lasting.mean
+ */
+export function declaredEstimates(arm: Arm): ArmEstimates {
+  return {
+    quality: priorEstimate(armPrior(arm)),
+    onTime: priorEstimate(ON_TIME_PRIOR),
+    escalated: priorEstimate(ESCALATION_PRIOR),
+  }
+}
+
 /**
  * Every single version, and every cascade from a cheaper to a dearer one.
  *
