--- a/packages/scenario/src/experiment/experiments.ts
+++ b/packages/scenario/src/experiment/experiments.ts
@@ -5,6 +5,7 @@
   replicaExperiment,
 } from '../loadModel/loadExperiments.js'
 import type { Experiment } from './experiment.js'
+import { goodRolloutExperiment, rolloutExperiment } from './rollouts/rolloutExperiment.js'
 import { nineVersionExperiment, versionExperiment } from './versions/versionExperiment.js'
 
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -13,4 +14,6 @@
   overloadExperiment,
   recoveryExperiment,
   replicaExperiment,
+  rolloutExperiment,
+  goodRolloutExperiment,
 ]
--- a/packages/wagtailway/src/quality/evidenceTable.ts
+++ b/packages/wagtailway/src/quality/evidenceTable.ts
@@ -147,9 +147,8 @@
     const found = this.#subjects.get(subject)
     if (!found) return []
     this.#dropOld(found)
-    return [...found.sums]
-      .map(([epoch, values]) => ({ epoch, values }))
-      .toSorted((a, b) => a.epoch - b.epoch)
+    const sums = Array.from(found.sums, ([epoch, values]) => ({ epoch, values }))
+    return sums.sort((a, b) => a.epoch - b.epoch)
   }
 
   /** A number that changes with the subject's evidence, for caches. */
