--- a/packages/scenario/src/experiment/rollouts/rolloutPolicies.ts
+++ b/packages/scenario/src/experiment/rollouts/rolloutPolicies.ts
@@ -55,6 +55,8 @@
     from: 'old',
     to: 'new',
     phase: 'running',
+    generation: 1,
+    fence: 0,
     stage: 0,
     firstEpoch: evidence.epoch,
     stageEpoch: evidence.epoch,
--- a/packages/wagtailway/src/rollout/__tests__/rolloutSteps.spec.ts
+++ b/packages/wagtailway/src/rollout/__tests__/rolloutSteps.spec.ts
@@ -23,6 +23,8 @@
   from: 'old',
   to: 'new',
   phase: 'running',
+  generation: 1,
+  fence: 0,
   stage: 0,
   firstEpoch: 0,
   stageEpoch: 0,
--- a/packages/wagtailway/src/rollout/rolloutState.ts
+++ b/packages/wagtailway/src/rollout/rolloutState.ts
@@ -1,5 +1,6 @@
 /** State of a roll-out as it stands in the platform. */
 import { z } from 'zod'
+import { versionKey } from '../config/effective.js'
 
 /**
  * Phases of a roll-out. `running` and `promoted` can still become `withdrawn`;
@@ -11,6 +12,8 @@
   model: z.string(),
   from: z.string(),
   to: z.string(),
+  /** Grows when a roll-out that was undone is declared again. */
+  generation: z.number().int(),
   phase: rolloutPhaseSchema,
   /** Number of the stage, from zero. */
   stage: z.number().int().min(0),
@@ -22,6 +25,8 @@
   exposureBudget: z.number(),
   /** Quality below which the new version is withdrawn, by class. */
   floors: z.record(z.string(), z.number()),
+  /** Fencing number of the last holder that changed the state. */
+  fence: z.number().int(),
   /** Why the last change was made. */
   reason: z.string(),
   /** Incarnation that made the last change. */
@@ -48,3 +53,13 @@
 export function isOpen({ phase }: RolloutState): boolean {
   return phase === 'running' || phase === 'promoted'
 }
+
+/**
+ * Key of the roll-out's evidence.
+ *
+ * @example
+ * rolloutKey(state) // 'summariser@v2#1'
+ */
+export function rolloutKey({ model, to, generation }: RolloutState): string {
+  return `${versionKey(model, to)}#${generation}`
+}
