Roll-outs in the router: stage's share, evidence spread, withdrawal on all instances

Evidence and condemnations travel as latest values between instances, so a node stops also while the platform is away. Before: withdrawals by operators only.

--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -61,6 +61,30 @@
     labelNames: ['class'],
     registers: [this.registry],
   })
+  readonly rolloutChanges = new Counter({
+    name: 'wagtailway_rollout_changes_total',
+    help: 'Changes of roll-outs seen by this instance, by the phase they led to',
+    labelNames: ['phase'],
+    registers: [this.registry],
+  })
+  readonly rolloutShare = new Gauge({
+    name: 'wagtailway_rollout_share',
+    help: 'Part of the new requests that a version under roll-out may get',
+    labelNames: ['version'],
+    registers: [this.registry],
+  })
+  readonly rolloutAnswers = new Counter({
+    name: 'wagtailway_rollout_answers_total',
+    help: 'Answers of versions under roll-out, by class and version',
+    labelNames: ['class', 'version'],
+    registers: [this.registry],
+  })
+  readonly ratings = new Counter({
+    name: 'wagtailway_ratings_total',
+    help: 'Ratings asked for and received, by event',
+    labelNames: ['event'],
+    registers: [this.registry],
+  })
   readonly platformCalls = new Counter({
     name: 'wagtailway_platform_calls_total',
     help: "Calls of the platform's API, by operation",
--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -30,6 +30,8 @@
   readonly decision: Decision
   /** When the call began, on the node's monotonic clock. */
   readonly startMs: number
+  /** Time from the beginning to the first token, once it was passed on. */
+  firstTokenMs: number | undefined
   /** Time from the start after which the answer is of no use, in milliseconds. */
   readonly deadlineMs: number
   /** Aborted when the caller goes away or the deadline passes. */
@@ -88,6 +90,7 @@
       revision: node.config.revision,
     }),
     startMs: node.clock(),
+    firstTokenMs: undefined,
     deadlineMs: deadline.val,
     signal: abort.signal,
     abortReason: () => reason,
--- a/packages/router/src/request/chooseVersions.ts
+++ b/packages/router/src/request/chooseVersions.ts
@@ -6,6 +6,7 @@
   Ok,
   armPrior,
   notRun,
+  versionKey,
   type Arm,
   type ArmEstimates,
   type Candidate,
@@ -42,21 +43,57 @@
 
 /** Whether a version may get a new request at this moment. */
 export function mayDispatch(node: RouterNode, candidate: Candidate): boolean {
-  return node.config.isFresh && node.config.current?.isWithdrawn(candidate.key) === false
+  const { config, rollouts } = node
+  if (rollouts.isWithdrawn(candidate.key)) return false
+  return config.isFresh && config.current?.isWithdrawn(candidate.key) === false
 }
 
+/** The policy's plan, in which a part of the requests gets the new version of a roll-out. */
 function planVersions(
   node: RouterNode,
   call: Call,
   allowed: readonly Candidate[],
 ): VersionPlan | undefined {
-  return node.policies.chooseVersions({
+  const { rollouts } = node
+  const usable = allowed.filter(({ key }) => isUsable(node, key))
+  const plan = node.policies.chooseVersions({
     cls: call.cls,
-    candidates: allowed.filter(({ key }) => !node.config.current?.isWithdrawn(key)),
+    candidates: usable.filter(({ key }) => !rollouts.isUnderRollout(key)),
     estimate: (arm) => estimateArm(node, call.classKey, arm),
-    hasBackend: (candidate) => (node.backends.serving(candidate.key)?.size ?? 0) > 0,
+    hasBackend: (candidate) => hasBackend(node, candidate),
     random: node.random,
   })
+  return plan && replaceSteps(plan, (step) => newVersionOf(node, step, usable))
+}
+
+/** The new version that takes the place of a step, by the roll-out's share. */
+function newVersionOf(
+  node: RouterNode,
+  step: Candidate,
+  usable: readonly Candidate[],
+): Candidate | undefined {
+  const rollout = node.rollouts.replacing(step.key)
+  if (!rollout) return undefined
+  const key = versionKey(rollout.model, rollout.to)
+  const candidate = usable.find((other) => other.key === key)
+  if (!candidate || !hasBackend(node, candidate)) return undefined
+  return node.random() < node.rollouts.share(key) ? candidate : undefined
+}
+
+function replaceSteps(
+  plan: VersionPlan,
+  newVersion: (step: Candidate) => Candidate | undefined,
+): VersionPlan {
+  const steps = plan.steps.map((step) => newVersion(step) ?? step)
+  return { ...plan, key: steps.map(({ key }) => key).join('>'), steps }
+}
+
+function isUsable({ config, rollouts }: RouterNode, key: string): boolean {
+  return config.current?.isWithdrawn(key) === false && !rollouts.isWithdrawn(key)
+}
+
+function hasBackend(node: RouterNode, candidate: Candidate): boolean {
+  return (node.backends.serving(candidate.key)?.size ?? 0) > 0
 }
 
 function estimateArm(node: RouterNode, classKey: string, arm: Arm): ArmEstimates {
--- a/packages/router/src/request/completeOnce.ts
+++ b/packages/router/src/request/completeOnce.ts
@@ -118,7 +118,8 @@
 }
 
 function observeFirstToken(node: RouterNode, call: Call): void {
-  const seconds = (node.clock() - call.startMs) / MS_PER_SECOND
+  call.firstTokenMs = node.clock() - call.startMs
+  const seconds = call.firstTokenMs / MS_PER_SECOND
   node.metrics.firstToken.observe({ class: call.classKey }, seconds)
 }
 
--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -71,7 +71,8 @@
   claim.val.settle(answered)
   if (answered.err) return answered
   const { answer, calls, cost, candidate } = answered.val
-  await recordAnswer(node, call, candidate, toRecord(node, call, calls, cost))
+  const record = toRecord(node, call, calls, cost)
+  await recordAnswer(node, call, { plan: plan.val, candidate, record })
   await answer.finish()
   return Ok(undefined)
 }
--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -119,7 +119,10 @@
   allowed: readonly Candidate[],
 ): Result<Candidate, Refusal> {
   const candidate = allowed.find(({ key }) => key === versionKey)
-  if (candidate && !node.config.current?.isWithdrawn(versionKey)) return Ok(candidate)
+  const isWithdrawn =
+    node.config.current?.isWithdrawn(versionKey) === true ||
+    node.rollouts.isWithdrawn(versionKey)
+  if (candidate && !isWithdrawn) return Ok(candidate)
   const message = `The session's version ${versionKey} was withdrawn; start a new session.`
   return Err(notRun('session_version_withdrawn', message))
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import {
   CallBudget,
+  EvidenceTable,
   ExchangeNode,
   InstanceHolder,
   Ledger,
@@ -33,6 +34,7 @@
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
 import { RatingsClient } from './ratings/ratingsClient.js'
 import { Decisions } from './request/decision.js'
+import { Rollouts } from './rollout/rollouts.js'
 import type { RouterNode, RouterPolicies } from './routerNode.js'
 
 /** Pause between last attempts to store billing records, in milliseconds. */
@@ -67,6 +69,7 @@
     private readonly platform: PlatformClient,
     private readonly peers: Peers,
     private readonly ratings: RatingsClient,
+    private readonly rollouts: Rollouts,
     private readonly budget: CallBudget,
     private readonly claimStore: ClaimStore,
   ) {}
@@ -117,12 +120,28 @@
         zone: cfg.zone,
         chooseReplica: policies.chooseReplica,
       })
-    const estimates = QualityEstimates.create()
+    const evidence = EvidenceTable.create({ source: incarnation, clock: wallClock })
+    const estimates = QualityEstimates.create({ evidence })
+    const rollouts = Rollouts.create({
+      store: platform,
+      config: peers.config,
+      members: peers.members,
+      values: peers.node.values,
+      estimates,
+      qualityEvidence: evidence,
+      incarnation,
+      node: cfg.node,
+      clock: monotonicClock,
+      metrics,
+      log,
+    })
     const ratings = RatingsClient.create({
       url: cfg.ratings,
       node: cfg.node,
       onRating: (classKey, versionKey, score) => {
+        metrics.ratings.inc({ event: 'received' })
         estimates.add('quality', classKey, versionKey, score)
+        rollouts.board.rated(versionKey, classKey, score)
       },
     })
     const node: RouterNode = {
@@ -135,6 +154,7 @@
       sessions: createSessionPins(peers.claims.of.session, metrics),
       ledger,
       estimates,
+      rollouts: rollouts.board,
       retryBudget: RetryBudget.create(),
       policies,
       decisions: Decisions.create({ capacity: cfg.decisionsKept, clock: monotonicClock }),
@@ -150,7 +170,15 @@
       inProgress: 0,
     }
     operators.serve(node)
-    const router = new Router(node, platform, peers, ratings, budget, claimStore)
+    const router = new Router(
+      node,
+      platform,
+      peers,
+      ratings,
+      rollouts,
+      budget,
+      claimStore,
+    )
     await router.#start()
     holder.router = router
     return router
@@ -180,6 +208,7 @@
     await this.#pinTicker.close()
     await this.#loops.close()
     await this.ratings.close()
+    await this.rollouts.close()
     this.claimStore.close()
     await this.peers.close()
     this.node.client.close()
@@ -199,6 +228,7 @@
     }
     if (node.config.revision !== this.#revision) {
       this.#revision = node.config.revision
+      this.rollouts.refresh()
       node.log.info('configuration in force', { revision: this.#revision })
     }
     setMembershipMetrics(node.metrics, peers.node)
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -11,6 +11,7 @@
   Random,
   ReplicaPolicy,
   RetryBudget,
+  RolloutBoard,
   SessionPins,
   VersionPolicy,
 } from '@wagtailway/core'
@@ -48,6 +49,7 @@
   readonly sessions: SessionPins
   readonly ledger: Ledger
   readonly estimates: QualityEstimates
+  readonly rollouts: RolloutBoard
   readonly retryBudget: RetryBudget
   readonly policies: RouterPolicies
   /** What was decided about the latest requests. */
--- a/packages/scenario/src/experiment/cli.ts
+++ b/packages/scenario/src/experiment/cli.ts
@@ -5,6 +5,7 @@
 import { hideBin } from 'yargs/helpers'
 import { EXPERIMENTS } from './experiments.js'
 import { formatResult } from './formatResult.js'
+import { runLiveRollout } from './live/liveRollout.js'
 import { plotResult } from './plotResult.js'
 import { runExperiment } from './runExperiment.js'
 
@@ -36,6 +37,23 @@
           }),
       ({ name, seeds, plots }) => runNamed(name, seeds, plots),
     )
+    .command(
+      'live-rollout',
+      'Turns a version bad under live traffic, on real processes',
+      (args) =>
+        args
+          .option('routers', { type: 'number', default: 3 })
+          .option('rate', { type: 'number', default: 60, describe: 'Requests a second' })
+          .option('seconds', { type: 'number', default: 60 })
+          .option('seed', { type: 'number', default: 1 }),
+      async ({ routers, rate, seconds, seed }) => {
+        const opts = { routers, ratePerSecond: rate, seconds, seed }
+        const report = await runLiveRollout(opts)
+        process.stdout.write(`${JSON.stringify(report, undefined, 2)}\n`)
+        const isSafe = report.withdrawnAt !== undefined
+        process.exitCode = isSafe && report.exposedAfterWithdrawal === 0 ? 0 : 1
+      },
+    )
     .demandCommand(1)
     .parse()
 }
--- a/packages/wagtailway/src/rollout/rolloutEvidence.ts
+++ b/packages/wagtailway/src/rollout/rolloutEvidence.ts
@@ -61,7 +61,7 @@
   rollout: string,
   classKey: string,
 ): void {
-  evidence.add(subjectOf(rollout, classKey), [1, 0, 0, 0, ...NO_TERMS])
+  evidence.add(evidenceSubject(rollout, classKey), [1, 0, 0, 0, ...NO_TERMS])
 }
 
 /** Counts a rating of an answer of the new version. */
@@ -73,13 +73,13 @@
 ): void {
   const { score, floor } = rating
   const values = [0, 1, score, score ** 2, ...betTerms(score, floor)]
-  evidence.add(subjectOf(rollout, classKey), values)
+  evidence.add(evidenceSubject(rollout, classKey), values)
 }
 
 /** Sums up what all nodes know of one class. */
 export function classEvidence(query: EvidenceQuery): ClassEvidence {
   const { classKey, floor, firstEpoch, stageEpoch } = query
-  const subject = subjectOf(query.rollout, classKey)
+  const subject = evidenceSubject(query.rollout, classKey)
   const epochs = query.evidence.sums(subject).filter(({ epoch }) => epoch >= firstEpoch)
   const inStage = epochs.filter(({ epoch }) => epoch >= stageEpoch)
   const recentEpoch = query.evidence.epoch - RECENT_EPOCHS
@@ -98,7 +98,7 @@
 }
 
 /** Subject of a class's roll-out evidence. */
-export function subjectOf(rollout: string, classKey: string): string {
+export function evidenceSubject(rollout: string, classKey: string): string {
   return `rollout ${rollout} ${classKey}`
 }
 
