--- a/packages/scenario/src/experiment/cli.ts
+++ b/packages/scenario/src/experiment/cli.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { measureDecisions } from './bench/decisionBench.js'
 import { EXPERIMENTS } from './experiments.js'
 import { formatResult } from './formatResult.js'
 import { runLiveRollout } from './live/liveRollout.js'
@@ -37,6 +38,12 @@
           }),
       ({ name, seeds, plots }) => runNamed(name, seeds, plots),
     )
+    .command('bench', 'Measures the processor time of a decision', {}, () => {
+      for (const { name, micros } of measureDecisions()) {
+        const interval = `[${micros.low.toFixed(2)}, ${micros.high.toFixed(2)}]`
+        process.stdout.write(`${name}: ${micros.mean.toFixed(2)} us ${interval}\n`)
+      }
+    })
     .command(
       'live-rollout',
       'Turns a version bad under live traffic, on real processes',
