--- a/packages/router/src/request/chooseVersions.ts
+++ b/packages/router/src/request/chooseVersions.ts
@@ -44,8 +44,12 @@
 /** Whether a version may get a new request at this moment. */
 export function mayDispatch(node: RouterNode, candidate: Candidate): boolean {
   const { config, rollouts } = node
-  if (rollouts.isWithdrawn(candidate.key)) return false
-  return config.isFresh && config.current?.isWithdrawn(candidate.key) === false
+  const { key } = candidate
+  if (rollouts.isWithdrawn(key)) return false
+  // In an outage no withdrawal can be written; condemnations come through the others.
+  const isKnown = rollouts.isFresh(key) || config.isGoingOn
+  if (rollouts.isUnderRollout(key) && !isKnown) return false
+  return config.isFresh && config.current?.isWithdrawn(key) === false
 }
 
 /** The policy's plan, in which a part of the requests gets the new version of a roll-out. */
--- a/packages/router/src/rollout/rollouts.ts
+++ b/packages/router/src/rollout/rollouts.ts
@@ -80,6 +80,7 @@
   readonly #ticker: Ticker
   #steps = 0
   #revision = 0
+  #isListed = false
 
   private constructor(private readonly opts: RolloutsOptions) {
     const { store, clock, incarnation, values, log } = opts
@@ -161,8 +162,9 @@
     const { members } = this.opts
     this.refresh()
     this.#exchangeEvidence()
-    if (this.#steps % POLL_ALL_STEPS === 0) await this.#controller.pollAll()
     const isPollDue = this.#steps % POLL_STEPS === 0
+    const isListDue = this.#isListed ? this.#steps % POLL_ALL_STEPS === 0 : isPollDue
+    if (isListDue) this.#isListed = (await this.#controller.pollAll()) || this.#isListed
     if (isPollDue) await this.#controller.poll()
     if (isPollDue && this.board.keys.length > 0 && this.#isContender(members)) {
       await this.#lease.poll()
--- a/packages/scenario/src/experiment/cli.ts
+++ b/packages/scenario/src/experiment/cli.ts
@@ -4,11 +4,16 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { measureDecisions } from './bench/decisionBench.js'
+import { measureJudgement } from './bench/rolloutBench.js'
 import { EXPERIMENTS } from './experiments.js'
 import { formatResult } from './formatResult.js'
 import { runLiveRollout } from './live/liveRollout.js'
 import { plotResult } from './plotResult.js'
 import { runExperiment } from './runExperiment.js'
+import type { Interval } from './statistics.js'
+
+/** Four hours and a day. */
+const JUDGED_EPOCHS = [480, 2_880]
 
 /** Runs the command; the exit code is 1 if a goal was missed. */
 export async function run(): Promise<void> {
@@ -38,10 +43,11 @@
           }),
       ({ name, seeds, plots }) => runNamed(name, seeds, plots),
     )
-    .command('bench', 'Measures the processor time of a decision', {}, () => {
-      for (const { name, micros } of measureDecisions()) {
-        const interval = `[${micros.low.toFixed(2)}, ${micros.high.toFixed(2)}]`
-        process.stdout.write(`${name}: ${micros.mean.toFixed(2)} us ${interval}\n`)
+    .command('bench', 'Measures the processor time of decisions', {}, () => {
+      for (const { name, micros } of measureDecisions()) printCost(name, micros)
+      for (const epochs of JUDGED_EPOCHS) {
+        const name = `roll-out judged, one class, ${epochs} epochs`
+        printCost(name, measureJudgement(epochs))
       }
     })
     .command(
@@ -65,6 +71,11 @@
     .parse()
 }
 
+function printCost(name: string, { mean, low, high }: Interval): void {
+  const interval = `[${low.toFixed(2)}, ${high.toFixed(2)}]`
+  process.stdout.write(`${name}: ${mean.toFixed(2)} us ${interval}\n`)
+}
+
 async function runNamed(
   name: string,
   seeds: number,
--- a/packages/wagtailway/src/rollout/rolloutBoard.ts
+++ b/packages/wagtailway/src/rollout/rolloutBoard.ts
@@ -34,6 +34,7 @@
   declared: DeclaredRollout | undefined
   known: KnownRollout | undefined
   lookedAtMs: number
+  judgedAtMs: number
   /** Whether this node's evidence, or a peer, calls for the withdrawal. */
   isCondemned: boolean
   evidence: readonly ClassEvidence[]
@@ -41,6 +42,12 @@
 
 const DEFAULT_FRESH_MS = 10_000
 
+/** Epochs of a promoted version that are judged; four hours. */
+const WATCHED_EPOCHS = 480
+
+/** Pause between judgements of a roll-out longer than that, in milliseconds. */
+const LONG_JUDGEMENT_MS = 5_000
+
 /**
  * Roll-outs by the key of their new version.
  *
@@ -91,7 +98,9 @@
 
   /** Sums up the evidence anew. */
   judge(): void {
-    for (const entry of this.#entries.values()) this.#judge(entry)
+    for (const entry of this.#entries.values()) {
+      if (this.#isJudgementDue(entry)) this.#judge(entry)
+    }
   }
 
   /** Counts an answer of a version under roll-out. */
@@ -150,12 +159,19 @@
     return undefined
   }
 
+  /** Whether the platform was asked for the state not long ago. */
+  isFresh(key: string): boolean {
+    const entry = this.#entries.get(key)
+    if (!entry) return false
+    const ageMs = this.opts.clock() - entry.lookedAtMs
+    return ageMs <= (this.opts.freshMs ?? DEFAULT_FRESH_MS)
+  }
+
   /** Part of the new requests that the version may get now. */
   share(key: string): number {
     const entry = this.#entries.get(key)
     if (!entry?.known || this.isWithdrawn(key)) return 0
-    const ageMs = this.opts.clock() - entry.lookedAtMs
-    if (ageMs > (this.opts.freshMs ?? DEFAULT_FRESH_MS)) return 0
+    if (!this.isFresh(key)) return 0
     return shareOf(entry.known.state, entry.evidence)
   }
 
@@ -171,7 +187,15 @@
     return entry
   }
 
+  /** A long roll-out takes longer to judge, so it is judged less often. */
+  #isJudgementDue({ known, judgedAtMs }: Entry): boolean {
+    const first = known?.state.firstEpoch ?? 0
+    const isLong = this.opts.evidence.epoch - first > WATCHED_EPOCHS
+    return !isLong || this.opts.clock() - judgedAtMs >= LONG_JUDGEMENT_MS
+  }
+
   #judge(entry: Entry): void {
+    entry.judgedAtMs = this.opts.clock()
     const state = entry.known?.state
     if (!state || !isOpen(state)) {
       entry.evidence = []
@@ -181,7 +205,15 @@
     const { firstEpoch, stageEpoch } = state
     const rollout = rolloutKey(state)
     entry.evidence = Object.entries(state.floors).map(([classKey, floor]) =>
-      classEvidence({ evidence, rollout, classKey, floor, firstEpoch, stageEpoch }),
+      classEvidence({
+        evidence,
+        rollout,
+        classKey,
+        floor,
+        firstEpoch,
+        stageEpoch,
+        ...(state.phase === 'promoted' && { epochs: WATCHED_EPOCHS }),
+      }),
     )
   }
 }
@@ -191,6 +223,7 @@
     declared: undefined,
     known: undefined,
     lookedAtMs: Number.NEGATIVE_INFINITY,
+    judgedAtMs: Number.NEGATIVE_INFINITY,
     isCondemned: false,
     evidence: [],
   }
--- a/packages/wagtailway/src/rollout/rolloutController.ts
+++ b/packages/wagtailway/src/rollout/rolloutController.ts
@@ -9,6 +9,7 @@
 import type { ObjectStore } from '../platform/objectStore.js'
 import type { DeclaredRollout, KnownRollout, RolloutBoard } from './rolloutBoard.js'
 import {
+  ROLLOUT_PREFIX,
   isOpen,
   rolloutObject,
   rolloutStateSchema,
@@ -63,14 +64,16 @@
     await Promise.all(due.map((key) => this.#look(key)))
   }
 
-  /** Reads every state there is, also those of roll-outs no longer declared. */
-  async pollAll(): Promise<void> {
-    const listed = await this.opts.store.list(
-      'status',
-      rolloutObject('', '').slice(0, -1),
-    )
-    if (listed.err) return
+  /**
+   * Reads every state there is, also those of roll-outs no longer declared.
+   *
+   * @returns Whether the platform answered.
+   */
+  async pollAll(): Promise<boolean> {
+    const listed = await this.opts.store.list('status', ROLLOUT_PREFIX)
+    if (listed.err) return false
     for (const { revision, value } of listed.val.objects) this.#offer(revision, value)
+    return true
   }
 
   /** Judges the evidence and makes the changes that are due. */
--- a/packages/wagtailway/src/rollout/rolloutEvidence.ts
+++ b/packages/wagtailway/src/rollout/rolloutEvidence.ts
@@ -53,6 +53,8 @@
   readonly floor: number
   readonly firstEpoch: number
   readonly stageEpoch: number
+  /** Newest epochs that count; all since the first if absent. */
+  readonly epochs?: number
 }
 
 /** Counts an answer of the new version. */
@@ -80,7 +82,9 @@
 export function classEvidence(query: EvidenceQuery): ClassEvidence {
   const { classKey, floor, firstEpoch, stageEpoch } = query
   const subject = evidenceSubject(query.rollout, classKey)
-  const epochs = query.evidence.sums(subject).filter(({ epoch }) => epoch >= firstEpoch)
+  const newest = query.evidence.epoch - (query.epochs ?? ROLLOUT_EPOCHS_KEPT)
+  const oldest = Math.max(firstEpoch, newest)
+  const epochs = query.evidence.sums(subject).filter(({ epoch }) => epoch >= oldest)
   const inStage = epochs.filter(({ epoch }) => epoch >= stageEpoch)
   const recentEpoch = query.evidence.epoch - RECENT_EPOCHS
   const recent = epochs.filter(({ epoch }) => epoch > recentEpoch)
