--- a/packages/scenario/src/harness/childProcess.ts
+++ b/packages/scenario/src/harness/childProcess.ts
@@ -18,6 +18,13 @@
   readonly onOutLine?: (line: string) => void
 }
 
+/** Children that end with this process, however it ends. */
+const running = new Set<ChildProcess>()
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
 /**
  * A running process that announced its address.
  *
@@ -41,11 +48,8 @@
     const child = spawn(process.execPath, ['--enable-source-maps', path, ...opts.args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     })
-    const killWithParent = (): void => {
-      child.kill('SIGKILL')
-    }
-    process.once('exit', killWithParent)
-    child.once('exit', () => process.off('exit', killWithParent))
+    running.add(child)
+    child.once('exit', () => running.delete(child))
     const errors: string[] = []
     createInterface({ input: child.stderr }).on('line', (line) => {
       errors.push(line)
