Refuse waiting requests in time though replicas are silent; split the pool

Cause: a pool looked at its waiting requests only when something ended, so with silent replicas they waited for their deadline of a minute. Ruled out: estimates alone, which rest on answers that don't come. The pool's replicas and times got files of their own; behaviour unchanged.

--- a/packages/router/src/backend/backendTable.ts
+++ b/packages/router/src/backend/backendTable.ts
@@ -67,6 +67,12 @@
     return this.#byService.get(name)
   }
 
+  /** Refuses requests that have waited too long; to be called regularly. */
+  sweep(): void {
+    for (const { pool } of this.#byVersion.values()) pool.sweep()
+    for (const { pool } of this.#byService.values()) pool.sweep()
+  }
+
   #update(
     groups: Map<string, BackendGroup>,
     live: readonly Instance[],
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -47,6 +47,9 @@
 /** Time after which an instance is ready though it knows no other, in milliseconds. */
 const PEERS_WAIT_MS = 5_000
 
+/** Pause between two looks for requests that have waited too long, in milliseconds. */
+const SWEEP_MS = 100
+
 /** Attempts to store billing records before a leaving instance relies on its copies. */
 const LAST_FLUSH_ATTEMPTS = 25
 
@@ -64,6 +67,7 @@
   #server!: CallerServer
   #loops!: PlatformLoops
   #pinTicker!: Ticker
+  #sweepTicker!: Ticker
 
   private constructor(
     private readonly node: RouterNode,
@@ -213,6 +217,7 @@
     await this.node.sessions.flush()
     await this.peers.copies.handOver()
     await this.#pinTicker.close()
+    await this.#sweepTicker.close()
     await this.#loops.close()
     await this.ratings.close()
     await this.rollouts.close()
@@ -258,6 +263,16 @@
         node.log.error('session pins were not written', err)
       },
     })
+    this.#sweepTicker = Ticker.create({
+      intervalMs: SWEEP_MS,
+      step: () => {
+        node.backends.sweep()
+        return Promise.resolve()
+      },
+      onError: (err) => {
+        node.log.error('waiting requests were not swept', err)
+      },
+    })
     const startMs = node.clock()
     // Answers given before another instance is known have no copy of their record.
     const hasPeers = (): boolean =>
--- a/packages/wagtailway/src/admit/__tests__/serverPool.spec.ts
+++ b/packages/wagtailway/src/admit/__tests__/serverPool.spec.ts
@@ -59,6 +59,19 @@
     assert.deepEqual(entered.refused, ['overloaded'])
   })
 
+  it('refuses a waiting request when its time is up though no replica answers', () => {
+    const { pool, clock } = setUp(1)
+    const entered: Entered = { granted: [], refused: [] }
+    for (let i = 0; i < 3; i++) enter(pool, entered)
+    clock.advance(999)
+    pool.sweep()
+    assert.deepEqual(entered.refused, [])
+    clock.advance(2)
+    pool.sweep()
+    assert.deepEqual(entered.refused, ['overloaded'])
+    assert.equal(pool.waiting, 0)
+  })
+
   it('lets an urgent request start beyond the window', () => {
     const { pool } = setUp(1)
     const entered: Entered = { granted: [], refused: [] }
--- a/packages/wagtailway/src/admit/fairQueue.ts
+++ b/packages/wagtailway/src/admit/fairQueue.ts
@@ -129,6 +129,11 @@
     return this.#isEligible(this.#ask(item), item, this.#level())
   }
 
+  /** Everything that waits. */
+  items(): T[] {
+    return [...this.#lanes.values()].flatMap(({ items }) => items)
+  }
+
   /** Last item of each workspace: the first ones to give up. */
   tails(): T[] {
     return [...this.#lanes.values()].flatMap(({ items }) => items.at(-1) ?? [])
--- a/packages/wagtailway/src/admit/serverPool.ts
+++ b/packages/wagtailway/src/admit/serverPool.ts
@@ -8,12 +8,12 @@
 import type { Clock } from '../clock.js'
 import type { Random } from '../random.js'
 import { notRun, type Refusal } from '../refusal.js'
-import { Breaker } from '../retry/breaker.js'
-import type { ReplicaPolicy, ReplicaView } from '../route/replicaPolicy.js'
-import { AdaptiveWindow, type AdaptiveWindowOptions } from './adaptiveWindow.js'
+import type { ReplicaPolicy } from '../route/replicaPolicy.js'
+import type { AdaptiveWindowOptions } from './adaptiveWindow.js'
 import { DecayingAverage } from './decayingAverage.js'
 import { FairQueue, type QueueItem } from './fairQueue.js'
-import { LeastLately } from './leastLately.js'
+import { PoolTimes } from './poolTimes.js'
+import { PooledServer, type Replica } from './pooledServer.js'
 import { retryAfterMs } from './retryAfter.js'
 
 /** A place at a replica; given back to the pool with what is learned of it. */
@@ -34,11 +34,6 @@
   readonly refuse: (refusal: Refusal) => void
 }
 
-export interface Replica {
-  readonly id: string
-  readonly zone: string
-}
-
 export interface ServerPoolOptions {
   readonly clock: Clock
   readonly random: Random
@@ -63,16 +58,6 @@
   readonly urgentExtra?: number
 }
 
-interface Server {
-  readonly replica: Replica
-  readonly window: AdaptiveWindow
-  readonly breaker: Breaker
-  load: number
-  loadAtMs: number
-  /** Starts since the last load report. */
-  startsSinceReport: number
-}
-
 interface Waiting extends Waiter {
   readonly arrivedMs: number
 }
@@ -81,12 +66,6 @@
 /** Excess that is assumed when nothing at all is let in. */
 const MAX_EXCESS = 30
 
-/** Time over which the least latency counts as that of an idle replica, in milliseconds. */
-const LEAST_SPAN_MS = 30_000
-
-/** Part of the target of the first token that waiting at the replica may use. */
-const GOAL_FRACTION = 0.15
-
 const NO_REPLICA_RETRY_MS = 1_000
 
 /** A waiting request is given up once its estimate exceeds its time by this factor. */
@@ -99,27 +78,19 @@
  * const pool = ServerPool.create({ clock, random, zone: 'z1', chooseReplica })
  * pool.setReplicas([{ id: 'e1', zone: 'z1' }])
  * pool.enter(waiter)
- * pool.observeFirstToken(grant, 80, 1_000)
- * pool.finish(grant, 4_000, true)
+ * pool.observeFirstToken(place, 80, 1_000)
+ * pool.finish(place, 4_000, true)
  */
 export class ServerPool {
-  #servers = new Map<string, Server>()
+  #servers = new Map<string, PooledServer>()
   readonly #queue: FairQueue<Waiting>
-  /** Time that a request holds its place in a window, in milliseconds. */
-  readonly #holdMs = DecayingAverage.create(AVERAGE_WEIGHT)
-  readonly #firstTokenMs = DecayingAverage.create(AVERAGE_WEIGHT)
-  readonly #leastFirstTokenMs: LeastLately
-  readonly #leastTargetMs: LeastLately
-  /** Least time by token of answers that came in one piece, in milliseconds. */
-  readonly #leastPerTokenMs: LeastLately
+  readonly #times: PoolTimes
   /** One for a request that was let in, zero for one that was refused. */
   readonly #admitted = DecayingAverage.create(AVERAGE_WEIGHT)
 
   private constructor(private readonly opts: ServerPoolOptions) {
     this.#queue = FairQueue.create<Waiting>({ clock: opts.clock })
-    this.#leastFirstTokenMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
-    this.#leastTargetMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
-    this.#leastPerTokenMs = LeastLately.create(opts.clock, LEAST_SPAN_MS)
+    this.#times = PoolTimes.create(opts.clock)
   }
 
   static create(opts: ServerPoolOptions): ServerPool {
@@ -145,7 +116,7 @@
   setReplicas(replicas: readonly Replica[]): void {
     const next = replicas.map((replica) => {
       const known = this.#servers.get(replica.id)
-      return [replica.id, known ?? this.#newServer(replica)] as const
+      return [replica.id, known ?? PooledServer.create(replica, this.opts)] as const
     })
     this.#servers = new Map(next)
     this.#startWaiting()
@@ -153,11 +124,7 @@
 
   /** Notes the load that a replica reported. */
   report(replicaId: string, load: number, ageMs: number): void {
-    const server = this.#servers.get(replicaId)
-    if (!server) return
-    server.load = load
-    server.loadAtMs = this.opts.clock() - ageMs
-    server.startsSinceReport = 0
+    this.#servers.get(replicaId)?.report(load, ageMs)
   }
 
   /** Grants, queues or refuses a request; the waiter's callbacks tell which. */
@@ -180,23 +147,18 @@
   }
 
   /** Notes the time to a first token, of which `targetMs` was wanted, in milliseconds. */
-  observeFirstToken(grant: PoolPlace, firstTokenMs: number, targetMs: number): void {
-    this.#firstTokenMs.add(firstTokenMs)
-    this.#leastFirstTokenMs.add(firstTokenMs)
-    const delayMs = firstTokenMs - this.#leastFirstTokenMs.value
-    this.#observeDelay(grant, delayMs, targetMs)
+  observeFirstToken(place: PoolPlace, firstTokenMs: number, targetMs: number): void {
+    this.#observe(place, this.#times.firstToken(firstTokenMs, targetMs))
   }
 
   /** Notes the time of an answer that came in one piece. */
   observeWhole(
-    grant: PoolPlace,
+    place: PoolPlace,
     totalMs: number,
     tokens: number,
     targetMs: number,
   ): void {
-    this.#leastPerTokenMs.add(totalMs / (tokens + 1))
-    const delayMs = totalMs - this.#leastPerTokenMs.value * (tokens + 1)
-    this.#observeDelay(grant, delayMs, targetMs)
+    this.#observe(place, this.#times.whole(totalMs, tokens, targetMs))
   }
 
   /**
@@ -205,10 +167,18 @@
    * @param ok Whether the replica worked; `undefined` if the end tells nothing about it.
    */
   finish({ replicaId }: PoolPlace, heldMs: number, ok: boolean | undefined): void {
-    if (ok === true) this.#holdMs.add(heldMs)
-    const server = this.#servers.get(replicaId)
-    server?.window.finish()
-    server?.breaker.finish(ok)
+    if (ok === true) this.#times.held(heldMs)
+    this.#servers.get(replicaId)?.finish(ok)
+    this.#startWaiting()
+  }
+
+  /** Refuses what has waited too long; to be called regularly, for replicas may fall silent. */
+  sweep(): void {
+    for (const waiting of this.#queue.items()) {
+      if (this.#leftMs(waiting) >= 0) continue
+      this.#queue.remove(waiting)
+      this.#refuse(waiting, this.#overloaded())
+    }
     this.#startWaiting()
   }
 
@@ -219,26 +189,11 @@
     return hasRoom ? 0 : this.#waitMs(probe)
   }
 
-  #observeDelay(
-    { replicaId, request }: PoolPlace,
-    delayMs: number,
-    targetMs: number,
-  ): void {
-    // The replica's queue delays all classes, so the most demanding one sets the goal.
-    this.#leastTargetMs.add(targetMs)
-    const goalMs = this.#leastTargetMs.value * GOAL_FRACTION
-    this.#servers.get(replicaId)?.window.observe(request, delayMs / goalMs)
+  #observe({ replicaId, request }: PoolPlace, pressure: number): void {
+    this.#servers.get(replicaId)?.window.observe(request, pressure)
     this.#startWaiting()
   }
 
-  #newServer(replica: Replica): Server {
-    const { clock, random } = this.opts
-    const window = AdaptiveWindow.create(this.opts.window)
-    const breaker = Breaker.create({ clock, random })
-    const loadAtMs = clock()
-    return { replica, window, breaker, load: 0, loadAtMs, startsSinceReport: 0 }
-  }
-
   #startWaiting(): void {
     while (this.#queue.size > 0 && this.#open(undefined).length > 0) {
       const next = this.#queue.shift()
@@ -252,20 +207,17 @@
   #start(waiting: Waiting, extra = 0): boolean {
     const open = this.#open(waiting.avoid, extra)
     const { random, zone, chooseReplica } = this.opts
-    const replicas = open.map((server) => this.#view(server))
+    const replicas = open.map((server) => server.view())
     const chosen = chooseReplica({ replicas, zone, random })
     const server = chosen && this.#servers.get(chosen.id)
     if (!server) return false
-    const request = server.window.start()
-    server.breaker.start()
-    server.startsSinceReport += 1
     this.#admitted.add(1)
-    waiting.grant({ replicaId: server.replica.id, request })
+    waiting.grant({ replicaId: server.replica.id, request: server.start() })
     return true
   }
 
   /** Replicas that can take a request now. */
-  #open(avoid: ReadonlySet<string> | undefined, extra = 0): Server[] {
+  #open(avoid: ReadonlySet<string> | undefined, extra = 0): PooledServer[] {
     return this.#usable(avoid).filter(({ window }) => window.hasRoom(extra))
   }
 
@@ -277,7 +229,7 @@
   }
 
   /** Replicas that may be used; breakers count only while most of them are closed. */
-  #usable(avoid: ReadonlySet<string> | undefined): Server[] {
+  #usable(avoid: ReadonlySet<string> | undefined): PooledServer[] {
     const all = [...this.#servers.values()]
     const healthy = all.filter(({ breaker }) => breaker.allows)
     // When most replicas fail, the requests or the network are to blame: spread over all.
@@ -311,13 +263,13 @@
   /** Time that a request can still wait and get its first token in time; negative if late. */
   #leftMs({ usefulMs, arrivedMs }: Waiting): number {
     const waitedMs = this.opts.clock() - arrivedMs
-    return usefulMs - waitedMs - (this.#firstTokenMs.value ?? 0)
+    return usefulMs - waitedMs - this.#times.meanFirstTokenMs
   }
 
   /** By Little's law places come free at the rate of all windows over the holding time. */
   #waitMs(waiting: Waiting): number {
     const places = sum(this.#servers, ({ window }) => Math.floor(window.limit))
-    const perPlaceMs = (this.#holdMs.value ?? 0) / Math.max(1, places)
+    const perPlaceMs = this.#times.meanHoldMs / Math.max(1, places)
     return (this.#queue.ahead(waiting) + 1) * perPlaceMs
   }
 
@@ -338,17 +290,6 @@
     const message = 'No backend server is live for this.'
     return notRun('no_backend', message, NO_REPLICA_RETRY_MS)
   }
-
-  #view(server: Server): ReplicaView {
-    return {
-      id: server.replica.id,
-      zone: server.replica.zone,
-      inFlight: server.window.inFlight,
-      reportedLoad: server.load,
-      reportAgeMs: this.opts.clock() - server.loadAtMs,
-      startsSinceReport: server.startsSinceReport,
-    }
-  }
 }
 
 const NOTHING = (): void => undefined
@@ -356,8 +297,8 @@
 const NO_WAITER = { usefulMs: 0, grant: NOTHING, refuse: NOTHING }
 
 function sum(
-  servers: ReadonlyMap<string, Server>,
-  of: (server: Server) => number,
+  servers: ReadonlyMap<string, PooledServer>,
+  of: (server: PooledServer) => number,
 ): number {
   let total = 0
   for (const server of servers.values()) total += of(server)
