--- a/packages/router/src/platform/platformLoops.ts
+++ b/packages/router/src/platform/platformLoops.ts
@@ -9,6 +9,11 @@
 /** Pause between two decisions whether to watch, in milliseconds. */
 const WATCH_PAUSE_MS = 100
 
+/** Flushes of billing records that all instances together may make. */
+const FLEET_FLUSHES_PER_SECOND = 86
+
+const MS_PER_SECOND = 1_000
+
 export interface PlatformLoopOptions {
   readonly node: RouterNode
   readonly exchange: ExchangeNode<Instance>
@@ -43,7 +48,7 @@
         step: () => pollInstances(opts),
         onError,
       }),
-      Ticker.create({ intervalMs: cfg.flushMs, step: () => flushLedger(opts), onError }),
+      Ticker.create({ intervalMs: cfg.flushMs, step: flushInTurn(opts), onError }),
     ]
   }
 
@@ -89,6 +94,18 @@
   if (exchange.lookedAtList(listed.val, node.clock() - sentAtMs)) opts.onChange()
 }
 
+/** Flushes seldom enough that all instances together keep to the platform's budget. */
+function flushInTurn({ node }: PlatformLoopOptions): () => Promise<void> {
+  let lastMs = Number.NEGATIVE_INFINITY
+  return async () => {
+    const instances = node.members.alive().length + 1
+    const pauseMs = (instances / FLEET_FLUSHES_PER_SECOND) * MS_PER_SECOND
+    if (node.clock() - lastMs < pauseMs) return
+    lastMs = node.clock()
+    await flushLedger({ node })
+  }
+}
+
 /** Stores pending billing records. */
 export async function flushLedger({
   node,
