--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -1,7 +1,10 @@
 /** Command line of `wagtailwayctl`. */
+import { setTimeout as delay } from 'node:timers/promises'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { monotonicClock } from '@wagtailway/core'
 import { PlatformClient } from '@wagtailway/platform'
+import { awaitAcceptance, countHeldBy } from './commands/acceptance.js'
 import { applyFiles } from './commands/apply.js'
 import { check } from './commands/check.js'
 import { explain } from './commands/explain.js'
@@ -24,6 +27,12 @@
   describe: "Base URL of the platform's API",
 } as const
 
+const WAIT = {
+  type: 'number',
+  default: 13_000,
+  describe: 'Longest wait for entry instances to hold the change, in milliseconds',
+} as const
+
 /** Runs `wagtailwayctl`; the exit codes are in `exitCodes.ts`. */
 export async function run(): Promise<void> {
   await createParser(hideBin(process.argv)).parseAsync()
@@ -58,6 +67,7 @@
         args
           .positional('files', FILES)
           .option('platform', PLATFORM)
+          .option('wait-ms', WAIT)
           .option('accept-moves', {
             type: 'boolean',
             default: false,
@@ -84,7 +94,10 @@
           ...(base !== undefined && { base }),
           ...(changeId !== undefined && { changeId }),
         }
-        await withClient(args, (client) => applyFiles(client, args.files, opts))
+        await withClient(args, async (client) => {
+          const report = await applyFiles(client, args.files, opts)
+          return accepted(client, report, args.waitMs)
+        })
       },
     )
     .command(
@@ -122,10 +135,14 @@
             demandOption: true,
             describe: 'Why, for the other owners',
           })
-          .option('platform', PLATFORM),
+          .option('platform', PLATFORM)
+          .option('wait-ms', WAIT),
       async ({ model, modelVersion, reason, ...args }) => {
         const withdrawal = { model, version: modelVersion, reason }
-        await withClient(args, (client) => withdraw(client, withdrawal))
+        await withClient(args, async (client) => {
+          const report = await withdraw(client, withdrawal)
+          return accepted(client, report, args.waitMs)
+        })
       },
     )
     .demandCommand(1, 'Name a command.')
@@ -139,6 +156,17 @@
     })
 }
 
+/** Waits until the change that was stored counts as accepted. */
+function accepted(
+  client: PlatformClient,
+  report: Report,
+  timeoutMs: number,
+): Promise<Report> {
+  const countHeld = countHeldBy(client)
+  const pause = (ms: number): Promise<void> => delay(ms)
+  return awaitAcceptance(report, { countHeld, clock: monotonicClock, pause, timeoutMs })
+}
+
 async function withClient(
   { platform, json }: { platform: string; json: boolean },
   command: (client: PlatformClient) => Promise<Report>,
