--- /dev/null
+++ b/packages/router/src/platform/createPlatform.ts
@@ -0,0 +1,26 @@
+/** The platform's client with its budget and its counters. */
+import type { CallBudget } from '@wagtailway/core'
+import { PlatformClient } from '@wagtailway/platform'
+import type { RouterMetrics } from '../metrics.js'
+import type { ResolvedRouterOptions } from '../options.js'
+
+/** Creates the client; every call is counted and kept within the budget. */
+export function createPlatform(
+  cfg: ResolvedRouterOptions,
+  budget: CallBudget,
+  metrics: RouterMetrics,
+): PlatformClient {
+  return PlatformClient.create({
+    url: cfg.platform,
+    budget,
+    onCall: (operation) => {
+      metrics.platformCalls.inc({ operation })
+    },
+    onHeldBack: (operation, reason) => {
+      metrics.platformCallsHeldBack.inc({ operation, reason })
+    },
+    onFailure: (operation) => {
+      metrics.platformFailures.inc({ operation })
+    },
+  })
+}
--- /dev/null
+++ b/packages/router/src/routerParts.ts
@@ -0,0 +1,151 @@
+/** Creates the parts of one router and connects them. */
+import {
+  CallBudget,
+  EvidenceTable,
+  Ledger,
+  PauseGuard,
+  QualityEstimates,
+  RetryBudget,
+  ServerPool,
+  monotonicClock,
+  seededRandom,
+  wallClock,
+} from '@wagtailway/core'
+import type { PlatformClient } from '@wagtailway/platform'
+import { BackendClient } from './backend/backendClient.js'
+import { BackendTable } from './backend/backendTable.js'
+import { createLog } from './log.js'
+import { RouterMetrics } from './metrics.js'
+import { OperatorRoutes } from './operators/operatorRoutes.js'
+import type { ResolvedRouterOptions } from './options.js'
+import { ClaimStore } from './peers/claimStore.js'
+import { createExchangeNode } from './peers/createExchangeNode.js'
+import { Peers } from './peers/peers.js'
+import { createSessionPins } from './peers/sessionPins.js'
+import { createPlatform } from './platform/createPlatform.js'
+import { defaultPolicies } from './policies.js'
+import { RatingsClient } from './ratings/ratingsClient.js'
+import { Decisions } from './request/decision.js'
+import { Rollouts } from './rollout/rollouts.js'
+import type { RouterNode } from './routerNode.js'
+
+export interface RouterParts {
+  readonly node: RouterNode
+  readonly platform: PlatformClient
+  readonly peers: Peers
+  readonly ratings: RatingsClient
+  readonly rollouts: Rollouts
+  readonly budget: CallBudget
+  readonly claimStore: ClaimStore
+}
+
+/**
+ * Creates the parts; the peers' server listens when this resolves.
+ *
+ * @param onChange Called when exchanges may have changed the configuration or the list.
+ */
+export async function createParts(
+  cfg: ResolvedRouterOptions,
+  onChange: () => void,
+): Promise<RouterParts> {
+  const log = createLog(cfg.node)
+  const metrics = RouterMetrics.create()
+  const random = seededRandom(cfg.seed)
+  const budget = CallBudget.create({ clock: monotonicClock, random })
+  const platform = createPlatform(cfg, budget, metrics)
+  const incarnation = `${cfg.node}-${wallClock().toString(36)}`
+  const ledger = Ledger.create({ store: platform, incarnation })
+  const claimStore = ClaimStore.create({ platform: cfg.platform, random, metrics })
+  const operators = OperatorRoutes.create()
+  const pauses = PauseGuard.create({ clock: monotonicClock })
+  const peers = await Peers.create({
+    fallback: operators.handle,
+    self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
+    host: cfg.host,
+    port: cfg.peerPort,
+    clock: monotonicClock,
+    intervalMs: cfg.heartbeatMs,
+    createNode: (self) => createExchangeNode(cfg, self, random),
+    onChange: () => {
+      pauses.beat()
+      onChange()
+    },
+    onBytes: (bytes) => {
+      metrics.controlBytes.inc(bytes)
+    },
+    store: platform,
+    ledger,
+    tables: claimStore.tables,
+    onRecovered: (count) => {
+      metrics.recoveredRecords.inc(count)
+      log.info('stored records of instances that went silent', { count })
+    },
+    onClaimFallback: (kind) => {
+      metrics.claimEvents.inc({ kind, event: 'owner_fallback' })
+    },
+    onError: (err) => {
+      log.error('an exchange with other instances failed', err)
+    },
+  })
+  const policies = defaultPolicies(cfg)
+  const createPool = (): ServerPool =>
+    ServerPool.create({
+      clock: monotonicClock,
+      random,
+      zone: cfg.zone,
+      chooseReplica: policies.chooseReplica,
+    })
+  const evidence = EvidenceTable.create({ source: incarnation, clock: wallClock })
+  const estimates = QualityEstimates.create({ evidence })
+  const rollouts = Rollouts.create({
+    store: platform,
+    config: peers.config,
+    members: peers.members,
+    values: peers.node.values,
+    estimates,
+    qualityEvidence: evidence,
+    incarnation,
+    node: cfg.node,
+    clock: monotonicClock,
+    metrics,
+    log,
+  })
+  const ratings = RatingsClient.create({
+    url: cfg.ratings,
+    node: cfg.node,
+    onRating: (classKey, versionKey, score) => {
+      metrics.ratings.inc({ event: 'received' })
+      estimates.add('quality', classKey, versionKey, score)
+      rollouts.board.rated(versionKey, classKey, score)
+    },
+  })
+  const node: RouterNode = {
+    cfg,
+    config: peers.config,
+    backends: BackendTable.create(createPool),
+    client: BackendClient.create(),
+    members: peers.members,
+    claims: peers.claims.of.claim,
+    sessions: createSessionPins(peers.claims.of.session, metrics),
+    ledger,
+    estimates,
+    rollouts: rollouts.board,
+    retryBudget: RetryBudget.create(),
+    policies,
+    decisions: Decisions.create({ capacity: cfg.decisionsKept, clock: monotonicClock }),
+    metrics,
+    log,
+    random,
+    clock: monotonicClock,
+    wallClock,
+    copyRecord: (entry) => peers.copies.copy(entry),
+    requestRating: (answer) => {
+      ratings.request(answer)
+    },
+    isListCurrent: () =>
+      pauses.isCurrent(peers.node.instances.ageMs) || peers.config.isGoingOn,
+    inProgress: 0,
+  }
+  operators.serve(node)
+  return { node, platform, peers, ratings, rollouts, budget, claimStore }
+}
