Shed requests while the event loop is behind

Cause: an open loop of 1,000 requests/s met a cold router; what waited kept it behind (166 to 789 answers/s, 291 of 5,000 lost to time-outs in one run). Ruled out: the pools (their replicas were idle) and the limit of 2,000 requests in progress, which is seconds of work. Now requests are refused before their bodies are read, in proportion to the loop's delay.

--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -34,6 +34,8 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<Result<undefined, Refusal>> {
+  const busy = node.shed()
+  if (busy) return Err(busy)
   const caller = identify(node, req)
   if (caller.err) return caller
   const body = await readBody(req, node.cfg.maxBodyBytes)
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -36,6 +36,8 @@
   service: string,
   path: string,
 ): Promise<Result<undefined, Refusal>> {
+  const busy = node.shed()
+  if (busy) return Err(busy)
   const caller = identify(node, req)
   if (caller.err) return caller
   const body = await readBody(req, node.cfg.maxBodyBytes)
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -68,7 +68,7 @@
   async close(): Promise<void> {
     if (this.#leaving) return
     this.#leaving = true
-    const { node, platform, peers, ratings, rollouts, claimStore } = this.parts
+    const { node, platform, peers, ratings, rollouts, claimStore, loopLag } = this.parts
     node.log.info('leaving')
     await peers.exchanges.leave()
     await delay(node.cfg.drainGraceMs)
@@ -85,6 +85,7 @@
     await peers.close()
     node.client.close()
     platform.close()
+    loopLag.close()
     node.log.info('left')
   }
 
--- a/packages/router/src/routerNode.ts
+++ b/packages/router/src/routerNode.ts
@@ -11,6 +11,7 @@
   Random,
   ReplicaPolicy,
   RetryBudget,
+  Shedding,
   RolloutBoard,
   SessionPins,
   VersionPolicy,
@@ -63,6 +64,8 @@
   readonly requestRating: RequestRating
   /** Whether the list of backend servers is younger than this process's last pause. */
   readonly isListCurrent: () => boolean
+  /** Refuses requests while this process can't keep up. */
+  readonly shed: Shedding
   /** Requests in progress. */
   inProgress: number
 }
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -7,6 +7,7 @@
   QualityEstimates,
   RetryBudget,
   ServerPool,
+  lagShedding,
   monotonicClock,
   seededRandom,
   wallClock,
@@ -15,6 +16,7 @@
 import { BackendClient } from './backend/backendClient.js'
 import { BackendTable } from './backend/backendTable.js'
 import { createLog } from './log.js'
+import { LoopLag } from './loopLag.js'
 import { RouterMetrics } from './metrics.js'
 import { OperatorRoutes } from './operators/operatorRoutes.js'
 import type { ResolvedRouterOptions } from './options.js'
@@ -37,6 +39,7 @@
   readonly rollouts: Rollouts
   readonly budget: CallBudget
   readonly claimStore: ClaimStore
+  readonly loopLag: LoopLag
 }
 
 /**
@@ -87,6 +90,7 @@
       log.error('an exchange with other instances failed', err)
     },
   })
+  const loopLag = LoopLag.create()
   const policies = defaultPolicies(cfg)
   const createPool = (): ServerPool =>
     ServerPool.create({
@@ -142,10 +146,14 @@
     requestRating: (answer) => {
       ratings.request(answer)
     },
+    shed: lagShedding({
+      random,
+      lagMs: () => loopLag.ms / cfg.targetScale,
+    }),
     isListCurrent: () =>
       pauses.isCurrent(peers.node.instances.ageMs) || peers.config.isGoingOn,
     inProgress: 0,
   }
   operators.serve(node)
-  return { node, platform, peers, ratings, rollouts, budget, claimStore }
+  return { node, platform, peers, ratings, rollouts, budget, claimStore, loopLag }
 }
