--- a/packages/router/src/request/completion.ts
+++ b/packages/router/src/request/completion.ts
@@ -15,17 +15,17 @@
   type Result,
   type VersionPlan,
 } from '@wagtailway/core'
-import { readBody } from '../http/readBody.js'
 import type { RouterNode } from '../routerNode.js'
 import { admit } from './admit.js'
-import { createCall, type Call } from './call.js'
+import type { Call } from './call.js'
 import { chooseVersions, mayDispatch } from './chooseVersions.js'
 import { claimRequest, type RunLeave } from './claimRequest.js'
 import { completeOnce, type Answer } from './completeOnce.js'
 import { dispatch } from './dispatch.js'
-import { checkModel, findClass, identify } from './identify.js'
-import { describeOutcome, noteAttempt, notePlan } from './noteDecision.js'
+import { checkModel, findClass } from './identify.js'
+import { noteAttempt, notePlan } from './noteDecision.js'
 import { prepareChat, type PreparedChat } from './prepareChat.js'
+import { receive, serveCall } from './receive.js'
 import { recordAnswer } from './recordAnswer.js'
 
 /** Serves one chat completion; a refusal is returned for the server to send. */
@@ -34,27 +34,18 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<Result<undefined, Refusal>> {
-  const busy = node.shed()
-  if (busy) return Err(busy)
-  const caller = identify(node, req)
-  if (caller.err) return caller
-  const body = await readBody(req, node.cfg.maxBodyBytes)
-  if (body.err) return body
-  const chat = prepareChat(body.val)
+  const received = await receive(node, req)
+  if (received.err) return received
+  const { caller, body } = received.val
+  const chat = prepareChat(body)
   if (chat.err) return chat
-  const cls = findClass(caller.val, req, chat.val.model)
+  const cls = findClass(caller, req, chat.val.model)
   if (cls.err) return cls
   const forbidden = checkModel(cls.val, chat.val.model)
   if (forbidden) return Err(forbidden)
-  const call = createCall(node, req, res, caller.val.workspace, cls.val)
-  if (call.err) return call
-  try {
-    const outcome = await serve(node, call.val, chat.val)
-    call.val.decision.outcome = describeOutcome(outcome)
-    return outcome
-  } finally {
-    call.val.close()
-  }
+  return serveCall(node, { req, res }, caller, cls.val, (call) =>
+    serve(node, call, chat.val),
+  )
 }
 
 async function serve(
--- a/packages/router/src/request/serviceCall.ts
+++ b/packages/router/src/request/serviceCall.ts
@@ -3,14 +3,14 @@
 import { Err, Ok, notRun, refuse, type Refusal, type Result } from '@wagtailway/core'
 import { readAnswer } from '../backend/backendClient.js'
 import { ANSWER_HEADERS, CALLER_HEADERS, REQUEST_ID_HEADER } from '../constants.js'
-import { readBody } from '../http/readBody.js'
 import type { RouterNode } from '../routerNode.js'
 import { admit } from './admit.js'
-import { createCall, type Call } from './call.js'
+import type { Call } from './call.js'
 import { claimRequest } from './claimRequest.js'
 import { dispatch } from './dispatch.js'
-import { findClass, identify } from './identify.js'
-import { describeOutcome, noteAttempt } from './noteDecision.js'
+import { findClass } from './identify.js'
+import { noteAttempt } from './noteDecision.js'
+import { receive, serveCall } from './receive.js'
 
 /** Class that is used if the caller names none. */
 const DEFAULT_CLASS = 'default'
@@ -36,27 +36,18 @@
   service: string,
   path: string,
 ): Promise<Result<undefined, Refusal>> {
-  const busy = node.shed()
-  if (busy) return Err(busy)
-  const caller = identify(node, req)
-  if (caller.err) return caller
-  const body = await readBody(req, node.cfg.maxBodyBytes)
-  if (body.err) return body
-  const cls = findClass(caller.val, req, DEFAULT_CLASS)
+  const received = await receive(node, req)
+  if (received.err) return received
+  const { caller, body } = received.val
+  const cls = findClass(caller, req, DEFAULT_CLASS)
   if (cls.err) return cls
   if (!cls.val.services.includes(service)) {
     const message = `Class "${cls.val.name}" may not call service "${service}".`
     return Err(notRun('service_not_allowed', message))
   }
-  const call = createCall(node, req, res, caller.val.workspace, cls.val)
-  if (call.err) return call
-  try {
-    const outcome = await serve(node, call.val, service, path, body.val)
-    call.val.decision.outcome = describeOutcome(outcome)
-    return outcome
-  } finally {
-    call.val.close()
-  }
+  return serveCall(node, { req, res }, caller, cls.val, (call) =>
+    serve(node, call, service, path, body),
+  )
 }
 
 async function serve(
