--- a/packages/router/src/backend/backendTable.ts
+++ b/packages/router/src/backend/backendTable.ts
@@ -67,10 +67,15 @@
     return this.#byService.get(name)
   }
 
+  /** Every pool by what it serves. */
+  pools(): [string, ServerPool][] {
+    const groups = [...this.#byVersion, ...this.#byService]
+    return groups.map(([key, { pool }]) => [key, pool])
+  }
+
   /** Refuses requests that have waited too long; to be called regularly. */
   sweep(): void {
-    for (const { pool } of this.#byVersion.values()) pool.sweep()
-    for (const { pool } of this.#byService.values()) pool.sweep()
+    for (const [, pool] of this.pools()) pool.sweep()
   }
 
   #update(
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -1,5 +1,5 @@
 /** Counters and gauges of the router. */
-import type { ExchangeNode } from '@wagtailway/core'
+import type { ExchangeNode, ServerPool } from '@wagtailway/core'
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 
 /** Buckets of request times, in seconds. */
@@ -26,6 +26,18 @@
   metrics.watcher.set(Number(isWatcher))
 }
 
+/** Sets the gauges of the pools of backend servers. */
+export function setPoolMetrics(
+  metrics: RouterMetrics,
+  pools: readonly (readonly [string, ServerPool])[],
+): void {
+  for (const [pool, { waiting, inFlight, healthy }] of pools) {
+    metrics.poolWaiting.set({ pool }, waiting)
+    metrics.poolInFlight.set({ pool }, inFlight)
+    metrics.poolHealthy.set({ pool }, healthy)
+  }
+}
+
 type MembershipParts = 'members' | 'config' | 'isWatcher'
 
 /**
@@ -205,6 +217,24 @@
     help: 'Requests in progress',
     registers: [this.registry],
   })
+  readonly poolWaiting = new Gauge({
+    name: 'wagtailway_pool_waiting',
+    help: 'Requests that wait for a place, by version or plain service',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  })
+  readonly poolInFlight = new Gauge({
+    name: 'wagtailway_pool_in_flight',
+    help: 'Requests in progress at backend servers, by version or plain service',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  })
+  readonly poolHealthy = new Gauge({
+    name: 'wagtailway_pool_healthy',
+    help: 'Backend servers that no breaker keeps out, by version or plain service',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  })
   readonly configRevision = new Gauge({
     name: 'wagtailway_config_revision',
     help: 'Revision of the configuration in force',
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,7 +3,7 @@
 import { Ticker } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
 import { CallerServer } from './http/callerServer.js'
-import { setMembershipMetrics } from './metrics.js'
+import { setMembershipMetrics, setPoolMetrics } from './metrics.js'
 import type { ResolvedRouterOptions } from './options.js'
 import { entriesOf } from './peers/createExchangeNode.js'
 import { PlatformLoops, flushLedger } from './platform/platformLoops.js'
@@ -128,6 +128,7 @@
       intervalMs: SWEEP_MS,
       step: () => {
         node.backends.sweep()
+        setPoolMetrics(node.metrics, node.backends.pools())
         return Promise.resolve()
       },
       onError: (err) => {
--- a/packages/wagtailway/src/admit/serverPool.ts
+++ b/packages/wagtailway/src/admit/serverPool.ts
@@ -182,13 +182,6 @@
     this.#startWaiting()
   }
 
-  /** Expected wait of a request that entered now, in milliseconds. */
-  expectedWaitMs(item: QueueItem): number {
-    const probe = { ...item, ...NO_WAITER, arrivedMs: 0 }
-    const hasRoom = this.#queue.size === 0 && this.#open(undefined).length > 0
-    return hasRoom ? 0 : this.#waitMs(probe)
-  }
-
   #observe({ replicaId, request }: PoolPlace, pressure: number): void {
     this.#servers.get(replicaId)?.window.observe(request, pressure)
     this.#startWaiting()
@@ -294,8 +287,6 @@
 
 const NOTHING = (): void => undefined
 
-const NO_WAITER = { usefulMs: 0, grant: NOTHING, refuse: NOTHING }
-
 function sum(
   servers: ReadonlyMap<string, PooledServer>,
   of: (server: PooledServer) => number,
