Refuse a new session's request rather than decide its version alone

Ruled out: the claim itself (both routers' verdicts were right). The new test of SessionPins failed before.

--- a/packages/router/src/peers/sessionPins.ts
+++ b/packages/router/src/peers/sessionPins.ts
@@ -3,7 +3,11 @@
 import type { RouterMetrics } from '../metrics.js'
 
 /** Creates pins that are claimed through `claims`. */
-export function createSessionPins(claims: Claims, metrics: RouterMetrics): SessionPins {
+export function createSessionPins(
+  claims: Claims,
+  metrics: RouterMetrics,
+  isPlatformAway: () => boolean,
+): SessionPins {
   const backlog = PinBacklog.create({
     claim: (request) => claims.claim(request),
     onConflict: () => {
@@ -13,5 +17,5 @@
       metrics.sessionPins.inc({ source: 'dropped' })
     },
   })
-  return SessionPins.create({ claims, backlog })
+  return SessionPins.create({ claims, backlog, isPlatformAway })
 }
--- a/packages/router/src/reference/refusalHelp.ts
+++ b/packages/router/src/reference/refusalHelp.ts
@@ -18,7 +18,8 @@
   no_version: 'No allowed version can serve now.',
   config_missing: 'The instance has no configuration yet; another one may.',
   config_stale: 'The instance cannot show that its configuration is the newest.',
-  claim_unavailable: 'A claim could not be made, since the platform is away.',
+  claim_unavailable:
+    'A claim, or the version of a new session, could not be decided: the platform is away or slow.',
   ledger_full: 'Billing records wait for the platform and there is no room for more.',
   draining: 'The instance is leaving; another one takes the request.',
   backend_failed: 'The backend server failed or closed the connection.',
--- a/packages/router/src/request/pinSession.ts
+++ b/packages/router/src/request/pinSession.ts
@@ -26,6 +26,9 @@
 /** Longest name of a session, in characters. */
 const MAX_SESSION_LENGTH = 255
 
+/** When a caller should try again if its session can't be pinned, in milliseconds. */
+const PIN_RETRY_MS = 1_000
+
 /**
  * Finds the version that the session is pinned to.
  *
@@ -71,18 +74,22 @@
     return Err(notRun('bad_request', message))
   }
   const pinned = await decidePin(node, call, `${call.classKey}/${session}`, proposed)
+  if (pinned === undefined) {
+    const message = 'The version of this session cannot be decided now; come back later.'
+    return Err(notRun('claim_unavailable', message, PIN_RETRY_MS))
+  }
   const usable = usablePin(node, pinned, allowed)
   if (usable.ok) setToken(node, call, session, pinned)
   return usable
 }
 
-/** The version key that a session without a token is pinned to. */
+/** The version key that a session without a token is pinned to; `undefined` if none can be shown. */
 async function decidePin(
   node: RouterNode,
   call: Call,
   key: string,
   proposed: Candidate,
-): Promise<string> {
+): Promise<string | undefined> {
   const config = node.config.current
   const usable = config?.usable(call.cls) ?? []
   const rollouts = config?.effective.rollouts ?? []
@@ -95,9 +102,9 @@
     // A withdrawn version may have been chosen before it was withdrawn.
     isOnlyChoice: hasOneChoice(config?.allowed(call.cls) ?? [], rollouts),
   }
-  const { version, source } = await node.sessions.pin(first, CLAIM_TIMEOUT_MS)
-  node.metrics.sessionPins.inc({ source })
-  return version
+  const pin = await node.sessions.pin(first, CLAIM_TIMEOUT_MS)
+  node.metrics.sessionPins.inc({ source: pin?.source ?? 'undecided' })
+  return pin?.version
 }
 
 /** Gives the caller a token; each use of the session moves its end. */
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -130,7 +130,11 @@
     client: BackendClient.create(),
     members: peers.members,
     claims: peers.claims.of.claim,
-    sessions: createSessionPins(peers.claims.of.session, metrics),
+    sessions: createSessionPins(
+      peers.claims.of.session,
+      metrics,
+      () => peers.config.isOutageClaimed,
+    ),
     ledger,
     estimates,
     rollouts: rollouts.board,
--- a/packages/scenario/src/hunt/models/sessions.ts
+++ b/packages/scenario/src/hunt/models/sessions.ts
@@ -132,13 +132,15 @@
   async #request({ place, pins }: Member, key: string): Promise<void> {
     this.#requests += 1
     const proposed = VERSIONS[Math.floor(this.#world.random() * VERSIONS.length)] ?? ''
-    const { version, source } = await pins.pin({
+    const pin = await pins.pin({
       key,
       holder: `${place.id}/${this.#requests}`,
       proposed,
       published: PUBLISHED,
       isOnlyChoice: false,
     })
+    if (!pin) return
+    const { version, source } = pin
     this.opts.tally(source)
     const isClaimed = source === 'granted' || source === 'held'
     const versions = this.#versionsOf(key, isClaimed)
--- a/packages/wagtailway/src/session/__tests__/sessionPins.spec.ts
+++ b/packages/wagtailway/src/session/__tests__/sessionPins.spec.ts
@@ -55,6 +55,15 @@
     assert.equal(asked.at(-1)?.value, 'm@v1')
   })
 
+  it('decides nothing alone while others may be able to claim', async () => {
+    const claim = (): Promise<ClaimVerdict> => Promise.resolve({ type: 'unavailable' })
+    const backlog = PinBacklog.create({ claim })
+    const isPlatformAway = (): boolean => false
+    const pins = SessionPins.create({ claims: { claim }, backlog, isPlatformAway })
+    assert.equal(await pins.pin(first), undefined)
+    assert.equal(backlog.size, 0)
+  })
+
   it('waits for no write where there is no other choice', async () => {
     const { pins, asked } = setUp(() => ({ type: 'granted' }))
     const pin = await pins.pin({ ...first, isOnlyChoice: true })
--- a/packages/wagtailway/src/session/sessionPins.ts
+++ b/packages/wagtailway/src/session/sessionPins.ts
@@ -25,14 +25,19 @@
 export interface SessionPinsOptions {
   readonly claims: Pick<Claims, 'claim'>
   readonly backlog: PinBacklog
+  /**
+   * Whether it is proved that no instance reaches the platform, so that no other
+   * one can claim either; taken for granted if absent.
+   */
+  readonly isPlatformAway?: () => boolean
 }
 
 /**
- * Pins sessions by claims, or behind the answers while no claim can be made.
+ * Pins sessions by claims, or behind the answers while nobody can claim.
  *
  * @example
  * const pins = SessionPins.create({ claims, backlog })
- * const { version } = await pins.pin(first, 2_000)
+ * const pin = await pins.pin(first, 2_000)
  */
 export class SessionPins {
   private constructor(private readonly opts: SessionPinsOptions) {}
@@ -41,7 +46,8 @@
     return new SessionPins(opts)
   }
 
-  async pin(first: FirstRequest, timeoutMs?: number): Promise<SessionPin> {
+  /** Decides the version; `undefined` if another instance might decide otherwise. */
+  async pin(first: FirstRequest, timeoutMs?: number): Promise<SessionPin | undefined> {
     const waiting = this.opts.backlog.versionOf(first.key)
     if (waiting !== undefined) return { version: waiting, source: 'backlog' }
     if (first.isOnlyChoice) return this.#later(first, 'only_choice')
@@ -49,7 +55,8 @@
     const verdict = await this.opts.claims.claim({ key, holder, value }, timeoutMs)
     if (verdict.type === 'granted') return { version: value, source: 'granted' }
     if (verdict.type === 'held') return { version: verdict.value, source: 'held' }
-    return this.#later(first, 'published')
+    const isAway = this.opts.isPlatformAway?.() ?? true
+    return isAway ? this.#later(first, 'published') : undefined
   }
 
   /** Writes what still waits. */
--- a/packages/wagtailway/src/spread/configHolder.ts
+++ b/packages/wagtailway/src/spread/configHolder.ts
@@ -75,10 +75,15 @@
     return this.ageMs <= this.opts.freshMs || this.isGoingOn
   }
 
+  /** Whether enough listed members lately said that they don't reach the platform. */
+  get isOutageClaimed(): boolean {
+    return this.opts.isOutage?.() ?? false
+  }
+
   /** Whether this node serves without a proof, because of an outage. */
   get isGoingOn(): boolean {
     if (this.#current === undefined || this.ageMs <= this.opts.freshMs) return false
-    return this.revision >= this.knownRevision && (this.opts.isOutage?.() ?? false)
+    return this.revision >= this.knownRevision && this.isOutageClaimed
   }
 
   /** Items of the newest revision. */
