Take the share of acceptance from where it is defined

The share stood twice; wagtailwayctl now uses that of the outage tally, with which it must fit. Behaviour unchanged, 17 of 17 specs of ctl pass.

--- a/packages/ctl/src/commands/acceptance.ts
+++ b/packages/ctl/src/commands/acceptance.ts
@@ -3,16 +3,13 @@
  * instances hold its revision, so that the others can't go on without it even if
  * the platform goes away now.
  */
-import type { Clock } from '@wagtailway/core'
+import { ACCEPTED_SHARE, type Clock } from '@wagtailway/core'
 import type { PlatformClient } from '@wagtailway/platform'
 import { z } from 'zod'
 import { askEntryInstances } from '../entryInstances.js'
 import { EXIT } from '../exitCodes.js'
 import type { Report } from '../report.js'
 
-/** Part of the listed entry instances that must hold a revision. */
-const ACCEPTED_SHARE = 0.5
-
 const POLL_MS = 200
 
 const statusSchema = z.object({ revision: z.number() })
