--- a/packages/scenario/src/hunt/models/claims.ts
+++ b/packages/scenario/src/hunt/models/claims.ts
@@ -107,10 +107,7 @@
 
   #apply(step: Step): void {
     if (step.type === 'outage') {
-      this.#platform.isAway = true
-      this.#world.after(step.ms, () => {
-        this.#platform.isAway = false
-      })
+      this.#platform.goAway(step.ms)
       return
     }
     const member = this.#members[step.node]
--- a/packages/scenario/src/hunt/models/lease.ts
+++ b/packages/scenario/src/hunt/models/lease.ts
@@ -89,10 +89,7 @@
 
   #apply(step: Step): void {
     if (step.type === 'outage') {
-      this.#platform.isAway = true
-      this.#world.after(step.ms, () => {
-        this.#platform.isAway = false
-      })
+      this.#platform.goAway(step.ms)
       return
     }
     const contender = this.#contenders[step.node]
--- a/packages/scenario/src/hunt/virtualPlatform.ts
+++ b/packages/scenario/src/hunt/virtualPlatform.ts
@@ -39,7 +39,7 @@
 export class VirtualPlatform {
   /** The objects, for checks. */
   readonly memory = MemoryStore.create()
-  isAway = false
+  #isAway = false
   rates: PlatformFaultRates
   readonly #store: ObjectStore
 
@@ -60,9 +60,17 @@
     return new VirtualPlatform(world, rates, sabotage)
   }
 
+  /** Answers nothing for `ms` milliseconds. */
+  goAway(ms: number): void {
+    this.#isAway = true
+    this.world.after(ms, () => {
+      this.#isAway = false
+    })
+  }
+
   /** Ends every fault. */
   heal(): void {
-    this.isAway = false
+    this.#isAway = false
     this.rates = { lost: 0, unconfirmed: 0, late: 0 }
   }
 
@@ -94,7 +102,7 @@
       const isLate = world.random() < rates.late
       const isConfirmed = world.random() >= rates.unconfirmed
       world.after(world.random() * (isLate ? MAX_LATE_MS : MAX_DELAY_MS), () => {
-        if (this.isAway) return
+        if (this.#isAway) return
         void apply().then((result) => {
           if (!isConfirmed) return
           const answer = (): void => {
