--- /dev/null
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -0,0 +1,278 @@
+/**
+ * Forwards a stream of events: the first answer that is good enough, continued at
+ * another server from the last event if its server breaks off.
+ */
+import { judgeAnswer } from '../cascade/cascade.js'
+import { readWhole, type AttemptAnswer } from './attempt.js'
+import { pumpEvents, type PumpEnd } from './pumpEvents.js'
+import type { RequestContext, Sent } from './requestContext.js'
+import type { RequestOutcome } from './requestLog.js'
+import { after } from './timer.js'
+
+/** Largest answer without events, such as an error, in bytes. */
+const MAX_PLAIN_BYTES = 1_048_576
+
+/** A server is silent after this many times the expected time to the first event... */
+const SILENT_FACTOR = 3
+
+/** ...but not before this time, in milliseconds: estimates of idle servers are small. */
+const LEAST_SILENCE_MS = 1_500
+
+/** Part of the time left after which waiting for the first event gives way to another server. */
+const LEFT_PART = 0.6
+
+/** When a caller comes back that was refused, in milliseconds, beside the queue's length. */
+const RETRY_AFTER_MS = 300
+
+/** State of a stream across its sends. */
+interface StreamState {
+  /** Place of the model in the route's list. */
+  modelIndex: number
+  hasBegun: boolean
+  lastEventId: number | undefined
+}
+
+type StreamStep =
+  | { readonly type: 'done'; readonly outcome: RequestOutcome }
+  | { readonly type: 'again'; readonly reason: string; readonly isPaid?: boolean }
+  | { readonly type: 'give_up'; readonly reason: 'server_failed' | 'timeout' }
+
+/**
+ * Sends the request until its stream is complete, may not go on, or time is up.
+ *
+ * @example
+ * ctx.finish(await forwardStream(ctx))
+ */
+export async function forwardStream(ctx: RequestContext): Promise<RequestOutcome> {
+  const { caller, route } = ctx.opts
+  const state: StreamState = {
+    modelIndex: 0,
+    hasBegun: false,
+    lastEventId: caller.facts.lastEventId,
+  }
+  for (;;) {
+    if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
+    if (ctx.leftMs <= 0) return endUnanswered(ctx, state, 'timeout')
+    const model = route.models[state.modelIndex]
+    const place = ctx.pick(model)
+    if (!place) return endUnanswered(ctx, state, 'no_server')
+    if (!state.hasBegun && place.expectedMs > ctx.leftMs) {
+      return endUnanswered(ctx, state, 'overloaded', place.expectedMs - ctx.leftMs)
+    }
+    const sent = ctx.send(place, model, state.lastEventId)
+    const step = await oneSend(ctx, state, sent)
+    if (step.type === 'done') return step.outcome
+    if (step.type === 'give_up') return endUnanswered(ctx, state, step.reason)
+    const isPaid = step.isPaid === true || ctx.takeRepeat(step.reason)
+    if (!ctx.hasAttemptsLeft || !isPaid) {
+      return endUnanswered(ctx, state, 'server_refused')
+    }
+  }
+}
+
+/** Ends a stream without its last event; one that has begun is visibly broken off. */
+function endUnanswered(
+  ctx: RequestContext,
+  state: StreamState,
+  reason: 'timeout' | 'no_server' | 'overloaded' | 'server_refused' | 'server_failed',
+  freeInMs = 0,
+): RequestOutcome {
+  const { caller } = ctx.opts
+  if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
+  if (state.hasBegun) {
+    caller.res.destroy()
+    return { outcome: 'broken_off', status: 200, reason }
+  }
+  if (ctx.mayHaveRun) {
+    const told = reason === 'timeout' ? 'timeout' : 'server_failed'
+    return { outcome: 'failed', status: caller.refuse(told), reason: told }
+  }
+  const told = reason === 'server_failed' ? 'server_refused' : reason
+  const status = caller.refuse(
+    told === 'timeout' ? 'overloaded' : told,
+    RETRY_AFTER_MS + freeInMs,
+  )
+  return { outcome: 'refused', status, reason: told }
+}
+
+async function oneSend(
+  ctx: RequestContext,
+  state: StreamState,
+  sent: Sent,
+): Promise<StreamStep> {
+  const { caller, route, node } = ctx.opts
+  const { server } = sent.place
+  const { health } = node.opts
+  const canFollow = route.isResumable && ctx.hasAttemptsLeft
+  const patienceMs = canFollow
+    ? Math.min(
+        ctx.leftMs * LEFT_PART,
+        Math.max(LEAST_SILENCE_MS, sent.place.expectedMs * SILENT_FACTOR),
+      )
+    : ctx.leftMs
+  let isLate = false
+  const timer = after(patienceMs, () => {
+    isLate = true
+    sent.attempt.cancel()
+  })
+  const deadline = after(ctx.leftMs, () => {
+    isLate = true
+    sent.attempt.cancel()
+  })
+  caller.onLeft(() => {
+    sent.attempt.cancel()
+  })
+  try {
+    const head = await sent.attempt.head
+    timer.cancel()
+    if (caller.hasLeft) return left(ctx, sent)
+    if (head.type === 'answered') return await answered(ctx, state, sent, head)
+    sent.end(isLate ? 'silent' : head.reason)
+    ctx.spend(server)
+    if (head.ran === 'not_run') {
+      health.noteUnreachable(server.id)
+      return { type: 'again', reason: head.reason }
+    }
+    ctx.noteRan(server)
+    if (isLate) health.noteUnreachable(server.id)
+    else health.note(server.id, false)
+    if (canFollow && ctx.leftMs > 0) {
+      return { type: 'again', reason: isLate ? 'silent' : head.reason }
+    }
+    return { type: 'give_up', reason: isLate ? 'timeout' : 'server_failed' }
+  } finally {
+    timer.cancel()
+    deadline.cancel()
+  }
+}
+
+function left(ctx: RequestContext, sent: Sent): StreamStep {
+  sent.end('caller_left')
+  if (sent.attempt.ran === 'may_have_run') ctx.noteRan(sent.place.server)
+  return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
+}
+
+async function answered(
+  ctx: RequestContext,
+  state: StreamState,
+  sent: Sent,
+  head: AttemptAnswer,
+): Promise<StreamStep> {
+  const { route, node } = ctx.opts
+  const { server } = sent.place
+  if (head.facts.hasNotRun || head.status === 421) {
+    head.res.resume()
+    sent.end(`refused_${head.status}`)
+    ctx.spend(server)
+    if (head.status === 421)
+      node.opts.servers.apply([{ id: server.id, server: undefined }])
+    return { type: 'again', reason: 'server_refused' }
+  }
+  ctx.noteRan(server)
+  if (head.status !== 200) return await plainAnswer(ctx, state, sent, head)
+  if (!head.facts.isSigned || head.facts.isEncoded) {
+    sent.attempt.cancel()
+    sent.end('broken_answer')
+    ctx.spend(server)
+    node.opts.health.note(server.id, false)
+    if (route.isResumable) return { type: 'again', reason: 'broken_answer' }
+    return { type: 'give_up', reason: 'server_failed' }
+  }
+  sent.line.confidence = head.facts.confidence
+  observeSpeed(ctx, sent)
+  if (!state.hasBegun && asksNextModel(ctx, state, sent, head)) {
+    sent.attempt.cancel()
+    sent.end('not_sure_enough')
+    node.opts.health.note(server.id, true)
+    state.modelIndex += 1
+    return { type: 'again', reason: 'larger_model', isPaid: true }
+  }
+  return concludeStream(ctx, state, sent, await pumpEvents(ctx, state, sent, head))
+}
+
+function concludeStream(
+  ctx: RequestContext,
+  state: StreamState,
+  sent: Sent,
+  end: PumpEnd,
+): StreamStep {
+  const { route, node } = ctx.opts
+  const { server } = sent.place
+  sent.end(end)
+  switch (end) {
+    case 'complete':
+      node.opts.health.note(server.id, true)
+      return { type: 'done', outcome: { outcome: 'answered', status: 200 } }
+    case 'caller_left':
+      return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
+    case 'timeout':
+      return { type: 'give_up', reason: 'timeout' }
+    case 'gap':
+    case 'broken':
+    case 'silent':
+      ctx.spend(server)
+      if (end === 'silent') node.opts.health.noteUnreachable(server.id)
+      else node.opts.health.note(server.id, false)
+      if (route.isResumable && end !== 'gap') return { type: 'again', reason: end }
+      return { type: 'give_up', reason: 'server_failed' }
+  }
+}
+
+/** An answer without events, such as an error of the server. */
+async function plainAnswer(
+  ctx: RequestContext,
+  state: StreamState,
+  sent: Sent,
+  head: AttemptAnswer,
+): Promise<StreamStep> {
+  const { caller, route, node } = ctx.opts
+  const { server } = sent.place
+  const read = await readWhole(head.res, MAX_PLAIN_BYTES)
+  if (caller.hasLeft) return left(ctx, sent)
+  sent.end(`status_${head.status}`)
+  ctx.spend(server)
+  const isServerFault = head.status >= 500 || read.type === 'broken'
+  node.opts.health.note(server.id, !isServerFault)
+  const mayRepeat = route.isResumable && ctx.hasAttemptsLeft
+  if (isServerFault && mayRepeat && ctx.takeRepeat('server_error')) {
+    return { type: 'again', reason: 'server_error', isPaid: true }
+  }
+  const isUnfit = head.status < 300 || read.type === 'broken' || state.hasBegun
+  if (isUnfit) return { type: 'give_up', reason: 'server_failed' }
+  caller.res.writeHead(head.status, [
+    ...node.opts.dialect.callerHeaders(head.res.rawHeaders),
+    'Content-Length',
+    String(read.body.length),
+  ])
+  caller.res.end(read.body)
+  return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
+}
+
+function observeSpeed(ctx: RequestContext, sent: Sent): void {
+  const { node, caller } = ctx.opts
+  const { clock, speeds } = node.opts
+  const sinceMs = clock() - caller.arrivedAtMs - sent.line.sentAtMs
+  speeds.observe(sent.line.model ?? '', sent.tokensAhead, sinceMs)
+}
+
+function asksNextModel(
+  ctx: RequestContext,
+  state: StreamState,
+  sent: Sent,
+  head: AttemptAnswer,
+): boolean {
+  const { route, node, service } = ctx.opts
+  const next = route.models[state.modelIndex + 1]
+  const judged = judgeAnswer(
+    {
+      index: state.modelIndex,
+      modelCount: Math.max(1, route.models.length),
+      confidence: head.facts.confidence,
+      nextExpectedMs: next === undefined ? 0 : (ctx.pick(next)?.expectedMs ?? 0),
+      toTargetMs: ctx.toTargetMs,
+      mayRepeat: ctx.hasAttemptsLeft && node.budget(service.name).leftShare > 0,
+    },
+    node.opts.cascade,
+  )
+  return judged === 'ask_next' && ctx.takeRepeat('larger_model')
+}
--- /dev/null
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -0,0 +1,155 @@
+/** Forwards a request whose answer is passed on once it is whole. */
+import { readWhole, type AttemptAnswer } from './attempt.js'
+import type { RequestContext, Sent } from './requestContext.js'
+import type { RequestOutcome } from './requestLog.js'
+import { after } from './timer.js'
+
+/** Largest answer that is held until it is whole, in bytes. */
+const MAX_ANSWER_BYTES = 16_777_216
+
+/**
+ * Time after which a silent server is given up for another one, in targets: an answer
+ * that late has missed its target whatever happens.
+ */
+const SILENT_TARGETS = 1.6
+
+/** Part of the time left that a send may take if another one can follow. */
+const LEFT_PART = 0.5
+
+/** What became of one send. */
+type SendResult =
+  | { readonly type: 'done'; readonly outcome: RequestOutcome }
+  /** `isPaid` if the budget of repeats has been charged already. */
+  | { readonly type: 'again'; readonly reason: string; readonly isPaid?: boolean }
+  | { readonly type: 'give_up'; readonly status: 'server_failed' | 'timeout' }
+
+/**
+ * Sends the request until it is answered, may not be sent again, or time is up.
+ *
+ * @example
+ * ctx.finish(await forwardWhole(ctx))
+ */
+export async function forwardWhole(ctx: RequestContext): Promise<RequestOutcome> {
+  for (;;) {
+    if (ctx.opts.caller.hasLeft) return { outcome: 'caller_left', status: 0 }
+    if (ctx.leftMs <= 0) return refuseUnanswered(ctx, 'timeout')
+    const place = ctx.pick(undefined)
+    if (!place)
+      return refuseUnanswered(ctx, ctx.lines.length > 0 ? 'server_refused' : 'no_server')
+    const sent = ctx.send(place, undefined, undefined)
+    const result = await conclude(ctx, sent)
+    if (result.type === 'done') return result.outcome
+    if (result.type === 'give_up') return refuseUnanswered(ctx, result.status)
+    ctx.spend(place.server)
+    const isPaid = result.isPaid === true || ctx.takeRepeat(result.reason)
+    if (!ctx.hasAttemptsLeft || !isPaid) return refuseUnanswered(ctx, 'server_refused')
+  }
+}
+
+/** Answers for a request that no server has answered, truthfully about whether it ran. */
+function refuseUnanswered(
+  ctx: RequestContext,
+  reason: 'timeout' | 'no_server' | 'server_refused' | 'server_failed',
+): RequestOutcome {
+  const { caller } = ctx.opts
+  if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
+  if (ctx.mayHaveRun) {
+    const told = reason === 'timeout' ? 'timeout' : 'server_failed'
+    return { outcome: 'failed', status: caller.refuse(told), reason: told }
+  }
+  const told = reason === 'timeout' ? 'overloaded' : reason
+  const status = caller.refuse(
+    told === 'server_failed' ? 'server_refused' : told,
+    RETRY_AFTER_MS,
+  )
+  return { outcome: 'refused', status, reason: told }
+}
+
+/** When a caller that found no free server comes back, in milliseconds: a few answers later. */
+const RETRY_AFTER_MS = 100
+
+async function conclude(ctx: RequestContext, sent: Sent): Promise<SendResult> {
+  const { caller, route, node } = ctx.opts
+  const { server } = sent.place
+  const { health } = node.opts
+  const mayRepeat = route.kind === 'idempotent'
+  const canFollow = mayRepeat && ctx.hasAttemptsLeft
+  const patienceMs = canFollow
+    ? Math.min(ctx.leftMs * LEFT_PART, route.targetMs * SILENT_TARGETS)
+    : ctx.leftMs
+  let isLate = false
+  const timer = after(patienceMs, () => {
+    isLate = true
+    sent.attempt.cancel()
+  })
+  caller.onLeft(() => {
+    sent.attempt.cancel()
+  })
+  try {
+    const head = await sent.attempt.head
+    if (caller.hasLeft) {
+      sent.end('caller_left')
+      if (sent.attempt.ran === 'may_have_run') ctx.noteRan(server)
+      return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
+    }
+    if (head.type === 'answered') return await concludeAnswer(ctx, sent, head)
+    sent.end(isLate ? 'silent' : head.reason)
+    if (head.ran === 'not_run') {
+      health.noteUnreachable(server.id)
+      return isLate && !canFollow
+        ? { type: 'give_up', status: 'timeout' }
+        : { type: 'again', reason: head.reason }
+    }
+    ctx.noteRan(server)
+    health.note(server.id, false)
+    if (mayRepeat && ctx.leftMs > 0) {
+      return { type: 'again', reason: isLate ? 'silent' : head.reason }
+    }
+    return { type: 'give_up', status: isLate ? 'timeout' : 'server_failed' }
+  } finally {
+    timer.cancel()
+  }
+}
+
+async function concludeAnswer(
+  ctx: RequestContext,
+  sent: Sent,
+  head: AttemptAnswer,
+): Promise<SendResult> {
+  const { caller, route, node } = ctx.opts
+  const { server } = sent.place
+  const { health, dialect } = node.opts
+  if (head.facts.hasNotRun || head.status === 421) {
+    head.res.resume()
+    sent.end(`refused_${head.status}`)
+    if (head.status === 421)
+      node.opts.servers.apply([{ id: server.id, server: undefined }])
+    return { type: 'again', reason: 'server_refused' }
+  }
+  ctx.noteRan(server)
+  const read = await readWhole(head.res, MAX_ANSWER_BYTES)
+  if (caller.hasLeft) {
+    sent.end('caller_left')
+    return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
+  }
+  const isSuccess = head.status < 300
+  const isGood =
+    read.type === 'whole' &&
+    (!isSuccess || (head.facts.isSigned && !head.facts.isEncoded))
+  const isServerFault = !isGood || head.status >= 500
+  health.note(server.id, !isServerFault)
+  sent.end(isGood ? `status_${head.status}` : 'broken_answer')
+  const mayRepeat = route.kind === 'idempotent' && ctx.hasAttemptsLeft && ctx.leftMs > 0
+  const reason = isGood ? 'server_error' : 'broken_answer'
+  if (isServerFault && mayRepeat && ctx.takeRepeat(reason)) {
+    return { type: 'again', reason, isPaid: true }
+  }
+  if (!isGood) return { type: 'give_up', status: 'server_failed' }
+  caller.res.writeHead(head.status, [
+    ...dialect.callerHeaders(head.res.rawHeaders),
+    'Content-Length',
+    String(read.body.length),
+  ])
+  caller.res.end(read.body)
+  return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
+}
--- /dev/null
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -0,0 +1,219 @@
+/** One request that has passed its checks, on its way to a backend server. */
+import type { GatewayNode } from '../gatewayNode.js'
+import type { GatewayConfig, Route, Service, Workspace } from '../model/config.js'
+import type { BackendServer } from '../model/backendServer.js'
+import { choosePlace, type Place } from '../placement/choosePlace.js'
+import { Attempt } from './attempt.js'
+import type { Caller } from './caller.js'
+import type { AttemptLine, RequestOutcome } from './requestLog.js'
+
+/** Part of a server's connections that one entry instance may use of its equal share. */
+const CONNECTION_SHARE = 0.9
+
+export interface ContextOptions {
+  readonly node: GatewayNode
+  readonly caller: Caller
+  readonly cfg: GatewayConfig
+  readonly route: Route
+  readonly service: Service
+  readonly workspace: Workspace | undefined
+  readonly body: Buffer
+}
+
+/** A send that has begun. */
+export interface Sent {
+  readonly attempt: Attempt
+  readonly place: Place
+  readonly line: AttemptLine
+  /** Prompt tokens ahead of the first event, its own among them. */
+  readonly tokensAhead: number
+  /** Notes that the prompt has been read. */
+  promptRead(): void
+  /** Ends the send's accounts. */
+  end(result: string): void
+}
+
+export class RequestContext {
+  readonly lines: AttemptLine[] = []
+  /** When the answer must have ended, on the monotonic clock. */
+  readonly deadlineMs: number
+  /** Servers that failed or refused this request. */
+  readonly #spent = new Set<string>()
+  /** Servers that may have run this request. */
+  readonly #ranOn = new Set<string>()
+
+  private constructor(readonly opts: ContextOptions) {
+    const { caller, route } = opts
+    const waitMs = Math.min(route.timeoutMs, caller.facts.remainingMs ?? route.timeoutMs)
+    this.deadlineMs = caller.arrivedAtMs + waitMs
+  }
+
+  static create(opts: ContextOptions): RequestContext {
+    return new RequestContext(opts)
+  }
+
+  get leftMs(): number {
+    return this.deadlineMs - this.opts.node.opts.clock()
+  }
+
+  get toTargetMs(): number {
+    const { caller, route, node } = this.opts
+    return caller.arrivedAtMs + route.targetMs - node.opts.clock()
+  }
+
+  /** Whether a server may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#ranOn.size > 0
+  }
+
+  /** Whether the route allows that one more server runs the request. */
+  get hasAttemptsLeft(): boolean {
+    return this.#ranOn.size < this.opts.route.maxAttempts
+  }
+
+  /** What requests with the same shared prompt have in common. */
+  get sessionKey(): string | undefined {
+    return this.opts.caller.facts.promptParts.at(-2)?.id
+  }
+
+  get urgency(): number | undefined {
+    const { route, workspace, service } = this.opts
+    if (service.models.length === 0) return undefined
+    return Math.min(9, (workspace?.priority ?? 0) * 3 + route.priority)
+  }
+
+  /** The place for the next send, `undefined` if no server takes it. */
+  pick(model: string | undefined): Place | undefined {
+    const { node, service, caller } = this.opts
+    const { health, speeds, load, random, zone, rollouts, servers } = node.opts
+    const versions = rollouts.versionsFor(service.name, this.sessionKey)
+    const known = versions
+      .map((allows) =>
+        servers.ready(service.name).filter(({ version }) => allows(version)),
+      )
+      .find((found) => found.length > 0)
+    const fresh = known?.filter(({ id }) => !this.#spent.has(id)) ?? []
+    const open = fresh.filter((server) => this.#hasConnectionFor(server))
+    const { promptParts, promptTokens } = caller.facts
+    const shared = promptParts.slice(0, -1)
+    const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
+    const key = shared.at(-1)?.id
+    return choosePlace(
+      health.usable(open),
+      {
+        affinityKey: key === undefined ? undefined : `${model ?? ''} ${key}`,
+        sharedTokens,
+        ownTokens: Math.max(0, promptTokens - sharedTokens),
+        msPerToken: speeds.msPerToken(model ?? ''),
+        zone,
+      },
+      (id) => load.total(id),
+      random,
+    )
+  }
+
+  /** Sends the request. */
+  send(place: Place, model: string | undefined, lastEventId: number | undefined): Sent {
+    const { node, caller, workspace, body, service, route } = this.opts
+    const { clock, load, dialect, connections, metrics } = node.opts
+    const { server, tokensToRead } = place
+    const sentAtMs = clock()
+    const tokensAhead = load.total(server.id).waitingTokens + tokensToRead
+    // A request that must not run twice gets a connection that nothing else has used.
+    const isKept = route.kind !== 'once'
+    const attempt = Attempt.start({
+      host: server.host,
+      port: server.port,
+      agent: isKept ? connections.agentFor(server) : undefined,
+      method: caller.req.method ?? 'GET',
+      path: caller.req.url ?? '/',
+      headers: dialect.backendHeaders(caller.req.rawHeaders, {
+        serverId: server.id,
+        remainingMs: Math.max(1, Math.floor(this.leftMs)),
+        workspace: workspace?.name,
+        model,
+        urgency: this.urgency,
+        lastEventId,
+        bodyBytes: body.length,
+        keepsConnection: isKept,
+      }),
+      body,
+      requestId: caller.facts.requestId,
+      readAnswer: dialect.readAnswer,
+    })
+    const line: AttemptLine = {
+      server: server.id,
+      version: server.version,
+      model,
+      sentAtMs: Math.round(sentAtMs - caller.arrivedAtMs),
+      expectedMs: Math.round(place.expectedMs),
+      result: 'in_progress',
+      tookMs: 0,
+    }
+    this.lines.push(line)
+    load.begin(server.id, tokensToRead)
+    let isRead = false
+    const promptRead = (): void => {
+      if (isRead) return
+      isRead = true
+      load.promptRead(server.id, tokensToRead)
+    }
+    let isOver = false
+    const end = (result: string): void => {
+      if (isOver) return
+      isOver = true
+      promptRead()
+      load.end(server.id)
+      line.result = result
+      line.tookMs = Math.round(clock() - sentAtMs)
+      metrics.attempts.inc({ result })
+    }
+    if (this.lines.length === 1) node.budget(service.name).noteRequest()
+    return { attempt, place, line, tokensAhead, promptRead, end }
+  }
+
+  /** Notes that a server may have run the request. */
+  noteRan(server: BackendServer): void {
+    this.#ranOn.add(server.id)
+  }
+
+  /** Keeps further sends of this request away from a server. */
+  spend(server: BackendServer): void {
+    this.#spent.add(server.id)
+  }
+
+  /** Takes a repeat from the service's budget. */
+  takeRepeat(reason: string): boolean {
+    const { node, service } = this.opts
+    if (!node.budget(service.name).take()) return false
+    node.opts.metrics.repeats.inc({ reason })
+    return true
+  }
+
+  /** Writes the request's line. */
+  finish(outcome: RequestOutcome): void {
+    const { node, caller, route, workspace, cfg } = this.opts
+    const { log, metrics, clock } = node.opts
+    const tookMs = Math.round(clock() - caller.arrivedAtMs)
+    metrics.requests.inc({ outcome: outcome.outcome })
+    if (outcome.reason) metrics.refusals.inc({ reason: outcome.reason })
+    if (outcome.outcome === 'answered') metrics.answerSeconds.observe(tookMs / 1_000)
+    log('request', {
+      id: caller.facts.requestId,
+      route: route.name,
+      workspace: workspace?.name,
+      config: cfg.version,
+      ...outcome,
+      tookMs,
+      leftMs: Math.round(this.leftMs),
+      attempts: this.lines,
+    })
+  }
+
+  #hasConnectionFor(server: BackendServer): boolean {
+    const { node, service } = this.opts
+    const { connections, rollouts } = node.opts
+    const share = (service.connectionLimit * CONNECTION_SHARE) / rollouts.instanceCount
+    return connections.count(server.id) < Math.max(2, share)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forward/requestLog.ts
@@ -0,0 +1,21 @@
+/** What is kept of one request for its log line. */
+import type { OwnReason } from './caller.js'
+
+/** One send, as it is logged. */
+export interface AttemptLine {
+  readonly server: string
+  readonly version: string
+  readonly model?: string | undefined
+  readonly sentAtMs: number
+  readonly expectedMs: number
+  result: string
+  tookMs: number
+  confidence?: number | undefined
+}
+
+/** How a request ended. */
+export interface RequestOutcome {
+  readonly outcome: 'answered' | 'refused' | 'failed' | 'caller_left' | 'broken_off'
+  readonly status: number
+  readonly reason?: OwnReason | string
+}
--- /dev/null
+++ b/packages/gateway/src/gatewayNode.ts
@@ -0,0 +1,118 @@
+/** What the requests of one process share. */
+import type { Clock, Random } from '@wagtailway/core'
+import type { CascadeOptions } from './cascade/cascade.js'
+import type { ServerConnections } from './forward/serverConnections.js'
+import type { GatewayConfig } from './model/config.js'
+import type { HeaderDialect } from './model/requestFacts.js'
+import { RouteTable } from './model/routeTable.js'
+import type { Log } from './observe/log.js'
+import type { GatewayMetrics } from './observe/metrics.js'
+import type { ModelSpeeds } from './placement/modelSpeed.js'
+import type { ServerHealth } from './placement/serverHealth.js'
+import type { LoadBoard } from './placement/serverLoad.js'
+import { RepeatBudget } from './retry/repeatBudget.js'
+import type { RolloutBook } from './rollout/rolloutBook.js'
+import type { ServerTable } from './servers/serverTable.js'
+
+/** Bounds that the deployment gives. */
+export interface GatewayBounds {
+  /** Repeats allowed for each request of a service. */
+  readonly repeatRatio: number
+  readonly repeatWindowMs: number
+  /** Repeats allowed in a window beside those, by all entry instances together. */
+  readonly repeatSlack: number
+  /** Share of a service's requests that a bad version may get in all. */
+  readonly exposureShare: number
+  /** Requests that a bad version may get beside that share. */
+  readonly exposureSlack: number
+  /** Requests of a session that follow each other within this time belong together. */
+  readonly sessionMs: number
+}
+
+/** Part of the deployment's bound on repeats that is used; the rest covers windows that shift. */
+const REPEAT_BOUND_PART = 0.75
+
+/** Repeats that each process may make in a window beside the ratio. */
+const OWN_REPEAT_SLACK = 2
+
+export interface GatewayNodeOptions {
+  readonly name: string
+  readonly zone: string
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Log
+  readonly metrics: GatewayMetrics
+  readonly dialect: HeaderDialect
+  readonly bounds: GatewayBounds
+  readonly cascade: CascadeOptions
+  readonly servers: ServerTable
+  readonly load: LoadBoard
+  readonly health: ServerHealth
+  readonly speeds: ModelSpeeds
+  readonly connections: ServerConnections
+  readonly rollouts: RolloutBook
+}
+
+/** Configuration in force, with its index. */
+export interface ConfigInForce {
+  readonly cfg: GatewayConfig
+  readonly routes: RouteTable
+  /** When it was taken in, on the monotonic clock. */
+  readonly sinceMs: number
+}
+
+/**
+ * Shared state of one process.
+ *
+ * @example
+ * const node = GatewayNode.create(options)
+ * node.putInForce(cfg)
+ */
+export class GatewayNode {
+  inProgress = 0
+  /** Set once the process has been asked to end. */
+  isLeaving = false
+  #inForce: ConfigInForce | undefined
+  readonly #budgets = new Map<string, RepeatBudget>()
+
+  private constructor(readonly opts: GatewayNodeOptions) {}
+
+  static create(opts: GatewayNodeOptions): GatewayNode {
+    return new GatewayNode(opts)
+  }
+
+  get inForce(): ConfigInForce | undefined {
+    return this.#inForce
+  }
+
+  /** Puts a configuration in force unless a newer one already is. */
+  putInForce(cfg: GatewayConfig): boolean {
+    const { clock, log, metrics } = this.opts
+    const old = this.#inForce?.cfg.version
+    if (old !== undefined && cfg.version <= old) return false
+    this.#inForce = { cfg, routes: RouteTable.create(cfg.routes), sinceMs: clock() }
+    metrics.configVersion.set(cfg.version)
+    log('config_in_force', {
+      version: cfg.version,
+      before: old,
+      routes: cfg.routes.length,
+    })
+    return true
+  }
+
+  /** Budget of repeats of a service. */
+  budget(service: string): RepeatBudget {
+    const { clock, bounds } = this.opts
+    let budget = this.#budgets.get(service)
+    if (!budget) {
+      budget = RepeatBudget.create({
+        clock,
+        ratio: bounds.repeatRatio * REPEAT_BOUND_PART,
+        slack: OWN_REPEAT_SLACK,
+        windowMs: bounds.repeatWindowMs,
+      })
+      this.#budgets.set(service, budget)
+    }
+    return budget
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/http/plainServer.ts
@@ -0,0 +1,45 @@
+/** Small HTTP servers for the balancer's question and for metrics. */
+import { createServer, type Server } from 'node:http'
+import type { ListenAddress } from './callerServer.js'
+
+export interface PlainAnswer {
+  readonly status: number
+  readonly contentType?: string
+  readonly text: string
+}
+
+/**
+ * Answers GET requests by a function of the path.
+ *
+ * @example
+ * const server = await PlainServer.create(address, async () => ({ status: 200, text: 'ok' }))
+ */
+export class PlainServer {
+  private constructor(private readonly server: Server) {}
+
+  static async create(
+    address: ListenAddress,
+    answer: (path: string) => Promise<PlainAnswer> | PlainAnswer,
+  ): Promise<PlainServer> {
+    const server = createServer((req, res) => {
+      req.resume()
+      void Promise.resolve(answer(req.url ?? '/')).then(
+        ({ status, contentType, text }) => {
+          res.writeHead(status, { 'content-type': contentType ?? 'text/plain' })
+          res.end(text)
+        },
+      )
+    })
+    server.keepAliveTimeout = 30_000
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(address, resolve)
+    })
+    return new PlainServer(server)
+  }
+
+  close(): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/observe/metrics.ts
@@ -0,0 +1,74 @@
+/** Counters and latency histograms of the gateway. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Bounds of latency buckets, in seconds: from a local lookup to a long stream. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 10, 15, 20]
+
+export type GatewayMetrics = ReturnType<typeof createMetrics>
+
+/**
+ * Creates all metrics in a registry of their own.
+ *
+ * @example
+ * const metrics = createMetrics()
+ * metrics.requests.inc({ route: 'notes', outcome: 'answered' })
+ */
+export function createMetrics() {
+  const registry = new Registry()
+  const registers = [registry]
+  return {
+    registry,
+    requests: new Counter({
+      name: 'wagtailway_gateway_requests_total',
+      help: 'Requests of callers by how they ended',
+      labelNames: ['outcome'],
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'wagtailway_gateway_refusals_total',
+      help: 'Refused requests by reason',
+      labelNames: ['reason'],
+      registers,
+    }),
+    repeats: new Counter({
+      name: 'wagtailway_gateway_repeats_total',
+      help: 'Requests sent to a backend server once more, by reason',
+      labelNames: ['reason'],
+      registers,
+    }),
+    attempts: new Counter({
+      name: 'wagtailway_gateway_attempts_total',
+      help: 'Sends to backend servers by how they ended',
+      labelNames: ['result'],
+      registers,
+    }),
+    answerSeconds: new Histogram({
+      name: 'wagtailway_gateway_answer_seconds',
+      help: 'Time from a request to its whole answer',
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    firstByteSeconds: new Histogram({
+      name: 'wagtailway_gateway_first_byte_seconds',
+      help: 'Time from a request to the first byte of its answer',
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    inProgress: new Gauge({
+      name: 'wagtailway_gateway_requests_in_progress',
+      help: 'Requests of callers in progress',
+      registers,
+    }),
+    storeCalls: new Counter({
+      name: 'wagtailway_gateway_store_calls_total',
+      help: "Calls to the platform's store by how they ended",
+      labelNames: ['call', 'result'],
+      registers,
+    }),
+    configVersion: new Gauge({
+      name: 'wagtailway_gateway_config_version',
+      help: 'Version of the configuration in force',
+      registers,
+    }),
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/placement/choosePlace.ts
@@ -0,0 +1,87 @@
+/**
+ * Chooses the backend server of a request.
+ *
+ * Answers two load patterns. Long shared prompts: a server that has read the shared part
+ * before needs a fraction of the time, so equal prompts go to the same server, found by
+ * rendezvous hashing without any exchange. Bursts and hot keys: that server's queue is
+ * weighed against reading the shared part again elsewhere, so a popular prompt spreads.
+ */
+import { hash32, type Random } from '@wagtailway/core'
+import type { BackendServer } from '../model/backendServer.js'
+import type { ServerLoad } from './serverLoad.js'
+
+/** Delay that one request in progress adds to another, in milliseconds. */
+const RUNNING_MS = 3
+
+/** Delay of a hop to another availability zone and back, in milliseconds. */
+const CROSS_ZONE_MS = 4
+
+/** Random part of a score, so that nodes with the same reports don't choose alike. */
+const JITTER_MS = 2
+
+export interface PlaceRequest {
+  /** What equal requests share; `undefined` for requests without a prompt. */
+  readonly affinityKey: string | undefined
+  /** Tokens of the shared parts. */
+  readonly sharedTokens: number
+  /** Tokens that only this request has. */
+  readonly ownTokens: number
+  readonly msPerToken: number
+  readonly zone: string
+}
+
+export interface Place {
+  readonly server: BackendServer
+  /** Expected time until the first byte of the answer, in milliseconds. */
+  readonly expectedMs: number
+  /** Prompt tokens that the server is expected to read. */
+  readonly tokensToRead: number
+}
+
+/**
+ * The server with the earliest expected answer, `undefined` if there is none.
+ *
+ * @example
+ * choosePlace(servers, request, (id) => board.total(id), random)?.server.id
+ */
+export function choosePlace(
+  servers: readonly BackendServer[],
+  req: PlaceRequest,
+  loadOf: (serverId: string) => ServerLoad,
+  random: Random,
+): Place | undefined {
+  const home = homeServer(servers, req.affinityKey)
+  let best: Place | undefined
+  let bestScore = Number.POSITIVE_INFINITY
+  for (const server of servers) {
+    const load = loadOf(server.id)
+    const isHome = home === undefined || server === home
+    const tokensToRead = req.ownTokens + (isHome ? 0 : req.sharedTokens)
+    const expectedMs =
+      (load.waitingTokens + tokensToRead) * req.msPerToken +
+      load.running * RUNNING_MS +
+      (server.zone === req.zone ? 0 : CROSS_ZONE_MS)
+    const score = expectedMs + random() * JITTER_MS
+    if (score >= bestScore) continue
+    bestScore = score
+    best = { server, expectedMs, tokensToRead }
+  }
+  return best
+}
+
+/** The server whose memory keeps the shared part, by rendezvous hashing. */
+function homeServer(
+  servers: readonly BackendServer[],
+  key: string | undefined,
+): BackendServer | undefined {
+  if (key === undefined) return undefined
+  let home: BackendServer | undefined
+  let highest = -1
+  for (const server of servers) {
+    const weight = hash32(`${server.id} ${key}`)
+    if (weight <= highest) continue
+    highest = weight
+    home = server
+  }
+  return home
+}
