--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -141,7 +141,10 @@
       return
     }
     if (this.#req) {
-      ServerConnections.noteIdleTimeout(this.#req, String(res.headers['keep-alive'] ?? ''))
+      ServerConnections.noteIdleTimeout(
+        this.#req,
+        String(res.headers['keep-alive'] ?? ''),
+      )
     }
     this.#settle({ type: 'answered', status: res.statusCode ?? 0, facts, res })
   }
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -15,6 +15,9 @@
 /** A server is silent after this many times the expected time to the first event... */
 const SILENT_FACTOR = 3
 
+/** ...and the time in which a large model on a busy engine reads the prompt, a token... */
+const LONGEST_MS_PER_TOKEN = 0.06
+
 /** ...but not before this time, in milliseconds: estimates of idle servers are small. */
 const LEAST_SILENCE_MS = 1_500
 
@@ -102,16 +105,17 @@
 ): Promise<StreamStep> {
   const { caller, route, node } = ctx.opts
   const { server } = sent.place
-  const { health } = node.opts
-  const canFollow = route.isResumable && ctx.hasAttemptsLeft
-  const patienceMs = canFollow
-    ? Math.min(
-        ctx.leftMs * LEFT_PART,
-        Math.max(LEAST_SILENCE_MS, sent.place.expectedMs * SILENT_FACTOR),
-      )
-    : ctx.leftMs
+  const canFollow = route.isResumable && ctx.hasAttemptsLeftAfter(server)
+  const readingMs = caller.facts.promptTokens * LONGEST_MS_PER_TOKEN
+  const silentMs = Math.max(
+    LEAST_SILENCE_MS,
+    readingMs + sent.place.expectedMs * SILENT_FACTOR,
+  )
   let isLate = false
-  const timer = after(patienceMs, () => {
+  let isPaid = false
+  const timer = after(Math.min(ctx.leftMs * LEFT_PART, silentMs), () => {
+    isPaid = canFollow && ctx.takeRepeat('silent')
+    if (!isPaid) return
     isLate = true
     sent.attempt.cancel()
   })
@@ -130,14 +134,14 @@
     sent.end(isLate ? 'silent' : head.reason)
     ctx.spend(server)
     if (head.ran === 'not_run') {
-      health.noteUnreachable(server.id)
+      ctx.noteSilence(server)
       return { type: 'again', reason: head.reason }
     }
     ctx.noteRan(server)
-    if (isLate) health.noteUnreachable(server.id)
-    else health.note(server.id, false)
+    if (isLate) ctx.noteSilence(server)
+    else ctx.noteAnswer(server, false)
     if (canFollow && ctx.leftMs > 0) {
-      return { type: 'again', reason: isLate ? 'silent' : head.reason }
+      return { type: 'again', reason: isLate ? 'silent' : head.reason, isPaid }
     }
     return { type: 'give_up', reason: isLate ? 'timeout' : 'server_failed' }
   } finally {
@@ -174,7 +178,7 @@
     sent.attempt.cancel()
     sent.end('broken_answer')
     ctx.spend(server)
-    node.opts.health.note(server.id, false)
+    ctx.noteAnswer(server, false)
     if (route.isResumable) return { type: 'again', reason: 'broken_answer' }
     return { type: 'give_up', reason: 'server_failed' }
   }
@@ -196,12 +200,12 @@
   sent: Sent,
   end: PumpEnd,
 ): StreamStep {
-  const { route, node } = ctx.opts
+  const { route } = ctx.opts
   const { server } = sent.place
   sent.end(end)
   switch (end) {
     case 'complete':
-      node.opts.health.note(server.id, true)
+      ctx.noteAnswer(server, !isSlowStream(ctx, sent))
       return { type: 'done', outcome: { outcome: 'answered', status: 200 } }
     case 'caller_left':
       return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
@@ -211,13 +215,22 @@
     case 'broken':
     case 'silent':
       ctx.spend(server)
-      if (end === 'silent') node.opts.health.noteUnreachable(server.id)
-      else node.opts.health.note(server.id, false)
-      if (route.isResumable && end !== 'gap') return { type: 'again', reason: end }
+      if (end === 'silent') ctx.noteSilence(server)
+      else ctx.noteAnswer(server, false)
+      if (route.isResumable && end !== 'gap') {
+        return { type: 'again', reason: end, isPaid: end === 'silent' }
+      }
       return { type: 'give_up', reason: 'server_failed' }
   }
 }
 
+/** Whether events came far slower than from the version that is being replaced. */
+function isSlowStream(ctx: RequestContext, sent: Sent): boolean {
+  const { pauseMs, model } = sent.line
+  if (pauseMs === undefined) return false
+  return ctx.isSlow(sent.place.server, `pause of ${model ?? 'any model'}`, pauseMs)
+}
+
 /** An answer without events, such as an error of the server. */
 async function plainAnswer(
   ctx: RequestContext,
@@ -232,7 +245,7 @@
   sent.end(`status_${head.status}`)
   ctx.spend(server)
   const isServerFault = head.status >= 500 || read.type === 'broken'
-  node.opts.health.note(server.id, !isServerFault)
+  ctx.noteAnswer(server, !isServerFault)
   const mayRepeat = route.isResumable && ctx.hasAttemptsLeft
   if (isServerFault && mayRepeat && ctx.takeRepeat('server_error')) {
     return { type: 'again', reason: 'server_error', isPaid: true }
--- a/packages/gateway/src/forward/forwardWhole.ts
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -69,18 +69,23 @@
 const RETRY_AFTER_MS = 100
 
 async function conclude(ctx: RequestContext, sent: Sent): Promise<SendResult> {
-  const { caller, route, node } = ctx.opts
+  const { caller, route } = ctx.opts
   const { server } = sent.place
-  const { health } = node.opts
   const mayRepeat = route.kind === 'idempotent'
-  const canFollow = mayRepeat && ctx.hasAttemptsLeft
+  const canFollow = mayRepeat && ctx.hasAttemptsLeftAfter(server)
   const patienceMs = canFollow
     ? Math.min(ctx.leftMs * LEFT_PART, route.targetMs * SILENT_TARGETS)
     : ctx.leftMs
   let isLate = false
-  const timer = after(patienceMs, () => {
+  let isPaid = false
+  const giveUp = (): void => {
     isLate = true
     sent.attempt.cancel()
+  }
+  const timer = after(patienceMs, () => {
+    isPaid = canFollow && ctx.takeRepeat('silent')
+    if (isPaid || ctx.leftMs <= 0) giveUp()
+    else timer.restart(ctx.leftMs)
   })
   caller.onLeft(() => {
     sent.attempt.cancel()
@@ -95,15 +100,16 @@
     if (head.type === 'answered') return await concludeAnswer(ctx, sent, head)
     sent.end(isLate ? 'silent' : head.reason)
     if (head.ran === 'not_run') {
-      health.noteUnreachable(server.id)
+      ctx.noteSilence(server)
       return isLate && !canFollow
         ? { type: 'give_up', status: 'timeout' }
         : { type: 'again', reason: head.reason }
     }
     ctx.noteRan(server)
-    health.note(server.id, false)
+    if (isLate) ctx.noteSilence(server)
+    else ctx.noteAnswer(server, false)
     if (mayRepeat && ctx.leftMs > 0) {
-      return { type: 'again', reason: isLate ? 'silent' : head.reason }
+      return { type: 'again', reason: isLate ? 'silent' : head.reason, isPaid }
     }
     return { type: 'give_up', status: isLate ? 'timeout' : 'server_failed' }
   } finally {
@@ -118,7 +124,7 @@
 ): Promise<SendResult> {
   const { caller, route, node } = ctx.opts
   const { server } = sent.place
-  const { health, dialect } = node.opts
+  const { dialect } = node.opts
   if (head.facts.hasNotRun || head.status === 421) {
     head.res.resume()
     sent.end(`refused_${head.status}`)
@@ -137,7 +143,8 @@
     read.type === 'whole' &&
     (!isSuccess || (head.facts.isSigned && !head.facts.isEncoded))
   const isServerFault = !isGood || head.status >= 500
-  health.note(server.id, !isServerFault)
+  const isSlow = ctx.isSlow(server, 'answer', node.opts.clock() - sentAt(ctx, sent))
+  ctx.noteAnswer(server, !isServerFault && !isSlow)
   sent.end(isGood ? `status_${head.status}` : 'broken_answer')
   const mayRepeat = route.kind === 'idempotent' && ctx.hasAttemptsLeft && ctx.leftMs > 0
   const reason = isGood ? 'server_error' : 'broken_answer'
@@ -153,3 +160,8 @@
   caller.res.end(read.body)
   return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
 }
+
+/** When a send began, on the monotonic clock. */
+function sentAt(ctx: RequestContext, sent: Sent): number {
+  return ctx.opts.caller.arrivedAtMs + sent.line.sentAtMs
+}
--- a/packages/gateway/src/forward/pumpEvents.ts
+++ b/packages/gateway/src/forward/pumpEvents.ts
@@ -37,18 +37,24 @@
   const { res } = head
   return new Promise((resolve) => {
     let isOver = false
+    let passed = 0
+    let firstAtMs = 0
+    let lastAtMs = 0
     const finish = (end: PumpEnd): void => {
       if (isOver) return
       isOver = true
       silence.cancel()
       deadline.cancel()
+      if (passed > 1) {
+        sent.line.pauseMs = Math.round((lastAtMs - firstAtMs) / (passed - 1))
+      }
       if (end !== 'complete') sent.attempt.cancel()
       resolve(end)
     }
     const canFollow = route.isResumable && ctx.hasAttemptsLeft
     const silenceMs = Math.max(LEAST_SILENCE_MS, route.targetPauseMs * SILENT_PAUSES)
-    const silence = after(canFollow ? silenceMs : ctx.leftMs, () => {
-      finish('silent')
+    const silence = after(silenceMs, () => {
+      if (canFollow && ctx.takeRepeat('silent')) finish('silent')
     })
     const deadline = after(ctx.leftMs, () => {
       finish('timeout')
@@ -72,6 +78,9 @@
       }
       begin()
       sent.promptRead()
+      lastAtMs = node.opts.clock()
+      if (passed === 0) firstAtMs = lastAtMs
+      passed += 1
       state.lastEventId = event.id ?? state.lastEventId
       if (!caller.res.write(event.bytes)) {
         res.pause()
@@ -81,7 +90,7 @@
     }
     res.on('data', (chunk: Buffer) => {
       if (isOver) return
-      if (canFollow) silence.restart(silenceMs)
+      silence.restart(silenceMs)
       for (const event of splitter.push(chunk)) if (!pass(event)) finish('gap')
     })
     res.on('end', () => {
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -3,6 +3,7 @@
 import type { GatewayConfig, Route, Service, Workspace } from '../model/config.js'
 import type { BackendServer } from '../model/backendServer.js'
 import { choosePlace, type Place } from '../placement/choosePlace.js'
+import { sessionPlace } from '../rollout/rolloutBook.js'
 import { Attempt } from './attempt.js'
 import type { Caller } from './caller.js'
 import type { AttemptLine, RequestOutcome } from './requestLog.js'
@@ -41,11 +42,13 @@
   readonly #spent = new Set<string>()
   /** Servers that may have run this request. */
   readonly #ranOn = new Set<string>()
+  readonly #randomPlace: number
 
   private constructor(readonly opts: ContextOptions) {
     const { caller, route } = opts
     const waitMs = Math.min(route.timeoutMs, caller.facts.remainingMs ?? route.timeoutMs)
     this.deadlineMs = caller.arrivedAtMs + waitMs
+    this.#randomPlace = opts.node.opts.random()
   }
 
   static create(opts: ContextOptions): RequestContext {
@@ -71,9 +74,14 @@
     return this.#ranOn.size < this.opts.route.maxAttempts
   }
 
-  /** What requests with the same shared prompt have in common. */
+  /** Whether another server may run the request after one that is running it now. */
+  hasAttemptsLeftAfter(server: BackendServer): boolean {
+    const ran = this.#ranOn.size + (this.#ranOn.has(server.id) ? 0 : 1)
+    return ran < this.opts.route.maxAttempts
+  }
+
   get sessionKey(): string | undefined {
-    return this.opts.caller.facts.promptParts.at(-2)?.id
+    return this.opts.caller.facts.session
   }
 
   get urgency(): number | undefined {
@@ -86,7 +94,11 @@
   pick(model: string | undefined): Place | undefined {
     const { node, service, caller } = this.opts
     const { health, speeds, load, random, zone, rollouts, servers } = node.opts
-    const versions = rollouts.versionsFor(service.name, this.sessionKey)
+    const versions = rollouts.versionsFor(
+      service.name,
+      this.#rolloutPlace(),
+      this.sessionKey,
+    )
     const known = versions
       .map((allows) =>
         servers.ready(service.name).filter(({ version }) => allows(version)),
@@ -115,7 +127,7 @@
   /** Sends the request. */
   send(place: Place, model: string | undefined, lastEventId: number | undefined): Sent {
     const { node, caller, workspace, body, service, route } = this.opts
-    const { clock, load, dialect, connections, metrics } = node.opts
+    const { clock, load, dialect, connections, metrics, rollouts } = node.opts
     const { server, tokensToRead } = place
     const sentAtMs = clock()
     const tokensAhead = load.total(server.id).waitingTokens + tokensToRead
@@ -168,10 +180,37 @@
       line.tookMs = Math.round(clock() - sentAtMs)
       metrics.attempts.inc({ result })
     }
+    if (this.sessionKey !== undefined && this.#isOldVersion(server)) {
+      rollouts.sessions.used(service.name, this.sessionKey)
+    }
     if (this.lines.length === 1) node.budget(service.name).noteRequest()
     return { attempt, place, line, tokensAhead, promptRead, end }
   }
 
+  /** Notes how an answer turned out, for the server's health and its version's. */
+  noteAnswer(server: BackendServer, isGood: boolean): void {
+    const { health, evidence } = this.opts.node.opts
+    health.note(server.id, isGood)
+    evidence.note(server.id, isGood)
+  }
+
+  /** Notes a server that can't be reached or has fallen silent. */
+  noteSilence(server: BackendServer): void {
+    const { health, evidence } = this.opts.node.opts
+    health.noteUnreachable(server.id)
+    evidence.note(server.id, false)
+  }
+
+  /** Whether a measurement of an answer is slow beside the version that is replaced. */
+  isSlow(server: BackendServer, what: string, ms: number): boolean {
+    const { evidence } = this.opts.node.opts
+    return evidence.isSlow(
+      `${this.opts.service.name} ${what}`,
+      ms,
+      this.#isOldVersion(server),
+    )
+  }
+
   /** Notes that a server may have run the request. */
   noteRan(server: BackendServer): void {
     this.#ranOn.add(server.id)
@@ -210,10 +249,24 @@
     })
   }
 
+  #isOldVersion({ version }: BackendServer): boolean {
+    const rollout = this.opts.node.opts.rollouts.get(this.opts.service.name)
+    return rollout?.state !== 'running' || rollout.target !== version
+  }
+
+  /** Place in the order in which requests move to a new version, from 0 to 1. */
+  #rolloutPlace(): number {
+    const target = this.opts.node.opts.rollouts.get(this.opts.service.name)?.target
+    const { sessionKey } = this
+    return target !== undefined && sessionKey !== undefined
+      ? sessionPlace(target, sessionKey)
+      : this.#randomPlace
+  }
+
   #hasConnectionFor(server: BackendServer): boolean {
     const { node, service } = this.opts
-    const { connections, rollouts } = node.opts
-    const share = (service.connectionLimit * CONNECTION_SHARE) / rollouts.instanceCount
+    const { connections, peers } = node.opts
+    const share = (service.connectionLimit * CONNECTION_SHARE) / peers.aliveCount
     return connections.count(server.id) < Math.max(2, share)
   }
 }
--- a/packages/gateway/src/forward/requestLog.ts
+++ b/packages/gateway/src/forward/requestLog.ts
@@ -11,6 +11,8 @@
   result: string
   tookMs: number
   confidence?: number | undefined
+  /** Mean time between two events, in milliseconds. */
+  pauseMs?: number
 }
 
 /** How a request ended. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -11,7 +11,9 @@
 import type { ServerHealth } from './placement/serverHealth.js'
 import type { LoadBoard } from './placement/serverLoad.js'
 import { RepeatBudget } from './retry/repeatBudget.js'
+import type { PeerBook } from './peers/peerBook.js'
 import type { RolloutBook } from './rollout/rolloutBook.js'
+import type { ServerEvidence } from './rollout/serverEvidence.js'
 import type { ServerTable } from './servers/serverTable.js'
 
 /** Bounds that the deployment gives. */
@@ -51,6 +53,8 @@
   readonly speeds: ModelSpeeds
   readonly connections: ServerConnections
   readonly rollouts: RolloutBook
+  readonly evidence: ServerEvidence
+  readonly peers: PeerBook
 }
 
 /** Configuration in force, with its index. */
@@ -70,6 +74,8 @@
  */
 export class GatewayNode {
   inProgress = 0
+  /** Whether the lists of backend servers and roll-outs have been read. */
+  hasLists = false
   /** Set once the process has been asked to end. */
   isLeaving = false
   #inForce: ConfigInForce | undefined
@@ -81,8 +87,9 @@
     return new GatewayNode(opts)
   }
 
+  /** Undefined until everything is known that decides on requests. */
   get inForce(): ConfigInForce | undefined {
-    return this.#inForce
+    return this.hasLists ? this.#inForce : undefined
   }
 
   /** Puts a configuration in force unless a newer one already is. */
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -65,6 +65,12 @@
       labelNames: ['call', 'result'],
       registers,
     }),
+    peerFaults: new Counter({
+      name: 'wagtailway_gateway_peer_faults_total',
+      help: 'Reports between entry instances that could not be sent or read',
+      labelNames: ['detail'],
+      registers,
+    }),
     configVersion: new Gauge({
       name: 'wagtailway_gateway_config_version',
       help: 'Version of the configuration in force',
--- /dev/null
+++ b/packages/gateway/src/peers/peerBook.ts
@@ -0,0 +1,118 @@
+/** Other entry instances: where they are and when they were last heard. */
+import type { Clock } from '@wagtailway/core'
+import type { PeerReport, RolloutAge } from './peerReport.js'
+
+/** An entry instance that is silent for longer counts as gone, in milliseconds. */
+const ALIVE_MS = 2_500
+
+/** One that is silent for longer gets no more reports until it is heard again, in milliseconds. */
+const FORGOTTEN_MS = 12_000
+
+export interface PeerAddress {
+  readonly name: string
+  readonly host: string
+  readonly port: number
+}
+
+interface Peer {
+  readonly address: PeerAddress
+  heardAtMs: number
+  sequence: number
+  isLeaving: boolean
+  rollouts: readonly RolloutAge[]
+}
+
+/**
+ * Known entry instances beside this one.
+ *
+ * @example
+ * const book = PeerBook.create('n1', clock)
+ * book.heard(report, { host, port })
+ * book.rank() // 0 if no living instance comes before n1
+ */
+export class PeerBook {
+  readonly #peers = new Map<string, Peer>()
+
+  private constructor(
+    private readonly self: string,
+    private readonly clock: Clock,
+  ) {}
+
+  static create(self: string, clock: Clock): PeerBook {
+    return new PeerBook(self, clock)
+  }
+
+  /** Notes an address that may belong to a living instance. */
+  know(address: PeerAddress): void {
+    if (address.name === this.self || this.#peers.has(address.name)) return
+    this.#peers.set(address.name, {
+      address,
+      // Reports go there for a while, and an answer tells whether it lives.
+      heardAtMs: this.clock() - ALIVE_MS,
+      sequence: 0,
+      isLeaving: false,
+      rollouts: [],
+    })
+  }
+
+  /** Takes in a report; false if a newer one has been seen. */
+  heard(
+    report: PeerReport,
+    from: { readonly host: string; readonly port: number },
+  ): boolean {
+    if (report.name === this.self) return false
+    const old = this.#peers.get(report.name)
+    if (old && report.sequence <= old.sequence) return false
+    this.#peers.set(report.name, {
+      address: { name: report.name, ...from },
+      heardAtMs: this.clock(),
+      sequence: report.sequence,
+      isLeaving: report.isLeaving,
+      rollouts: report.rollouts,
+    })
+    return true
+  }
+
+  /** Addresses that get reports. */
+  addresses(): PeerAddress[] {
+    const oldestMs = this.clock() - FORGOTTEN_MS
+    for (const [name, { heardAtMs }] of this.#peers) {
+      if (heardAtMs < oldestMs) this.#peers.delete(name)
+    }
+    return [...this.#peers.values()].map(({ address }) => address)
+  }
+
+  /** Instances that are alive and stay, this one included. */
+  get aliveCount(): number {
+    return this.#alive().length + 1
+  }
+
+  /** Names of the other instances that are alive and stay. */
+  get aliveNames(): Set<string> {
+    return new Set(this.#alive().map(({ address }) => address.name))
+  }
+
+  /** Number of living instances that come before this one. */
+  rank(): number {
+    return this.#alive().filter(({ address }) => address.name < this.self).length
+  }
+
+  /** Longest time since an order that a living instance reports, in milliseconds. */
+  rolloutElapsedMs(service: string, target: string): number {
+    let longest = 0
+    for (const { rollouts, heardAtMs } of this.#alive()) {
+      for (const age of rollouts) {
+        if (age.service !== service || age.target !== target) continue
+        longest = Math.max(longest, age.elapsedMs + this.clock() - heardAtMs)
+      }
+    }
+    return longest
+  }
+
+  #alive(): Peer[] {
+    const oldestMs = this.clock() - ALIVE_MS
+    return [...this.#peers.values()].filter(
+      ({ heardAtMs, isLeaving }) => heardAtMs > oldestMs && !isLeaving,
+    )
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peerLink.ts
@@ -0,0 +1,84 @@
+/** Sends and receives reports of entry instances as datagrams. */
+import { createSocket, type Socket } from 'node:dgram'
+import { decodeReport, encodeReport, type PeerReport } from './peerReport.js'
+import type { PeerBook } from './peerBook.js'
+
+/** Shortest pause between two reports, in milliseconds. */
+const REPORT_MS = 300
+
+/** Pause for each instance that gets a report, in milliseconds: bounds what a node spends. */
+const REPORT_MS_PER_PEER = 8
+
+export interface PeerLinkOptions {
+  readonly host: string
+  readonly port: number
+  readonly book: PeerBook
+  readonly makeReport: () => PeerReport
+  readonly onReport: (report: PeerReport) => void
+  /** Called for each datagram that is no report, and each failed send. */
+  readonly onFault: (detail: string) => void
+}
+
+/**
+ * Exchanges reports with all known entry instances.
+ *
+ * @example
+ * const link = await PeerLink.create(options)
+ * link.close()
+ */
+export class PeerLink {
+  #timer: NodeJS.Timeout | undefined
+
+  private constructor(
+    private readonly opts: PeerLinkOptions,
+    private readonly socket: Socket,
+  ) {
+    socket.on('message', (datagram, { address, port }) => {
+      const report = decodeReport(datagram)
+      if (!report) opts.onFault('unreadable datagram')
+      else if (opts.book.heard(report, { host: address, port })) opts.onReport(report)
+    })
+    socket.on('error', (err) => {
+      opts.onFault(err.message)
+    })
+    this.#schedule(0)
+  }
+
+  static async create(opts: PeerLinkOptions): Promise<PeerLink> {
+    const socket = createSocket('udp4')
+    await new Promise<void>((resolve, reject) => {
+      socket.once('error', reject)
+      socket.bind(opts.port, opts.host, () => {
+        socket.off('error', reject)
+        resolve()
+      })
+    })
+    return new PeerLink(opts, socket)
+  }
+
+  /** Sends a report to every known instance now. */
+  send(): void {
+    const { book, makeReport, onFault } = this.opts
+    const addresses = book.addresses()
+    if (addresses.length === 0) return
+    const datagram = encodeReport(makeReport())
+    for (const { host, port } of addresses) {
+      this.socket.send(datagram, port, host, (err) => {
+        if (err) onFault(err.message)
+      })
+    }
+  }
+
+  close(): void {
+    clearTimeout(this.#timer)
+    this.socket.close()
+  }
+
+  #schedule(peers: number): void {
+    const pauseMs = Math.max(REPORT_MS, peers * REPORT_MS_PER_PEER)
+    this.#timer = setTimeout(() => {
+      this.send()
+      this.#schedule(this.opts.book.addresses().length)
+    }, pauseMs)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -0,0 +1,100 @@
+/** What entry instances tell each other every fraction of a second. */
+import type { AnswerCounts } from '../rollout/serverEvidence.js'
+import type { ServerLoad } from '../placement/serverLoad.js'
+
+/** Time since the order of a roll-out, as one entry instance knows it. */
+export interface RolloutAge {
+  readonly service: string
+  readonly target: string
+  readonly elapsedMs: number
+}
+
+/** A report of one entry instance about itself. */
+export interface PeerReport {
+  readonly name: string
+  /** Grows with each report; starts at the wall clock's time. */
+  readonly sequence: number
+  readonly isLeaving: boolean
+  readonly loads: ReadonlyMap<string, ServerLoad>
+  readonly evidence: ReadonlyMap<string, AnswerCounts>
+  readonly rollouts: readonly RolloutAge[]
+  /** Hashes of sessions used lately on versions that are being replaced. */
+  readonly sessions: readonly number[]
+}
+
+/** Digits after the point of faded counts. */
+const COUNT_DIGITS = 2
+
+/** Short form on the wire; arrays save most of the bytes of names. */
+type WireReport = [
+  name: string,
+  sequence: number,
+  isLeaving: 0 | 1,
+  loads: [string, number, number][],
+  evidence: [string, number, number][],
+  rollouts: [string, string, number][],
+  sessions: number[],
+]
+
+/**
+ * Encodes a report for one datagram.
+ *
+ * @example
+ * socket.send(encodeReport(report), port, host)
+ */
+export function encodeReport(report: PeerReport): Buffer {
+  const wire: WireReport = [
+    report.name,
+    report.sequence,
+    report.isLeaving ? 1 : 0,
+    [...report.loads].map(([id, { running, waitingTokens }]) => [
+      id,
+      running,
+      Math.round(waitingTokens),
+    ]),
+    [...report.evidence].map(([id, { good, bad }]) => [
+      id,
+      Number(good.toFixed(COUNT_DIGITS)),
+      Number(bad.toFixed(COUNT_DIGITS)),
+    ]),
+    report.rollouts.map(({ service, target, elapsedMs }) => [
+      service,
+      target,
+      Math.round(elapsedMs),
+    ]),
+    [...report.sessions],
+  ]
+  return Buffer.from(JSON.stringify(wire))
+}
+
+/**
+ * Decodes a datagram; `undefined` if it is no report.
+ *
+ * @example
+ * const report = decodeReport(datagram)
+ */
+export function decodeReport(datagram: Buffer): PeerReport | undefined {
+  let wire: WireReport
+  try {
+    wire = JSON.parse(datagram.toString()) as WireReport
+    const [name, sequence, isLeaving, loads, evidence, rollouts, sessions] = wire
+    return {
+      name,
+      sequence,
+      isLeaving: isLeaving === 1,
+      loads: new Map(
+        loads.map(([id, running, waitingTokens]) => [id, { running, waitingTokens }]),
+      ),
+      evidence: new Map(evidence.map(([id, good, bad]) => [id, { good, bad }])),
+      rollouts: rollouts.map(([service, target, elapsedMs]) => ({
+        service,
+        target,
+        elapsedMs,
+      })),
+      sessions,
+    }
+  } catch {
+    // Anything may arrive on an open port; what is no report is counted by the caller.
+    return undefined
+  }
+}
--- a/packages/gateway/src/rollout/rolloutBook.ts
+++ b/packages/gateway/src/rollout/rolloutBook.ts
@@ -7,6 +7,7 @@
  * computes alike, so a session moves to the new version once and never back.
  */
 import { hash32, type Clock } from '@wagtailway/core'
+import type { RecentSessions } from './recentSessions.js'
 
 /** State of a roll-out that all entry instances share. */
 export type RolloutState = 'running' | 'completed' | 'rolled_back'
@@ -29,6 +30,9 @@
   readonly sinceMs: number
 }
 
+/** Shares below this belong to the trial, in which no session changes its version. */
+const TRIAL_END_SHARE = 0.3
+
 /** Hashes lie below this. */
 const HASH_END = 2 ** 32
 
@@ -43,16 +47,17 @@
  * book.versionsFor('summariser', 'session-7') // filters, the preferred one first
  */
 export class RolloutBook {
-  /** Entry instances that share the work, this one included. */
-  instanceCount = 1
   readonly #rollouts = new Map<string, KnownRollout>()
   /** Targets that this process has withdrawn before the others agreed. */
   readonly #withdrawn = new Map<string, string>()
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(
+    private readonly clock: Clock,
+    readonly sessions: RecentSessions,
+  ) {}
 
-  static create(clock: Clock): RolloutBook {
-    return new RolloutBook(clock)
+  static create(clock: Clock, sessions: RecentSessions): RolloutBook {
+    return new RolloutBook(clock, sessions)
   }
 
   /** Takes in an order or a change of its state; older revisions are ignored. */
@@ -89,21 +94,35 @@
   /**
    * Filters of the versions that a request may use, the preferred one first. A later
    * filter counts only if no server passes the earlier ones.
+   *
+   * @param place Place of the request's session in the order of growth, from 0 to 1.
    */
-  versionsFor(service: string, sessionKey: string | undefined): VersionFilter[] {
+  versionsFor(service: string, place: number, sessionKey?: string): VersionFilter[] {
     const rollout = this.#rollouts.get(service)
     if (!rollout) return [() => true]
     const { target, share, state } = rollout
     const isTarget: VersionFilter = (version) => version === target
     const isOther: VersionFilter = (version) => version !== target
     if (state === 'rolled_back' || this.isWithdrawn(service, target)) return [isOther]
-    if (state === 'completed') return [isTarget, isOther]
-    const place = hash32(`${target} ${sessionKey ?? ''}`) / HASH_END
-    const usesTarget = sessionKey !== undefined && place < share
-    return usesTarget ? [isTarget, isOther] : share >= 1 ? [isTarget, isOther] : [isOther]
+    if (state === 'completed' || share >= 1) return [isTarget, isOther]
+    if (place >= share) return [isOther]
+    const isTrial = share < TRIAL_END_SHARE
+    const staysOld =
+      isTrial && sessionKey !== undefined && this.sessions.wasOnOld(service, sessionKey)
+    return staysOld ? [isOther] : [isTarget, isOther]
   }
 }
 
+/**
+ * Place of a session in the order in which sessions move to a new version.
+ *
+ * @example
+ * sessionPlace('v2', 'session-7') // the same number in [0, 1) at every node
+ */
+export function sessionPlace(target: string, sessionKey: string): number {
+  return hash32(`${target} ${sessionKey}`) / HASH_END
+}
+
 function isOver({ state }: Rollout): boolean {
   return state !== 'running'
 }
