Don't take a reset of an unframed answer for its end

Cause: Node's HTTP client finishes the parser when a socket errors, which marks a close-delimited body as complete. Ruled out: wrong length, mixed answers (ids and lengths were right).

--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -57,6 +57,7 @@
   #req: ClientRequest | undefined
   #isConnected = false
   #isOver = false
+  #hasFailed = false
   #settle: (outcome: AttemptAnswer | AttemptFailure) => void = () => undefined
 
   private constructor(opts: AttemptRequest) {
@@ -75,6 +76,14 @@
     return this.#isConnected ? 'may_have_run' : 'not_run'
   }
 
+  /**
+   * Whether an answer's body is whole, once it has ended. Node takes a reset of a body
+   * without a length for its end.
+   */
+  isWhole(res: IncomingMessage): boolean {
+    return res.complete && !this.#hasFailed
+  }
+
   /** Breaks the send off; the connection is closed, which stops the server's work. */
   cancel(): void {
     if (this.#isOver) return
@@ -115,6 +124,7 @@
       socket.setNoDelay(true)
     })
     req.on('error', (err) => {
+      this.#hasFailed = true
       clearTimeout(connectTimer)
       this.#fail(this.#isConnected ? 'connection_lost' : 'connect_failed', err.message)
     })
@@ -163,9 +173,13 @@
  * Reads a whole answer; one that is cut, reset or too long counts as broken.
  *
  * @example
- * const body = await readWhole(answer.res, 1_048_576)
+ * const body = await readWhole(attempt, answer, 1_048_576)
  */
-export function readWhole(res: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
+export function readWhole(
+  attempt: Attempt,
+  { res }: AttemptAnswer,
+  maxBytes: number,
+): Promise<BodyOutcome> {
   return new Promise((resolve) => {
     const parts: Buffer[] = []
     let bytes = 0
@@ -177,7 +191,7 @@
       res.destroy()
     })
     res.on('end', () => {
-      if (res.complete) resolve({ type: 'whole', body: Buffer.concat(parts) })
+      if (attempt.isWhole(res)) resolve({ type: 'whole', body: Buffer.concat(parts) })
     })
     res.on('close', () => {
       resolve({ type: 'broken', detail: 'ended early' })
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -240,7 +240,7 @@
 ): Promise<StreamStep> {
   const { caller, route, node } = ctx.opts
   const { server } = sent.place
-  const read = await readWhole(head.res, MAX_PLAIN_BYTES)
+  const read = await readWhole(sent.attempt, head, MAX_PLAIN_BYTES)
   if (caller.hasLeft) return left(ctx, sent)
   sent.end(`status_${head.status}`)
   ctx.spend(server)
--- a/packages/gateway/src/forward/forwardWhole.ts
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -133,7 +133,7 @@
     return { type: 'again', reason: 'server_refused' }
   }
   ctx.noteRan(server)
-  const read = await readWhole(head.res, MAX_ANSWER_BYTES)
+  const read = await readWhole(sent.attempt, head, MAX_ANSWER_BYTES)
   if (caller.hasLeft) {
     sent.end('caller_left')
     return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
--- a/packages/gateway/src/forward/pumpEvents.ts
+++ b/packages/gateway/src/forward/pumpEvents.ts
@@ -95,7 +95,7 @@
     })
     res.on('end', () => {
       if (isOver) return
-      if (!res.complete || splitter.hasPartialEvent) {
+      if (!sent.attempt.isWhole(res) || splitter.hasPartialEvent) {
         finish('broken')
         return
       }
