Tell a reset that arrives with an answer's last bytes from its end

Cause: libuv short-cuts to end-of-file when data and a reset are polled together (POLLHUP after a partial read), so an unframed body cut by a crash looked whole. Ruled out: the reset that comes later (mended before, own test).

--- a/packages/gateway/src/forward/__tests__/attempt.spec.ts
+++ b/packages/gateway/src/forward/__tests__/attempt.spec.ts
@@ -68,6 +68,19 @@
     assert.equal((await bodyOf(send(port))).type, 'broken')
   })
 
+  it('takes an unframed body as broken if its reset comes with its last bytes', async () => {
+    const port = await backend((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => socket.resetAndDestroy())
+    })
+    const attempt = send(port)
+    // Keeps the event loop busy until both have arrived.
+    const untilMs = performance.now() + 60
+    setImmediate(() => {
+      while (performance.now() < untilMs);
+    })
+    assert.equal((await bodyOf(attempt)).type, 'broken')
+  })
+
   it('takes a body shorter than its length as broken', async () => {
     const port = await backend((socket) => {
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf')
--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -1,5 +1,6 @@
 /** One send of a request to one backend server. */
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { AnswerFacts } from '../model/requestFacts.js'
 import { ServerConnections } from './serverConnections.js'
 
@@ -81,7 +82,9 @@
    * without a length for its end.
    */
   isWhole(res: IncomingMessage): boolean {
-    return res.complete && !this.#hasFailed
+    const { headers } = res
+    const hasLength = 'content-length' in headers || 'transfer-encoding' in headers
+    return res.complete && (hasLength || !this.#hasFailed)
   }
 
   /** Breaks the send off; the connection is closed, which stops the server's work. */
@@ -122,6 +125,7 @@
       if (socket.connecting) socket.once('connect', connected)
       else connected()
       socket.setNoDelay(true)
+      this.#watchEnd(socket)
     })
     req.on('error', (err) => {
       this.#hasFailed = true
@@ -139,6 +143,32 @@
     req.end(opts.body)
   }
 
+  /**
+   * Notes an end that comes in the same turn of the event loop as the last bytes. libuv
+   * reports a reset that way if it arrives together with bytes; a proper end comes in a
+   * later turn.
+   */
+  #watchEnd(socket: Socket): void {
+    let isTurnOfBytes = false
+    const onData = (): void => {
+      if (isTurnOfBytes) return
+      isTurnOfBytes = true
+      setImmediate(() => {
+        isTurnOfBytes = false
+      })
+    }
+    const onEnd = (): void => {
+      if (isTurnOfBytes) this.#hasFailed = true
+    }
+    socket.on('data', onData)
+    socket.on('end', onEnd)
+    // A kept connection serves other requests after this one.
+    this.#req?.once('close', () => {
+      socket.off('data', onData)
+      socket.off('end', onEnd)
+    })
+  }
+
   #answered(opts: AttemptRequest, res: IncomingMessage): void {
     // The body's reader sees how it ends; without a listener an error ends the process.
     res.on('error', () => undefined)
