Place by time of reading; start on the smallest model, escalate to the largest

Cause: engines' queues were counted in tokens of any model, and every home of a prompt was taken as having read it; escalations piled up (dossiers p99 8.4 s).

--- a/packages/gateway/src/cascade/cascade.ts
+++ b/packages/gateway/src/cascade/cascade.ts
@@ -8,17 +8,45 @@
  */
 
 /** Confidence, from 0 to 100, from which an answer of a smaller model is taken. */
-export const DEFAULT_LEAST_CONFIDENCE = 60
+export const DEFAULT_LEAST_CONFIDENCE = 40
 
-/** Part of the time to the target that the next model's answer may be expected to take. */
-const TARGET_PART = 0.9
+/**
+ * Part of the time to the target that the next model's first event may be expected to
+ * take, by priority: less urgent requests leave a filling queue to the urgent ones.
+ */
+const TARGET_PARTS = [0.6, 0.35, 0.2] as const
 
 export interface CascadeOptions {
-  /** @default DEFAULT_LEAST_CONFIDENCE */
-  readonly leastConfidence?: number
+  /**
+   * Least confidence by priority of the route, the most urgent first; the last one counts
+   * for all further priorities.
+   * @default [DEFAULT_LEAST_CONFIDENCE]
+   */
+  readonly leastConfidence?: readonly number[]
+  /**
+   * Which models a request is tried on: each in turn, or only the smallest and the largest.
+   * @default 'all'
+   */
+  readonly path?: 'all' | 'ends'
+}
+
+/**
+ * Models of a route that requests are tried on, in this order.
+ *
+ * @example
+ * cascadeModels(['s', 'm', 'l'], { path: 'ends' }) // ['s', 'l']
+ */
+export function cascadeModels(
+  models: readonly string[],
+  { path }: CascadeOptions,
+): readonly string[] {
+  if (path !== 'ends' || models.length < 3) return models
+  return models.filter((_, i) => i === 0 || i === models.length - 1)
 }
 
 export interface AcceptanceInputs {
+  /** Priority of the route, zero for the most urgent. */
+  readonly priority: number
   /** Place of the model in the route's list, smallest first. */
   readonly index: number
   readonly modelCount: number
@@ -41,10 +69,12 @@
  * judgeAnswer(inputs, {}) === 'ask_next'
  */
 export function judgeAnswer(inputs: AcceptanceInputs, opts: CascadeOptions): Acceptance {
-  const least = opts.leastConfidence ?? DEFAULT_LEAST_CONFIDENCE
+  const byPriority = opts.leastConfidence ?? [DEFAULT_LEAST_CONFIDENCE]
+  const least = byPriority[inputs.priority] ?? byPriority.at(-1) ?? 0
   if (inputs.index + 1 >= inputs.modelCount) return 'largest_model'
   if ((inputs.confidence ?? 0) >= least) return 'sure_enough'
   if (!inputs.mayRepeat) return 'no_repeat_left'
-  if (inputs.nextExpectedMs > inputs.toTargetMs * TARGET_PART) return 'no_time_for_next'
+  const part = TARGET_PARTS[inputs.priority] ?? TARGET_PARTS[2]
+  if (inputs.nextExpectedMs > inputs.toTargetMs * part) return 'no_time_for_next'
   return 'ask_next'
 }
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -47,7 +47,7 @@
  * ctx.finish(await forwardStream(ctx))
  */
 export async function forwardStream(ctx: RequestContext): Promise<RequestOutcome> {
-  const { caller, route } = ctx.opts
+  const { caller } = ctx.opts
   const state: StreamState = {
     modelIndex: 0,
     hasBegun: false,
@@ -56,7 +56,7 @@
   for (;;) {
     if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
     if (ctx.leftMs <= 0) return endUnanswered(ctx, state, 'timeout')
-    const model = route.models[state.modelIndex]
+    const model = ctx.models[state.modelIndex]
     const place = ctx.pick(model)
     if (!place) return endUnanswered(ctx, state, 'no_server')
     if (!state.hasBegun && place.expectedMs > ctx.leftMs) {
@@ -183,6 +183,7 @@
     return { type: 'give_up', reason: 'server_failed' }
   }
   sent.line.confidence = head.facts.confidence
+  sent.promptRead()
   observeSpeed(ctx, sent)
   if (!state.hasBegun && asksNextModel(ctx, state, sent, head)) {
     sent.attempt.cancel()
@@ -265,7 +266,8 @@
   const { node, caller } = ctx.opts
   const { clock, speeds } = node.opts
   const sinceMs = clock() - caller.arrivedAtMs - sent.line.sentAtMs
-  speeds.observe(sent.line.model ?? '', sent.tokensAhead, sinceMs)
+  const { tokensToRead } = sent.place
+  speeds.observe(sent.line.model ?? '', tokensToRead, sinceMs - sent.aheadMs)
 }
 
 function asksNextModel(
@@ -275,11 +277,12 @@
   head: AttemptAnswer,
 ): boolean {
   const { route, node, service } = ctx.opts
-  const next = route.models[state.modelIndex + 1]
+  const next = ctx.models[state.modelIndex + 1]
   const judged = judgeAnswer(
     {
       index: state.modelIndex,
-      modelCount: Math.max(1, route.models.length),
+      modelCount: Math.max(1, ctx.models.length),
+      priority: route.priority,
       confidence: head.facts.confidence,
       nextExpectedMs: next === undefined ? 0 : (ctx.pick(next)?.expectedMs ?? 0),
       toTargetMs: ctx.toTargetMs,
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -1,4 +1,5 @@
 /** One request that has passed its checks, on its way to a backend server. */
+import { cascadeModels } from '../cascade/cascade.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import type { GatewayConfig, Route, Service, Workspace } from '../model/config.js'
 import type { BackendServer } from '../model/backendServer.js'
@@ -26,8 +27,8 @@
   readonly attempt: Attempt
   readonly place: Place
   readonly line: AttemptLine
-  /** Prompt tokens ahead of the first event, its own among them. */
-  readonly tokensAhead: number
+  /** Time that prompts ahead of this one were expected to take, in milliseconds. */
+  readonly aheadMs: number
   /** Notes that the prompt has been read. */
   promptRead(): void
   /** Ends the send's accounts. */
@@ -55,6 +56,11 @@
     return new RequestContext(opts)
   }
 
+  /** Models that the request is tried on; empty if the caller names one. */
+  get models(): readonly string[] {
+    return cascadeModels(this.opts.route.models, this.opts.node.opts.cascade)
+  }
+
   get leftMs(): number {
     return this.deadlineMs - this.opts.node.opts.clock()
   }
@@ -84,6 +90,12 @@
     return this.opts.caller.facts.session
   }
 
+  /** What requests with the same shared prompt have in common, for one model. */
+  affinityKey(model: string | undefined): string | undefined {
+    const last = this.opts.caller.facts.promptParts.at(-2)
+    return last && `${model ?? ''} ${last.id}`
+  }
+
   get urgency(): number | undefined {
     const { route, workspace, service } = this.opts
     if (service.models.length === 0) return undefined
@@ -93,7 +105,7 @@
   /** The place for the next send, `undefined` if no server takes it. */
   pick(model: string | undefined): Place | undefined {
     const { node, service, caller } = this.opts
-    const { health, speeds, load, random, zone, rollouts, servers } = node.opts
+    const { health, speeds, load, random, zone, rollouts, servers, readParts } = node.opts
     const versions = rollouts.versionsFor(
       service.name,
       this.#rolloutPlace(),
@@ -109,11 +121,12 @@
     const { promptParts, promptTokens } = caller.facts
     const shared = promptParts.slice(0, -1)
     const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
-    const key = shared.at(-1)?.id
+    const key = this.affinityKey(model)
     return choosePlace(
       health.usable(open),
       {
-        affinityKey: key === undefined ? undefined : `${model ?? ''} ${key}`,
+        affinityKey: key,
+        hasRead: (id) => key !== undefined && readParts.has(id, key),
         sharedTokens,
         ownTokens: Math.max(0, promptTokens - sharedTokens),
         msPerToken: speeds.msPerToken(model ?? ''),
@@ -128,9 +141,9 @@
   send(place: Place, model: string | undefined, lastEventId: number | undefined): Sent {
     const { node, caller, workspace, body, service, route } = this.opts
     const { clock, load, dialect, connections, metrics, rollouts } = node.opts
-    const { server, tokensToRead } = place
+    const { server, readingMs } = place
     const sentAtMs = clock()
-    const tokensAhead = load.total(server.id).waitingTokens + tokensToRead
+    const aheadMs = load.total(server.id).waitingMs
     // A request that must not run twice gets a connection that nothing else has used.
     const isKept = route.kind !== 'once'
     const attempt = Attempt.start({
@@ -163,18 +176,21 @@
       tookMs: 0,
     }
     this.lines.push(line)
-    load.begin(server.id, tokensToRead)
+    load.begin(server.id, readingMs)
     let isRead = false
     const promptRead = (): void => {
       if (isRead) return
       isRead = true
-      load.promptRead(server.id, tokensToRead)
+      const key = this.affinityKey(model)
+      if (key !== undefined) node.opts.readParts.note(server.id, key)
+      load.promptRead(server.id, readingMs)
     }
     let isOver = false
     const end = (result: string): void => {
       if (isOver) return
       isOver = true
-      promptRead()
+      if (!isRead) load.promptRead(server.id, readingMs)
+      isRead = true
       load.end(server.id)
       line.result = result
       line.tookMs = Math.round(clock() - sentAtMs)
@@ -184,7 +200,7 @@
       rollouts.sessions.used(service.name, this.sessionKey)
     }
     if (this.lines.length === 1) node.budget(service.name).noteRequest()
-    return { attempt, place, line, tokensAhead, promptRead, end }
+    return { attempt, place, line, aheadMs, promptRead, end }
   }
 
   /** Notes how an answer turned out, for the server's health and its version's. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -8,6 +8,7 @@
 import type { Log } from './observe/log.js'
 import type { GatewayMetrics } from './observe/metrics.js'
 import type { ModelSpeeds } from './placement/modelSpeed.js'
+import type { ReadParts } from './placement/readParts.js'
 import type { ServerHealth } from './placement/serverHealth.js'
 import type { LoadBoard } from './placement/serverLoad.js'
 import { RepeatBudget } from './retry/repeatBudget.js'
@@ -51,6 +52,7 @@
   readonly load: LoadBoard
   readonly health: ServerHealth
   readonly speeds: ModelSpeeds
+  readonly readParts: ReadParts
   readonly connections: ServerConnections
   readonly rollouts: RolloutBook
   readonly evidence: ServerEvidence
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -47,10 +47,10 @@
     report.name,
     report.sequence,
     report.isLeaving ? 1 : 0,
-    [...report.loads].map(([id, { running, waitingTokens }]) => [
+    [...report.loads].map(([id, { running, waitingMs }]) => [
       id,
       running,
-      Math.round(waitingTokens),
+      Math.round(waitingMs),
     ]),
     [...report.evidence].map(([id, { good, bad }]) => [
       id,
@@ -83,7 +83,7 @@
       sequence,
       isLeaving: isLeaving === 1,
       loads: new Map(
-        loads.map(([id, running, waitingTokens]) => [id, { running, waitingTokens }]),
+        loads.map(([id, running, waitingMs]) => [id, { running, waitingMs }]),
       ),
       evidence: new Map(evidence.map(([id, good, bad]) => [id, { good, bad }])),
       rollouts: rollouts.map(([service, target, elapsedMs]) => ({
--- a/packages/gateway/src/placement/choosePlace.ts
+++ b/packages/gateway/src/placement/choosePlace.ts
@@ -19,6 +19,9 @@
 /** Random part of a score, so that nodes with the same reports don't choose alike. */
 const JITTER_MS = 2
 
+/** Chance that the server where equal prompts go has not read a shared part yet. */
+const HOME_UNREAD_PART = 0.6
+
 export interface PlaceRequest {
   /** What equal requests share; `undefined` for requests without a prompt. */
   readonly affinityKey: string | undefined
@@ -28,6 +31,8 @@
   readonly ownTokens: number
   readonly msPerToken: number
   readonly zone: string
+  /** Whether this process has had the shared parts read by a server. */
+  readonly hasRead: (serverId: string) => boolean
 }
 
 export interface Place {
@@ -36,6 +41,8 @@
   readonly expectedMs: number
   /** Prompt tokens that the server is expected to read. */
   readonly tokensToRead: number
+  /** Time that reading them takes, in milliseconds. */
+  readonly readingMs: number
 }
 
 /**
@@ -55,16 +62,18 @@
   let bestScore = Number.POSITIVE_INFINITY
   for (const server of servers) {
     const load = loadOf(server.id)
-    const isHome = home === undefined || server === home
-    const tokensToRead = req.ownTokens + (isHome ? 0 : req.sharedTokens)
+    const unreadPart = req.hasRead(server.id) ? 0 : server === home ? HOME_UNREAD_PART : 1
+    const tokensToRead = req.ownTokens + unreadPart * req.sharedTokens
+    const readingMs = tokensToRead * req.msPerToken
     const expectedMs =
-      (load.waitingTokens + tokensToRead) * req.msPerToken +
+      load.waitingMs +
+      readingMs +
       load.running * RUNNING_MS +
       (server.zone === req.zone ? 0 : CROSS_ZONE_MS)
     const score = expectedMs + random() * JITTER_MS
     if (score >= bestScore) continue
     bestScore = score
-    best = { server, expectedMs, tokensToRead }
+    best = { server, expectedMs, tokensToRead, readingMs }
   }
   return best
 }
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -8,8 +8,8 @@
 export interface ServerLoad {
   /** Requests in progress. */
   running: number
-  /** Prompt tokens that are to be read before the first events still owed. */
-  waitingTokens: number
+  /** Time that reading the prompts takes whose first events are still owed, in milliseconds. */
+  waitingMs: number
 }
 
 interface PeerReport {
@@ -17,14 +17,14 @@
   readonly loads: ReadonlyMap<string, ServerLoad>
 }
 
-const NO_LOAD: ServerLoad = { running: 0, waitingTokens: 0 }
+const NO_LOAD: ServerLoad = { running: 0, waitingMs: 0 }
 
 /**
  * Own work and what other entry instances report of theirs.
  *
  * @example
  * const board = LoadBoard.create(clock)
- * board.begin('s1', 3_700)
+ * board.begin('s1', 60)
  * board.total('s1').running // 1
  */
 export class LoadBoard {
@@ -38,17 +38,17 @@
   }
 
   /** Notes a request that is sent. */
-  begin(serverId: string, tokens: number): void {
-    const load = this.#own.get(serverId) ?? { running: 0, waitingTokens: 0 }
+  begin(serverId: string, readingMs: number): void {
+    const load = this.#own.get(serverId) ?? { running: 0, waitingMs: 0 }
     load.running += 1
-    load.waitingTokens += tokens
+    load.waitingMs += readingMs
     this.#own.set(serverId, load)
   }
 
   /** Notes that the prompt has been read. */
-  promptRead(serverId: string, tokens: number): void {
+  promptRead(serverId: string, readingMs: number): void {
     const load = this.#own.get(serverId)
-    if (load) load.waitingTokens = Math.max(0, load.waitingTokens - tokens)
+    if (load) load.waitingMs = Math.max(0, load.waitingMs - readingMs)
   }
 
   end(serverId: string): void {
@@ -81,7 +81,7 @@
       const load = loads.get(serverId)
       if (!load) continue
       total.running += load.running
-      total.waitingTokens += load.waitingTokens
+      total.waitingMs += load.waitingMs
     }
     return total
   }
