--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,8 @@
 /** Forwards HTTP requests and event streams to backend servers, by model and version. */
 export * from './cascade/cascade.js'
+export * from './feed/feedExchange.js'
+export * from './feed/feedState.js'
+export * from './feed/lookSchedule.js'
 export * from './forward/serverConnections.js'
 export * from './gatewayNode.js'
 export * from './http/callerServer.js'
--- a/packages/gateway/src/peers/peerBook.ts
+++ b/packages/gateway/src/peers/peerBook.ts
@@ -1,9 +1,9 @@
 /** Other entry instances: where they are and when they were last heard. */
-import type { Clock } from '@wagtailway/core'
+import { hash32, type Clock } from '@wagtailway/core'
 import type { PeerReport, RolloutAge } from './peerReport.js'
 
-/** An entry instance that is silent for longer counts as gone, in milliseconds. */
-const ALIVE_MS = 2_500
+/** An entry instance that is silent for longer counts as gone, in milliseconds: two reports of a far one. */
+const ALIVE_MS = 4_500
 
 /** One that is silent for longer gets no more reports until it is heard again, in milliseconds. */
 const FORGOTTEN_MS = 12_000
@@ -16,6 +16,7 @@
 
 interface Peer {
   readonly address: PeerAddress
+  readonly zone: string | undefined
   heardAtMs: number
   sequence: number
   isLeaving: boolean
@@ -26,7 +27,7 @@
  * Known entry instances beside this one.
  *
  * @example
- * const book = PeerBook.create('n1', clock)
+ * const book = PeerBook.create({ name: 'n1', zone: 'z1' }, clock)
  * book.heard(report, { host, port })
  * book.rank() // 0 if no living instance comes before n1
  */
@@ -34,19 +35,23 @@
   readonly #peers = new Map<string, Peer>()
 
   private constructor(
-    private readonly self: string,
+    private readonly self: { readonly name: string; readonly zone: string },
     private readonly clock: Clock,
   ) {}
 
-  static create(self: string, clock: Clock): PeerBook {
+  static create(
+    self: { readonly name: string; readonly zone: string },
+    clock: Clock,
+  ): PeerBook {
     return new PeerBook(self, clock)
   }
 
   /** Notes an address that may belong to a living instance. */
   know(address: PeerAddress): void {
-    if (address.name === this.self || this.#peers.has(address.name)) return
+    if (address.name === this.self.name || this.#peers.has(address.name)) return
     this.#peers.set(address.name, {
       address,
+      zone: undefined,
       // Reports go there for a while, and an answer tells whether it lives.
       heardAtMs: this.clock() - ALIVE_MS,
       sequence: 0,
@@ -60,11 +65,12 @@
     report: PeerReport,
     from: { readonly host: string; readonly port: number },
   ): boolean {
-    if (report.name === this.self) return false
+    if (report.name === this.self.name) return false
     const old = this.#peers.get(report.name)
     if (old && report.sequence <= old.sequence) return false
     this.#peers.set(report.name, {
       address: { name: report.name, ...from },
+      zone: report.zone,
       heardAtMs: this.clock(),
       sequence: report.sequence,
       isLeaving: report.isLeaving,
@@ -73,13 +79,15 @@
     return true
   }
 
-  /** Addresses that get reports. */
-  addresses(): PeerAddress[] {
+  /** Addresses that get reports: all, or only those that may be in the own zone. */
+  addresses(reach: 'all' | 'zone' = 'all'): PeerAddress[] {
     const oldestMs = this.clock() - FORGOTTEN_MS
     for (const [name, { heardAtMs }] of this.#peers) {
       if (heardAtMs < oldestMs) this.#peers.delete(name)
     }
-    return [...this.#peers.values()].map(({ address }) => address)
+    return [...this.#peers.values()]
+      .filter(({ zone }) => reach === 'all' || zone === undefined || this.#isNear(zone))
+      .map(({ address }) => address)
   }
 
   /** Instances that are alive and stay, this one included. */
@@ -94,7 +102,18 @@
 
   /** Number of living instances that come before this one. */
   rank(): number {
-    return this.#alive().filter(({ address }) => address.name < this.self).length
+    return this.#alive().filter(
+      ({ address }) => orderOf(address.name) < orderOf(this.self.name),
+    ).length
+  }
+
+  /** Number of living instances of the own zone that come before this one. */
+  zoneRank(): number {
+    const own = orderOf(this.self.name)
+    return this.#alive().filter(
+      ({ address, zone }) =>
+        zone !== undefined && this.#isNear(zone) && orderOf(address.name) < own,
+    ).length
   }
 
   /** Longest time since an order that a living instance reports, in milliseconds. */
@@ -109,6 +128,10 @@
     return longest
   }
 
+  #isNear(zone: string): boolean {
+    return zone === this.self.zone
+  }
+
   #alive(): Peer[] {
     const oldestMs = this.clock() - ALIVE_MS
     return [...this.#peers.values()].filter(
@@ -116,3 +139,8 @@
     )
   }
 }
+
+/** Orders instances alike everywhere, without a preference for a zone's first names. */
+function orderOf(name: string): string {
+  return `${hash32(name).toString(16).padStart(8, '0')} ${name}`
+}
--- a/packages/gateway/src/peers/peerLink.ts
+++ b/packages/gateway/src/peers/peerLink.ts
@@ -1,6 +1,8 @@
 /** Sends and receives reports of entry instances as datagrams. */
 import { createSocket, type Socket } from 'node:dgram'
 import { decodeReport, encodeReport, type PeerReport } from './peerReport.js'
+import { SMALL_FLEET } from '../feed/lookSchedule.js'
+import type { ListenAddress } from '../http/callerServer.js'
 import type { PeerBook } from './peerBook.js'
 
 /** Shortest pause between two reports, in milliseconds. */
@@ -9,12 +11,15 @@
 /** Pause for each instance that gets a report, in milliseconds: bounds what a node spends. */
 const REPORT_MS_PER_PEER = 8
 
+/** Instances of other zones get each so many-th report only, in a large fleet. */
+const FAR_EVERY = 3
+
 export interface PeerLinkOptions {
   readonly host: string
   readonly port: number
   readonly book: PeerBook
   readonly makeReport: () => PeerReport
-  readonly onReport: (report: PeerReport) => void
+  readonly onReport: (report: PeerReport, from: ListenAddress) => void
   /** Called for each datagram that is no report, and each failed send. */
   readonly onFault: (detail: string) => void
 }
@@ -28,6 +33,7 @@
  */
 export class PeerLink {
   #timer: NodeJS.Timeout | undefined
+  #ticks = 0
 
   private constructor(
     private readonly opts: PeerLinkOptions,
@@ -36,7 +42,8 @@
     socket.on('message', (datagram, { address, port }) => {
       const report = decodeReport(datagram)
       if (!report) opts.onFault('unreadable datagram')
-      else if (opts.book.heard(report, { host: address, port })) opts.onReport(report)
+      else if (opts.book.heard(report, { host: address, port }))
+        opts.onReport(report, { host: address, port })
     })
     socket.on('error', (err) => {
       opts.onFault(err.message)
@@ -56,10 +63,10 @@
     return new PeerLink(opts, socket)
   }
 
-  /** Sends a report to every known instance now. */
-  send(): void {
+  /** Sends a report now, to every known instance or those of the own zone. */
+  send(reach: 'all' | 'zone' = 'all'): void {
     const { book, makeReport, onFault } = this.opts
-    const addresses = book.addresses()
+    const addresses = book.addresses(reach)
     if (addresses.length === 0) return
     const datagram = encodeReport(makeReport())
     for (const { host, port } of addresses) {
@@ -77,8 +84,11 @@
   #schedule(peers: number): void {
     const pauseMs = Math.max(REPORT_MS, peers * REPORT_MS_PER_PEER)
     this.#timer = setTimeout(() => {
-      this.send()
-      this.#schedule(this.opts.book.addresses().length)
+      const count = this.opts.book.addresses().length
+      this.#ticks += 1
+      const isFarTurn = count <= SMALL_FLEET || this.#ticks % FAR_EVERY === 0
+      this.send(isFarTurn ? 'all' : 'zone')
+      this.#schedule(count)
     }, pauseMs)
   }
 }
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -1,4 +1,5 @@
 /** What entry instances tell each other every fraction of a second. */
+import type { FeedMark } from '../feed/feedState.js'
 import type { AnswerCounts } from '../rollout/serverEvidence.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
 
@@ -12,6 +13,7 @@
 /** A report of one entry instance about itself. */
 export interface PeerReport {
   readonly name: string
+  readonly zone: string
   /** Grows with each report; starts at the wall clock's time. */
   readonly sequence: number
   readonly isLeaving: boolean
@@ -20,6 +22,8 @@
   readonly rollouts: readonly RolloutAge[]
   /** Hashes of sessions used lately on versions that are being replaced. */
   readonly sessions: readonly number[]
+  /** How far each kind of the store's objects is followed. */
+  readonly feeds: readonly FeedMark[]
 }
 
 /** Digits after the point of faded counts. */
@@ -34,6 +38,8 @@
   evidence: [string, number, number][],
   rollouts: [string, string, number][],
   sessions: number[],
+  zone: string,
+  feeds: [string, number, number, number][],
 ]
 
 /**
@@ -63,6 +69,13 @@
       Math.round(elapsedMs),
     ]),
     [...report.sessions],
+    report.zone,
+    report.feeds.map(({ kind, changedAt, asOf, ageMs }) => [
+      kind,
+      changedAt,
+      asOf,
+      Math.round(ageMs),
+    ]),
   ]
   return Buffer.from(JSON.stringify(wire))
 }
@@ -77,7 +90,8 @@
   let wire: WireReport
   try {
     wire = JSON.parse(datagram.toString()) as WireReport
-    const [name, sequence, isLeaving, loads, evidence, rollouts, sessions] = wire
+    const [name, sequence, isLeaving, loads, evidence, rollouts, sessions, zone, feeds] =
+      wire
     return {
       name,
       sequence,
@@ -92,6 +106,13 @@
         elapsedMs,
       })),
       sessions,
+      zone,
+      feeds: feeds.map(([kind, changedAt, asOf, ageMs]) => ({
+        kind,
+        changedAt,
+        asOf,
+        ageMs,
+      })),
     }
   } catch {
     // Anything may arrive on an open port; what is no report is counted by the caller.
--- /dev/null
+++ b/packages/gateway/src/placement/__tests__/choosePlace.spec.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { seededRandom } from '@wagtailway/core'
+import type { BackendServer } from '../../model/backendServer.js'
+import { choosePlace, type PlaceRequest } from '../choosePlace.js'
+import type { ServerLoad } from '../serverLoad.js'
+
+const SERVERS: BackendServer[] = ['s1', 's2', 's3', 's4', 's5', 's6'].map((id) => ({
+  id,
+  startedAtMs: 0,
+  service: 'summariser',
+  host: '10.0.0.1',
+  port: 1,
+  zone: 'z1',
+  version: 'v1',
+  slots: 64,
+  isLeaving: false,
+}))
+
+function dossier(part: string, changes: Partial<PlaceRequest> = {}): PlaceRequest {
+  return {
+    affinityKey: `large ${part}`,
+    sharedTokens: 13_300,
+    ownTokens: 3_720,
+    msPerToken: 0.05,
+    zone: 'z1',
+    hasRead: () => false,
+    ...changes,
+  }
+}
+
+const IDLE = (): ServerLoad => ({ running: 0, waitingMs: 0 })
+
+describe('choosePlace', () => {
+  it('sends equal prompts to one server while it keeps up', () => {
+    const random = seededRandom(1)
+    const chosen = new Set(
+      Array.from(
+        { length: 50 },
+        () => choosePlace(SERVERS, dossier('p1'), IDLE, random)?.server.id,
+      ),
+    )
+    assert.equal(chosen.size, 1)
+  })
+
+  it('spreads a hot prompt once reading it again is faster than waiting', () => {
+    const random = seededRandom(2)
+    const waiting = new Map<string, number>()
+    const load = (id: string): ServerLoad => ({
+      running: 0,
+      waitingMs: waiting.get(id) ?? 0,
+    })
+    for (let i = 0; i < 60; i += 1) {
+      const place = choosePlace(SERVERS, dossier('hot'), load, random)
+      assert.ok(place)
+      const { id } = place.server
+      waiting.set(id, load(id).waitingMs + place.readingMs)
+    }
+    const times = SERVERS.map(({ id }) => load(id).waitingMs)
+    assert.ok(Math.max(...times) - Math.min(...times) < 1_000, times.join(' '))
+  })
+
+  it('prefers a server that has read the shared part', () => {
+    const req = dossier('p1', { hasRead: (id) => id === 's3' })
+    assert.equal(choosePlace(SERVERS, req, IDLE, seededRandom(3))?.server.id, 's3')
+  })
+
+  it('moves only the prompts of a server that is gone', () => {
+    const random = seededRandom(4)
+    const rest = SERVERS.slice(1)
+    for (let i = 0; i < 100; i += 1) {
+      const before = choosePlace(SERVERS, dossier(`p${i}`), IDLE, random)?.server.id
+      const after = choosePlace(rest, dossier(`p${i}`), IDLE, random)?.server.id
+      if (before !== 's1') assert.equal(after, before)
+    }
+  })
+
+  it('finds no place without servers', () => {
+    assert.equal(choosePlace([], dossier('p1'), IDLE, seededRandom(5)), undefined)
+  })
+})
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@wagtailway/core'
 
 /** Load reports of other entry instances count only while they are this fresh. */
-const REPORT_LIFE_MS = 1_500
+const REPORT_LIFE_MS = 4_000
 
 /** Work at one backend server. */
 export interface ServerLoad {
