--- a/packages/gateway/src/cascade/cascade.ts
+++ b/packages/gateway/src/cascade/cascade.ts
@@ -14,7 +14,7 @@
  * Part of the time to the target that the next model's first event may be expected to
  * take, by priority: less urgent requests leave a filling queue to the urgent ones.
  */
-const TARGET_PARTS = [0.6, 0.35, 0.2] as const
+const TARGET_PARTS = [1, 0.5, 0.3] as const
 
 export interface CascadeOptions {
   /**
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -18,8 +18,8 @@
 /** ...and the time in which a large model on a busy engine reads the prompt, a token... */
 const LONGEST_MS_PER_TOKEN = 0.06
 
-/** ...but not before this time, in milliseconds: estimates of idle servers are small. */
-const LEAST_SILENCE_MS = 1_500
+/** ...but not before this part of the target: an engine may have other work first. */
+const LEAST_SILENCE_PART = 0.55
 
 /** Part of the time left after which waiting for the first event gives way to another server. */
 const LEFT_PART = 0.6
@@ -108,7 +108,7 @@
   const canFollow = route.isResumable && ctx.hasAttemptsLeftAfter(server)
   const readingMs = caller.facts.promptTokens * LONGEST_MS_PER_TOKEN
   const silentMs = Math.max(
-    LEAST_SILENCE_MS,
+    route.targetMs * LEAST_SILENCE_PART,
     readingMs + sent.place.expectedMs * SILENT_FACTOR,
   )
   let isLate = false
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -12,6 +12,15 @@
 /** Part of a server's connections that one entry instance may use of its equal share. */
 const CONNECTION_SHARE = 0.9
 
+/** Prompts that are read within this time are short, in milliseconds: a few engine steps. */
+const SHORT_READING_MS = 40
+
+/** Steps of urgency between two priorities of workspaces: more than routes have. */
+const WORKSPACE_STEP = 3
+
+/** The least urgent that an engine knows. */
+const LAST_URGENCY = 9
+
 export interface ContextOptions {
   readonly node: GatewayNode
   readonly caller: Caller
@@ -96,10 +105,15 @@
     return last && `${model ?? ''} ${last.id}`
   }
 
-  get urgency(): number | undefined {
+  /**
+   * Urgency at an engine. Prompts that are read in a moment go first: they delay a long
+   * one by little, while behind several long ones they would miss their target.
+   */
+  urgency(readingMs: number): number | undefined {
     const { route, workspace, service } = this.opts
     if (service.models.length === 0) return undefined
-    return Math.min(9, (workspace?.priority ?? 0) * 3 + route.priority)
+    const ofRoute = readingMs < SHORT_READING_MS ? 0 : 1 + route.priority
+    return Math.min(LAST_URGENCY, (workspace?.priority ?? 0) * WORKSPACE_STEP + ofRoute)
   }
 
   /** The place for the next send, `undefined` if no server takes it. */
@@ -157,7 +171,7 @@
         remainingMs: Math.max(1, Math.floor(this.leftMs)),
         workspace: workspace?.name,
         model,
-        urgency: this.urgency,
+        urgency: this.urgency(readingMs),
         lastEventId,
         bodyBytes: body.length,
         keepsConnection: isKept,
@@ -282,7 +296,7 @@
   #hasConnectionFor(server: BackendServer): boolean {
     const { node, service } = this.opts
     const { connections, peers } = node.opts
-    const share = (service.connectionLimit * CONNECTION_SHARE) / peers.aliveCount
+    const share = (service.connectionLimit * CONNECTION_SHARE) / peers.knownCount
     return connections.count(server.id) < Math.max(2, share)
   }
 }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -33,10 +33,10 @@
 }
 
 /** Part of the deployment's bound on repeats that is used; the rest covers windows that shift. */
-const REPEAT_BOUND_PART = 0.75
+const REPEAT_BOUND_PART = 0.85
 
-/** Repeats that each process may make in a window beside the ratio. */
-const OWN_REPEAT_SLACK = 2
+/** Part of the slack that all instances together use. */
+const REPEAT_SLACK_PART = 0.5
 
 export interface GatewayNodeOptions {
   readonly name: string
@@ -111,13 +111,13 @@
 
   /** Budget of repeats of a service. */
   budget(service: string): RepeatBudget {
-    const { clock, bounds } = this.opts
+    const { clock, bounds, peers } = this.opts
     let budget = this.#budgets.get(service)
     if (!budget) {
       budget = RepeatBudget.create({
         clock,
         ratio: bounds.repeatRatio * REPEAT_BOUND_PART,
-        slack: OWN_REPEAT_SLACK,
+        slack: () => (bounds.repeatSlack * REPEAT_SLACK_PART) / peers.knownCount,
         windowMs: bounds.repeatWindowMs,
       })
       this.#budgets.set(service, budget)
--- a/packages/gateway/src/peers/peerBook.ts
+++ b/packages/gateway/src/peers/peerBook.ts
@@ -8,6 +8,9 @@
 /** One that is silent for longer gets no more reports until it is heard again, in milliseconds. */
 const FORGOTTEN_MS = 12_000
 
+/** Fleet that is assumed before the others have been heard of. */
+const LEAST_FLEET = 8
+
 export interface PeerAddress {
   readonly name: string
   readonly host: string
@@ -33,6 +36,7 @@
  */
 export class PeerBook {
   readonly #peers = new Map<string, Peer>()
+  #mostAlive = 1
 
   private constructor(
     private readonly self: { readonly name: string; readonly zone: string },
@@ -94,6 +98,15 @@
       .map(({ address }) => address)
   }
 
+  /**
+   * The most instances that were alive at once, this one included. Shares of a bound go
+   * by it: an instance that hears less than before may only be cut off.
+   */
+  get knownCount(): number {
+    this.#mostAlive = Math.max(this.#mostAlive, this.aliveCount, LEAST_FLEET)
+    return this.#mostAlive
+  }
+
   /** Instances that are alive and stay, this one included. */
   get aliveCount(): number {
     return this.#alive().length + 1
--- a/packages/gateway/src/retry/repeatBudget.ts
+++ b/packages/gateway/src/retry/repeatBudget.ts
@@ -12,7 +12,7 @@
   /** Repeats allowed for each request in a window. */
   readonly ratio: number
   /** Repeats allowed in a window beside those. */
-  readonly slack: number
+  readonly slack: () => number
   readonly windowMs: number
 }
 
@@ -29,7 +29,7 @@
  * Requests and repeats of one service over a sliding window.
  *
  * @example
- * const budget = RepeatBudget.create({ clock, ratio: 0.7, slack: 4, windowMs: 10_000 })
+ * const budget = RepeatBudget.create({ clock, ratio: 0.7, slack: () => 4, windowMs: 10_000 })
  * budget.noteRequest()
  * if (budget.take()) sendAgain()
  */
@@ -45,7 +45,7 @@
   /** Part of the window's budget that is still there, from 0 to 1. */
   get leftShare(): number {
     const { requests, repeats } = this.#sums()
-    const all = requests * this.opts.ratio + this.opts.slack
+    const all = requests * this.opts.ratio + this.opts.slack()
     return all <= 0 ? 0 : Math.max(0, 1 - repeats / all)
   }
 
@@ -56,7 +56,7 @@
   /** Takes one repeat; false if the window has none left. */
   take(): boolean {
     const { requests, repeats } = this.#sums()
-    if (repeats + 1 > requests * this.opts.ratio + this.opts.slack) return false
+    if (repeats + 1 > requests * this.opts.ratio + this.opts.slack()) return false
     this.#step().repeats += 1
     return true
   }
