--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,12 +9,12 @@
 ])
 
 export default defineConfig(
-  globalIgnores(['**/dist/', '**/gen/']),
+  globalIgnores(['**/dist/', '**/gen/', 'target/']),
   tseslint.configs.strict,
   tseslint.configs.stylistic,
   prettier,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
@@ -33,7 +33,10 @@
   },
   {
     // Only the test tools of packages/scenario may start processes.
-    files: ['packages/{wagtailway,protocol,platform,router,ctl,standins}/src/**/*.ts'],
+    files: [
+      'packages/{wagtailway,protocol,gateway,router,ctl,standins}/src/**/*.ts',
+      'platform/src/**/*.ts',
+    ],
     ignores: ['**/__tests__/**'],
     rules: { 'no-restricted-imports': ['error', ...processStarters] },
   },
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -103,7 +103,7 @@
   state: StreamState,
   sent: Sent,
 ): Promise<StreamStep> {
-  const { caller, route, node } = ctx.opts
+  const { caller, route } = ctx.opts
   const { server } = sent.place
   const canFollow = route.isResumable && ctx.hasAttemptsLeftAfter(server)
   const readingMs = caller.facts.promptTokens * LONGEST_MS_PER_TOKEN
--- a/packages/gateway/src/forward/forwardWhole.ts
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -1,5 +1,5 @@
 /** Forwards a request whose answer is passed on once it is whole. */
-import { readWhole, type AttemptAnswer } from './attempt.js'
+import { readWhole, type AttemptAnswer, type BodyOutcome } from './attempt.js'
 import type { RequestContext, Sent } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import { after } from './timer.js'
@@ -124,7 +124,6 @@
 ): Promise<SendResult> {
   const { caller, route, node } = ctx.opts
   const { server } = sent.place
-  const { dialect } = node.opts
   if (head.facts.hasNotRun || head.status === 421) {
     head.res.resume()
     sent.end(`refused_${head.status}`)
@@ -138,10 +137,7 @@
     sent.end('caller_left')
     return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
   }
-  const isSuccess = head.status < 300
-  const isGood =
-    read.type === 'whole' &&
-    (!isSuccess || (head.facts.isSigned && !head.facts.isEncoded))
+  const isGood = isUsable(head, read)
   const isServerFault = !isGood || head.status >= 500
   const isSlow = ctx.isSlow(server, 'answer', node.opts.clock() - sentAt(ctx, sent))
   ctx.noteAnswer(server, !isServerFault && !isSlow)
@@ -151,14 +147,27 @@
   if (isServerFault && mayRepeat && ctx.takeRepeat(reason)) {
     return { type: 'again', reason, isPaid: true }
   }
-  if (!isGood) return { type: 'give_up', status: 'server_failed' }
-  caller.res.writeHead(head.status, [
-    ...dialect.callerHeaders(head.res.rawHeaders),
+  if (!isUsable(head, read)) return { type: 'give_up', status: 'server_failed' }
+  passOn(ctx, head, read.body)
+  return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
+}
+
+/** Whether an answer is whole and a success is truly the server's. */
+function isUsable(
+  { status, facts }: AttemptAnswer,
+  read: BodyOutcome,
+): read is Extract<BodyOutcome, { type: 'whole' }> {
+  return read.type === 'whole' && (status >= 300 || (facts.isSigned && !facts.isEncoded))
+}
+
+function passOn(ctx: RequestContext, { status, res }: AttemptAnswer, body: Buffer): void {
+  const { caller, node } = ctx.opts
+  caller.res.writeHead(status, [
+    ...node.opts.dialect.callerHeaders(res.rawHeaders),
     'Content-Length',
-    String(read.body.length),
+    String(body.length),
   ])
-  caller.res.end(read.body)
-  return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
+  caller.res.end(body)
 }
 
 /** When a send began, on the monotonic clock. */
--- a/packages/gateway/src/observe/log.ts
+++ b/packages/gateway/src/observe/log.ts
@@ -34,8 +34,7 @@
     hideLogPositionForProduction: true,
     attachedTransports: [
       (line) => {
-        const { _meta: _, ...fields } = line as Fields
-        out.write(`${JSON.stringify(fields)}\n`)
+        out.write(`${JSON.stringify({ ...(line as Fields), _meta: undefined })}\n`)
       },
     ],
   })
--- a/platform/src/follow.ts
+++ b/packages/gateway/src/process/followFeed.ts
@@ -1,9 +1,9 @@
 /** Follows all objects of one kind in the store, as often as the schedule says. */
 import type { Clock, Random } from '@wagtailway/core'
-import type { FeedState, Log, LookInputs } from '@wagtailway/gateway'
-import { planLook } from '@wagtailway/gateway'
-import type { StoredObject } from './decode.js'
-import type { StoreClient, StoreFailure } from './storeClient.js'
+import type { FeedState } from '../feed/feedState.js'
+import { planLook, type LookInputs } from '../feed/lookSchedule.js'
+import type { Log } from '../observe/log.js'
+import type { FollowedKind, StoreFailure, StorePort } from './storePort.js'
 
 /** First pause after a failed call, in milliseconds; doubled by each further one. */
 const FIRST_PAUSE_MS = 60
@@ -14,9 +14,10 @@
 /** Pause between two decisions whether to ask, in milliseconds. */
 const IDLE_PAUSE_MS = 100
 
-export interface FollowOptions {
-  readonly feed: FeedState<StoredObject>
-  readonly store: StoreClient
+export interface FollowOptions<T> {
+  readonly kind: FollowedKind
+  readonly feed: FeedState<T>
+  readonly store: StorePort<T>
   readonly log: Log
   readonly clock: Clock
   readonly random: Random
@@ -37,7 +38,7 @@
  * await follower.firstList
  * follower.close()
  */
-export class Follower {
+export class Follower<T> {
   readonly firstList: Promise<void>
   #isClosed = false
   #failures = 0
@@ -45,14 +46,14 @@
   #isHistoryGone = false
   #listed: () => void = () => undefined
 
-  private constructor(private readonly opts: FollowOptions) {
+  private constructor(private readonly opts: FollowOptions<T>) {
     this.firstList = new Promise((resolve) => {
       this.#listed = resolve
     })
     void this.#loop()
   }
 
-  static create(opts: FollowOptions): Follower {
+  static create<T>(opts: FollowOptions<T>): Follower<T> {
     return new Follower(opts)
   }
 
@@ -82,28 +83,24 @@
   }
 
   async #list(): Promise<void> {
-    const { feed, store, clock } = this.opts
+    const { kind, feed, store, clock } = this.opts
     const sentAtMs = clock()
-    const listed = await store.list(feed.kind)
+    const listed = await store.list(kind)
     if (listed.err) {
       this.#failed(listed.val)
       return
     }
     this.#answered()
     this.#isHistoryGone = false
-    const events = listed.val.objects.map((object) => ({
-      name: object.metadata.name,
-      object,
-    }))
-    feed.takeList(events, listed.val.revision, sentAtMs)
+    feed.takeList(listed.val.events, listed.val.revision, sentAtMs)
     this.#listed()
   }
 
   async #watch(waitMs: number): Promise<void> {
-    const { feed, store, clock, log, onNews } = this.opts
+    const { kind, feed, store, clock, log, onNews } = this.opts
     const sentAtMs = clock()
     const after = feed.asOf
-    const watched = await store.watch(feed.kind, after, waitMs)
+    const watched = await store.watch(kind, after, waitMs)
     if (watched.ok) {
       this.#answered()
       const { events, revision } = watched.val
@@ -112,7 +109,7 @@
       return
     }
     if (watched.val.type === 'history_gone') {
-      log('store_history_gone', { kind: feed.kind, revision: after })
+      log('store_history_gone', { kind, revision: after })
       this.#isHistoryGone = true
     } else this.#failed(watched.val)
   }
--- a/packages/gateway/src/rollout/judgeVersion.ts
+++ b/packages/gateway/src/rollout/judgeVersion.ts
@@ -23,7 +23,7 @@
 /** Imaginary good answers of the old version, so that its first failure isn't a share of one. */
 const PRIOR_GOOD = 4
 
-/** Servers from which the worst one is left out. */
+/** Servers from which one is enough to be told from its version. */
 const LEAST_SERVERS = 3
 
 /**
@@ -47,11 +47,14 @@
   const weigh = ({ good, bad }: AnswerCounts): number =>
     bad * Math.log(badShare / goodShare) +
     good * Math.log((1 - badShare) / (1 - goodShare))
-  const worst =
-    target.length < LEAST_SERVERS
-      ? undefined
-      : target.reduce((a, b) => (weigh(b) > weigh(a) ? b : a))
-  return weigh(sum(target.filter((counts) => counts !== worst))) >= CONDEMNING_WEIGHT
+  return weigh(sum(withoutOutlier(target))) >= CONDEMNING_WEIGHT
+}
+
+/** Counts in which the worst server has no more failures than the second worst. */
+function withoutOutlier(servers: readonly AnswerCounts[]): readonly AnswerCounts[] {
+  if (servers.length < LEAST_SERVERS) return servers
+  const [, second = 0] = servers.map(({ bad }) => bad).toSorted((a, b) => b - a)
+  return servers.map(({ good, bad }) => ({ good, bad: Math.min(bad, second) }))
 }
 
 function sum(all: readonly AnswerCounts[]): AnswerCounts {
