--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -1,7 +1,8 @@
 /** Hands feeds from entry instance to entry instance. */
-import { Agent, request } from 'node:http'
+import { Agent } from 'node:http'
 import type { Clock } from '@wagtailway/core'
 import { PlainServer } from '../http/plainServer.js'
+import { requestJson } from '../http/requestJson.js'
 import type { ListenAddress } from '../http/callerServer.js'
 import type { FeedMark, FeedNews, FeedState } from './feedState.js'
 
@@ -75,48 +76,19 @@
     const sentAtMs = this.opts.clock()
     const after = feed.asOf
     try {
-      const path = `/feed/${feed.kind}?after=${after}`
-      feed.takeNews(await this.#get(from, path), after, sentAtMs)
+      const res = await requestJson({
+        method: 'GET',
+        url: `http://${from.host}:${from.port}/feed/${feed.kind}?after=${after}`,
+        timeoutMs: PULL_TIMEOUT_MS,
+        agent: this.#agent,
+        maxBytes: MAX_NEWS_BYTES,
+      })
+      if (res.status !== 200) throw new Error(`status ${res.status}`)
+      feed.takeNews(res.body as FeedNews<unknown>, after, sentAtMs)
     } catch (err) {
       this.opts.onFault(`pull failed: ${String(err)}`)
     } finally {
       this.#pulling.delete(feed.kind)
     }
   }
-
-  #get(from: ListenAddress, path: string): Promise<FeedNews<unknown>> {
-    return new Promise((resolve, reject) => {
-      const req = request({ ...from, path, agent: this.#agent }, (res) => {
-        const parts: Buffer[] = []
-        let bytes = 0
-        res.on('data', (part: Buffer) => {
-          bytes += part.length
-          if (bytes > MAX_NEWS_BYTES) req.destroy(new Error('news too long'))
-          else parts.push(part)
-        })
-        res.on('error', fail)
-        res.on('end', () => {
-          clearTimeout(timer)
-          if (res.statusCode !== 200) {
-            reject(new Error(`status ${res.statusCode ?? 0}`))
-            return
-          }
-          try {
-            resolve(JSON.parse(Buffer.concat(parts).toString()) as FeedNews<unknown>)
-          } catch (err) {
-            reject(err instanceof Error ? err : new Error(String(err)))
-          }
-        })
-      })
-      const fail = (err: Error): void => {
-        clearTimeout(timer)
-        reject(err)
-      }
-      const timer = setTimeout(() => {
-        req.destroy(new Error(`no answer within ${PULL_TIMEOUT_MS} ms`))
-      }, PULL_TIMEOUT_MS)
-      req.on('error', fail)
-      req.end()
-    })
-  }
 }
--- a/packages/platform/src/requestJson.ts
+++ b/packages/gateway/src/http/requestJson.ts
@@ -1,6 +1,9 @@
 /** One JSON call over Node's http client, with a deadline. */
 import { request, type Agent } from 'node:http'
 
+/** A page of the platform's store holds about a megabyte; lists of all pages are not read whole. */
+const MAX_ANSWER_BYTES = 16_777_216
+
 export interface JsonRequest {
   readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'
   readonly url: string
@@ -9,6 +12,11 @@
   readonly timeoutMs: number
   readonly agent?: Agent
   readonly headers?: Readonly<Record<string, string>>
+  /**
+   * Longest answer that is read, in bytes.
+   * @default 16_777_216
+   */
+  readonly maxBytes?: number
   /** An earlier response; its body is used again if the text is the same. */
   readonly previous?: JsonResponse | undefined
 }
@@ -45,7 +53,14 @@
     }
     const outgoing = request(req.url, options, (res) => {
       const parts: Buffer[] = []
-      res.on('data', (part: Buffer) => parts.push(part))
+      const maxBytes = req.maxBytes ?? MAX_ANSWER_BYTES
+      let bytes = 0
+      res.on('data', (part: Buffer) => {
+        bytes += part.length
+        if (bytes > maxBytes)
+          fail(new Error(`${req.url} sent more than ${maxBytes} bytes`))
+        else parts.push(part)
+      })
       res.on('error', fail)
       res.on('close', () => {
         if (!res.complete)
--- a/packages/gateway/src/process/storePort.ts
+++ b/packages/gateway/src/process/storePort.ts
@@ -13,6 +13,8 @@
 export interface StoreFailure {
   readonly type: 'unavailable' | 'history_gone' | 'conflict' | 'missing'
   readonly detail: string
+  /** Revision of the object that conflicts, if it is known. */
+  readonly revision?: number
 }
 
 /** Objects or changes, with the revision up to which they are complete. */
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -2,9 +2,15 @@
  * Stand-in of the platform: versioned objects, watches and the list of instances,
  * with outages, slow answers, lost confirmations and a lagging list.
  */
+import type { ServerResponse } from 'node:http'
 import { setTimeout as delay } from 'node:timers/promises'
-import { MemoryStore, type CallFault, type ObjectKind } from '@wagtailway/core'
-import { instanceSchema, objectSchema, type Instance } from '@wagtailway/platform'
+import {
+  MemoryStore,
+  type CallFault,
+  type ObjectKind,
+  type StoredObject,
+} from '@wagtailway/core'
+import { encodeListed, instanceSchema, type Instance } from '@wagtailway/platform'
 import { z } from 'zod'
 import { JsonServer, sendJson, type Route, type RouteCall } from '../http/jsonServer.js'
 
@@ -26,7 +32,20 @@
 
 const viewSchema = z.record(z.string(), z.string())
 
-const objectKindSchema = objectSchema.shape.kind
+const objectKindSchema = z.enum([
+  'declaration',
+  'config',
+  'claim',
+  'session',
+  'billing',
+  'status',
+  'lease',
+])
+
+const writeSchema = z.object({
+  metadata: z.object({ name: z.string().default(''), revision: z.number().optional() }),
+  specification: z.unknown(),
+})
 
 const NO_FAULTS: PlatformFaults = {
   outage: false,
@@ -120,14 +139,16 @@
       handle: (call) => this.#guard(operation, call, handle),
     })
     return [
-      api('GET', /\/v1\/objects\/([^/]+)\/([^/]+)$/, 'get', (call) => this.#get(call)),
-      api('GET', /\/v1\/objects\/([^/]+)$/, 'list', (call) => this.#list(call)),
-      api('PUT', /\/v1\/objects\/([^/]+)\/([^/]+)$/, 'put', (call) => this.#put(call)),
-      api('GET', /\/v1\/watch\/([^/]+)$/, 'watch', (call) => this.#watch(call)),
-      api('GET', /\/v1\/instances$/, 'instances', (call) => {
-        sendJson(call.res, 200, { instances: this.#laggingList(call) })
+      api('GET', /\/-\/objects\/servers$/, 'instances', (call) => {
+        this.#listInstances(call)
         return Promise.resolve()
       }),
+      api('GET', /\/-\/objects\/([^/]+)\/([^/]+)$/, 'get', (call) => this.#get(call)),
+      api('GET', /\/-\/objects\/([^/]+)$/, 'list', (call) =>
+        call.url.searchParams.has('watch') ? this.#watch(call) : this.#list(call),
+      ),
+      api('POST', /\/-\/objects\/([^/]+)$/, 'put', (call) => this.#create(call)),
+      api('PUT', /\/-\/objects\/([^/]+)\/([^/]+)$/, 'put', (call) => this.#replace(call)),
       ...this.#adminRoutes(),
     ]
   }
@@ -177,7 +198,7 @@
         method: 'GET',
         pattern: /^\/admin\/objects\/([^/]+)$/,
         handle: ({ res, params }) => {
-          sendJson(res, 200, this.#store.peek(kindOf(params)))
+          sendJson(res, 200, this.#store.peek(ownKind(params)))
         },
       },
       {
@@ -203,40 +224,80 @@
   }
 
   async #get({ res, params }: RouteCall): Promise<void> {
-    const found = await this.#store.get(kindOf(params), params[1] ?? '')
+    const found = await this.#store.get(ownKind(params), params[1] ?? '')
     if (found.err) sendJson(res, 503, found.val)
     else if (found.val === undefined) sendJson(res, 404, {})
-    else sendJson(res, 200, found.val)
+    else sendJson(res, 200, wireObject(found.val))
+  }
+
+  async #list({ res, params }: RouteCall): Promise<void> {
+    const found = await this.#store.list(ownKind(params), '')
+    if (found.err) sendJson(res, 503, found.val)
+    else sendPage(res, found.val.objects.map(wireObject), found.val.revision)
   }
 
-  async #list({ res, params, url }: RouteCall): Promise<void> {
-    const prefix = url.searchParams.get('prefix') ?? ''
-    const found = await this.#store.list(kindOf(params), prefix)
-    sendJson(res, found.ok ? 200 : 503, found.val)
+  async #create({ res, params, body }: RouteCall): Promise<void> {
+    const { metadata, specification } = writeSchema.parse(JSON.parse(body))
+    await this.#put(res, ownKind(params), metadata.name, specification, 0)
   }
 
-  async #put({ res, params, url, body }: RouteCall): Promise<void> {
-    const ifRevision = Number(url.searchParams.get('ifRevision') ?? '0')
-    const value: unknown = JSON.parse(body)
-    const put = await this.#store.put(kindOf(params), params[1] ?? '', value, ifRevision)
-    if (put.ok) sendJson(res, 200, put.val)
-    else sendJson(res, put.val.type === 'conflict' ? 409 : 503, put.val)
+  async #replace({ res, params, body }: RouteCall): Promise<void> {
+    const { metadata, specification } = writeSchema.parse(JSON.parse(body))
+    const name = params[1] ?? ''
+    const found = this.#store.peek(ownKind(params)).find((o) => o.name === name)
+    const revision = metadata.revision ?? found?.revision ?? 0
+    await this.#put(res, ownKind(params), name, specification, revision)
+  }
+
+  async #put(
+    res: ServerResponse,
+    kind: ObjectKind,
+    name: string,
+    value: unknown,
+    ifRevision: number,
+  ): Promise<void> {
+    const put = await this.#store.put(kind, name, value, ifRevision)
+    if (put.ok) sendJson(res, 200, wireObject(put.val))
+    else if (put.val.type === 'conflict') {
+      const found = this.#store.peek(kind).find((o) => o.name === name)
+      sendJson(res, found ? 409 : 404, found ? wireObject(found) : {})
+    }
+    // The write is done, and its answer lost on the way.
+    else res.destroy()
   }
 
   async #watch({ res, params, url }: RouteCall): Promise<void> {
-    const after = Number(url.searchParams.get('afterRevision') ?? '0')
+    const after = Number(url.searchParams.get('watch') ?? '0')
     const waitMs = Number(url.searchParams.get('waitMs') ?? '0')
-    const found = await this.#store.watch(kindOf(params), after, waitMs)
+    const found = await this.#store.watch(ownKind(params), after, waitMs)
     // An outage that began while the watch was waiting cuts it too.
-    if (this.#faults.outage) sendJson(res, 503, { error: 'outage' })
-    else sendJson(res, found.ok ? 200 : 503, found.val)
+    if (this.#faults.outage || found.err) {
+      sendJson(res, 503, { error: 'outage' })
+      return
+    }
+    const { objects, revision } = found.val
+    const events = objects.map((o) => ({ deleted: false, object: wireObject(o) }))
+    sendJson(res, 200, { events, asOf: revision })
+  }
+
+  #listInstances(call: RouteCall): void {
+    const items = this.#laggingList(call).map((instance) => ({
+      metadata: { name: instance.id, revision: 1 },
+      specification: encodeListed(instance),
+      status: null,
+    }))
+    sendPage(call.res, items, this.#visibleLists().length)
+  }
+
+  /** Lists that are old enough to be seen; the first one always is. */
+  #visibleLists(): { atMs: number; instances: Instance[] }[] {
+    const until = Date.now() - this.#faults.listLagMs
+    return this.#lists.filter(({ atMs }, i) => i === 0 || atMs <= until)
   }
 
   /** The list as it stood some time ago, with the addresses of the caller's view. */
   #laggingList({ url }: RouteCall): Instance[] {
-    const until = Date.now() - this.#faults.listLagMs
-    const visible = this.#lists.filter(({ atMs }) => atMs <= until)
-    const instances = (visible.at(-1) ?? this.#lists[0])?.instances ?? []
+    const instances = this.#visibleLists().at(-1)?.instances ?? []
     const view = this.#views.get(VIEW.exec(url.pathname)?.[1] ?? '')
     return instances.map((instance) => ({
       ...instance,
@@ -245,6 +306,19 @@
   }
 }
 
-function kindOf(params: readonly string[]): ObjectKind {
-  return objectKindSchema.parse(params[0])
+/** Kind of the product's own objects in a path, without the mark that they carry there. */
+function ownKind(params: readonly string[]): ObjectKind {
+  return objectKindSchema.parse(params[0]?.replace(/^wagtailway-/, ''))
+}
+
+function wireObject({ name, revision, value }: StoredObject): unknown {
+  return {
+    metadata: { name, revision, created: 0, finalizers: [], deleting: false },
+    specification: value,
+    status: null,
+  }
+}
+
+function sendPage(res: ServerResponse, items: readonly unknown[], asOf: number): void {
+  sendJson(res, 200, { items, hasMore: false, asOf })
 }
