--- /dev/null
+++ b/packages/scenario/src/fleet/fleetConfig.ts
@@ -0,0 +1,68 @@
+/** The users' configuration of a small fleet, as their operator writes it. */
+
+export interface FleetConfigOptions {
+  readonly version: number
+  readonly keys?: readonly string[]
+  readonly hasPlain?: boolean
+  readonly timeoutMs?: number
+}
+
+/** Configuration of two plain routes and one of streams with two sizes of models. */
+export function fleetConfig(opts: FleetConfigOptions): unknown {
+  const { version, keys = ['key-1'], hasPlain = true, timeoutMs = 2_000 } = opts
+  const route = {
+    host: 'app.example',
+    timeoutMs,
+    targetLatencyMs: 200,
+    priority: 1,
+    service: 'plain',
+    public: false,
+  }
+  const plain = {
+    ...route,
+    name: 'plain',
+    pathPrefix: '/plain/',
+    kind: 'safe',
+    attempts: 2,
+  }
+  return {
+    version,
+    routes: [
+      ...(hasPlain ? [plain] : []),
+      { ...route, name: 'once', pathPrefix: '/once/', kind: 'unsafe', attempts: 1 },
+      {
+        ...route,
+        name: 'notes',
+        pathPrefix: '/notes/',
+        kind: 'streaming',
+        service: 'models',
+        attempts: 3,
+        sizes: ['small', 'large'],
+        sessionAffinity: true,
+        streamResumption: true,
+        targetGapMs: 300,
+      },
+    ],
+    services: [
+      { name: 'plain', healthPath: '/health', connectionLimit: 100 },
+      {
+        name: 'models',
+        healthPath: '/health',
+        connectionLimit: 100,
+        engine: {
+          models: [
+            { name: 'small', cost: 0.01 },
+            { name: 'large', cost: 0.1 },
+          ],
+        },
+      },
+    ],
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_048_576,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: [{ name: 'kebele', apiKeys: keys }],
+  }
+}
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -44,7 +44,7 @@
 
 const writeSchema = z.object({
   metadata: z.object({ name: z.string().default(''), revision: z.number().optional() }),
-  specification: z.unknown(),
+  specification: z.unknown().optional(),
 })
 
 const NO_FAULTS: PlatformFaults = {
