--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -7,6 +7,7 @@
 import { pumpEvents, type PumpEnd } from './pumpEvents.js'
 import type { RequestContext, Sent } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
+import { watchSilence } from './silence.js'
 import { after } from './timer.js'
 
 /** Largest answer without events, such as an error, in bytes. */
@@ -66,7 +67,7 @@
     const step = await oneSend(ctx, state, sent)
     if (step.type === 'done') return step.outcome
     if (step.type === 'give_up') return endUnanswered(ctx, state, step.reason)
-    const isPaid = step.isPaid === true || ctx.takeRepeat(step.reason)
+    const isPaid = step.isPaid === true || ctx.mayGoOn(step.reason)
     if (!ctx.hasAttemptsLeft || !isPaid) {
       return endUnanswered(ctx, state, 'server_refused')
     }
@@ -113,11 +114,15 @@
   )
   let isLate = false
   let isPaid = false
-  const timer = after(Math.min(ctx.leftMs * LEFT_PART, silentMs), () => {
-    isPaid = canFollow && ctx.takeRepeat('silent')
-    if (!isPaid) return
-    isLate = true
-    sent.attempt.cancel()
+  const watch = watchSilence({
+    server,
+    silentMs: Math.min(ctx.leftMs * LEFT_PART, silentMs),
+    mayGiveUp: () => canFollow && ctx.takeRepeat('silent'),
+    onSilent: () => {
+      isPaid = true
+      isLate = true
+      sent.attempt.cancel()
+    },
   })
   const deadline = after(ctx.leftMs, () => {
     isLate = true
@@ -128,7 +133,7 @@
   })
   try {
     const head = await sent.attempt.head
-    timer.cancel()
+    watch.cancel()
     if (caller.hasLeft) return left(ctx, sent)
     if (head.type === 'answered') return await answered(ctx, state, sent, head)
     sent.end(isLate ? 'silent' : head.reason)
@@ -145,7 +150,7 @@
     }
     return { type: 'give_up', reason: isLate ? 'timeout' : 'server_failed' }
   } finally {
-    timer.cancel()
+    watch.cancel()
     deadline.cancel()
   }
 }
--- a/packages/gateway/src/forward/forwardWhole.ts
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -41,7 +41,7 @@
     if (result.type === 'done') return result.outcome
     if (result.type === 'give_up') return refuseUnanswered(ctx, result.status)
     ctx.spend(place.server)
-    const isPaid = result.isPaid === true || ctx.takeRepeat(result.reason)
+    const isPaid = result.isPaid === true || ctx.mayGoOn(result.reason)
     if (!ctx.hasAttemptsLeft || !isPaid) return refuseUnanswered(ctx, 'server_refused')
   }
 }
--- a/packages/gateway/src/forward/pumpEvents.ts
+++ b/packages/gateway/src/forward/pumpEvents.ts
@@ -2,6 +2,7 @@
 import type { AttemptAnswer } from './attempt.js'
 import { EventSplitter, type WholeEvent } from './eventSplitter.js'
 import type { RequestContext, Sent } from './requestContext.js'
+import { watchSilence } from './silence.js'
 import { after } from './timer.js'
 
 /** A stream is silent after this many of its longest pauses. */
@@ -53,8 +54,13 @@
     }
     const canFollow = route.isResumable && ctx.hasAttemptsLeft
     const silenceMs = Math.max(LEAST_SILENCE_MS, route.targetPauseMs * SILENT_PAUSES)
-    const silence = after(silenceMs, () => {
-      if (canFollow && ctx.takeRepeat('silent')) finish('silent')
+    const silence = watchSilence({
+      server: sent.place.server,
+      silentMs: silenceMs,
+      mayGiveUp: () => canFollow && ctx.takeRepeat('silent'),
+      onSilent: () => {
+        finish('silent')
+      },
     })
     const deadline = after(ctx.leftMs, () => {
       finish('timeout')
@@ -90,7 +96,7 @@
     }
     res.on('data', (chunk: Buffer) => {
       if (isOver) return
-      silence.restart(silenceMs)
+      silence.heard()
       for (const event of splitter.push(chunk)) if (!pass(event)) finish('gap')
     })
     res.on('end', () => {
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -15,6 +15,9 @@
 /** Prompts that are read within this time are short, in milliseconds: a few engine steps. */
 const SHORT_READING_MS = 40
 
+/** Servers that one request tries in vain to connect to; then most are gone. */
+const MOST_FAILED_CONNECTS = 4
+
 /** Steps of urgency between two priorities of workspaces: more than routes have. */
 const WORKSPACE_STEP = 3
 
@@ -53,6 +56,7 @@
   /** Servers that may have run this request. */
   readonly #ranOn = new Set<string>()
   readonly #randomPlace: number
+  #failedConnects = 0
 
   private constructor(readonly opts: ContextOptions) {
     const { caller, route } = opts
@@ -131,7 +135,10 @@
       )
       .find((found) => found.length > 0)
     const fresh = known?.filter(({ id }) => !this.#spent.has(id)) ?? []
-    const open = fresh.filter((server) => this.#hasConnectionFor(server))
+    // The only server there is may succeed where it just failed.
+    const usable =
+      fresh.length > 0 ? fresh : (known ?? []).filter((s) => this.#mayRetryOn(s))
+    const open = usable.filter((server) => this.#hasConnectionFor(server))
     const { promptParts, promptTokens } = caller.facts
     const shared = promptParts.slice(0, -1)
     const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
@@ -259,6 +266,19 @@
     return true
   }
 
+  /**
+   * Whether another send may follow one that brought nothing. After one that never left
+   * this process it always may, a few times; the budget only takes note.
+   */
+  mayGoOn(reason: string): boolean {
+    const neverLeft = reason === 'connect_failed' || reason === 'connect_timeout'
+    if (!neverLeft) return this.takeRepeat(reason)
+    this.#failedConnects += 1
+    this.opts.node.opts.metrics.repeats.inc({ reason })
+    this.opts.node.budget(this.opts.service.name).note()
+    return this.#failedConnects < MOST_FAILED_CONNECTS
+  }
+
   /** Writes the request's line. */
   finish(outcome: RequestOutcome): void {
     const { node, caller, route, workspace, cfg } = this.opts
@@ -293,6 +313,12 @@
       : this.#randomPlace
   }
 
+  #mayRetryOn(server: BackendServer): boolean {
+    return (
+      this.#ranOn.has(server.id) && !this.opts.node.opts.health.isUnreachable(server.id)
+    )
+  }
+
   #hasConnectionFor(server: BackendServer): boolean {
     const { node, service } = this.opts
     const { connections, peers } = node.opts
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -22,6 +22,8 @@
   readonly rollouts: readonly RolloutAge[]
   /** Hashes of sessions used lately on versions that are being replaced. */
   readonly sessions: readonly number[]
+  /** Backend servers that could not be reached lately. */
+  readonly unreachable: readonly string[]
   /** How far each kind of the store's objects is followed. */
   readonly feeds: readonly FeedMark[]
 }
@@ -40,6 +42,7 @@
   sessions: number[],
   zone: string,
   feeds: [string, number, number, number][],
+  unreachable: string[],
 ]
 
 /**
@@ -76,6 +79,7 @@
       asOf,
       Math.round(ageMs),
     ]),
+    [...report.unreachable],
   ]
   return Buffer.from(JSON.stringify(wire))
 }
@@ -90,8 +94,8 @@
   let wire: WireReport
   try {
     wire = JSON.parse(datagram.toString()) as WireReport
-    const [name, sequence, isLeaving, loads, evidence, rollouts, sessions, zone, feeds] =
-      wire
+    const [name, sequence, isLeaving, loads, evidence, rollouts, ...rest] = wire
+    const [sessions, zone, feeds, unreachable] = rest
     return {
       name,
       sequence,
@@ -107,6 +111,7 @@
       })),
       sessions,
       zone,
+      unreachable,
       feeds: feeds.map(([kind, changedAt, asOf, ageMs]) => ({
         kind,
         changedAt,
--- a/packages/gateway/src/placement/serverHealth.ts
+++ b/packages/gateway/src/placement/serverHealth.ts
@@ -17,13 +17,20 @@
 const LEAST_FAILURES = 1.2
 
 /** How long a server that answered no connection is avoided, in milliseconds. */
-const UNREACHABLE_MS = 1_000
+const UNREACHABLE_MS = 2_000
+
+/** Servers that are told to other entry instances in one report at most. */
+const MOST_REPORTED = 20
 
 interface Record {
   good: number
   bad: number
   atMs: number
+  /** Last good answer. */
+  goodAtMs: number
   unreachableUntilMs: number
+  /** The same, as far as this process itself has seen it. */
+  ownUnreachableUntilMs: number
 }
 
 /**
@@ -47,7 +54,9 @@
     const record = this.#faded(serverId)
     if (ok) {
       record.good += 1
+      record.goodAtMs = this.clock()
       record.unreachableUntilMs = 0
+      record.ownUnreachableUntilMs = 0
     } else record.bad += 1
   }
 
@@ -56,6 +65,29 @@
     const record = this.#faded(serverId)
     record.bad += 1
     record.unreachableUntilMs = this.clock() + UNREACHABLE_MS
+    record.ownUnreachableUntilMs = record.unreachableUntilMs
+  }
+
+  /** Whether no connection could be made lately, here or at another entry instance. */
+  isUnreachable(serverId: string): boolean {
+    return (this.#records.get(serverId)?.unreachableUntilMs ?? 0) > this.clock()
+  }
+
+  /** Servers that this process could not reach lately, for the report to others. */
+  get unreachable(): string[] {
+    const now = this.clock()
+    return [...this.#records]
+      .filter(([, { ownUnreachableUntilMs }]) => ownUnreachableUntilMs > now)
+      .slice(0, MOST_REPORTED)
+      .map(([id]) => id)
+  }
+
+  /** Notes that another entry instance could not reach a server. */
+  hearUnreachable(serverId: string): void {
+    const record = this.#faded(serverId)
+    const now = this.clock()
+    if (now - record.goodAtMs < UNREACHABLE_MS) return
+    record.unreachableUntilMs = Math.max(record.unreachableUntilMs, now + UNREACHABLE_MS)
   }
 
   forget(serverId: string): void {
@@ -79,7 +111,14 @@
     const now = this.clock()
     const old = this.#records.get(serverId)
     if (!old) {
-      const record = { good: 0, bad: 0, atMs: now, unreachableUntilMs: 0 }
+      const record = {
+        good: 0,
+        bad: 0,
+        atMs: now,
+        goodAtMs: Number.NEGATIVE_INFINITY,
+        unreachableUntilMs: 0,
+        ownUnreachableUntilMs: 0,
+      }
       this.#records.set(serverId, record)
       return record
     }
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -19,7 +19,7 @@
   conductor: RolloutConductor,
   exchange: FeedExchange,
 ): Promise<PeerLink> {
-  const { peers, load, evidence, rollouts, metrics, clock } = node.opts
+  const { peers, load, health, evidence, rollouts, metrics, clock } = node.opts
   let sequence = Date.now()
   const makeReport = (): PeerReport => {
     sequence += 1
@@ -38,6 +38,7 @@
       sessions: reportedSessions(node, clock()),
       zone: settings.zone,
       feeds: exchange.marks,
+      unreachable: health.unreachable,
     }
   }
   return PeerLink.create({
@@ -48,6 +49,7 @@
     onReport: (report, from) => {
       exchange.heard(report.feeds, from)
       load.report(report.name, report.loads)
+      for (const id of report.unreachable) health.hearUnreachable(id)
       evidence.report(report.name, report.evidence)
       for (const hash of report.sessions) rollouts.sessions.heard(hash)
     },
--- a/packages/gateway/src/retry/repeatBudget.ts
+++ b/packages/gateway/src/retry/repeatBudget.ts
@@ -53,6 +53,11 @@
     this.#step().requests += 1
   }
 
+  /** Notes a repeat that takes place whatever is left. */
+  note(): void {
+    this.#step().repeats += 1
+  }
+
   /** Takes one repeat; false if the window has none left. */
   take(): boolean {
     const { requests, repeats } = this.#sums()
