--- a/packages/gateway/src/placement/choosePlace.ts
+++ b/packages/gateway/src/placement/choosePlace.ts
@@ -19,8 +19,12 @@
 /** Random part of a score, so that nodes with the same reports don't choose alike. */
 const JITTER_MS = 2
 
-/** Chance that the server where equal prompts go has not read a shared part yet. */
-const HOME_UNREAD_PART = 0.6
+/**
+ * Chance that the servers where equal prompts go have not read a shared part yet: first
+ * the home of the prompt, then the one that takes what its home can't.
+ */
+const HOME_UNREAD = 0.25
+const SECOND_HOME_UNREAD = 0.6
 
 export interface PlaceRequest {
   /** What equal requests share; `undefined` for requests without a prompt. */
@@ -57,12 +61,12 @@
   loadOf: (serverId: string) => ServerLoad,
   random: Random,
 ): Place | undefined {
-  const home = homeServer(servers, req.affinityKey)
+  const homes = homeServers(servers, req.affinityKey)
   let best: Place | undefined
   let bestScore = Number.POSITIVE_INFINITY
   for (const server of servers) {
     const load = loadOf(server.id)
-    const unreadPart = req.hasRead(server.id) ? 0 : server === home ? HOME_UNREAD_PART : 1
+    const unreadPart = req.hasRead(server.id) ? 0 : unreadChance(server, homes)
     const tokensToRead = req.ownTokens + unreadPart * req.sharedTokens
     const readingMs = tokensToRead * req.msPerToken
     const expectedMs =
@@ -78,19 +82,27 @@
   return best
 }
 
-/** The server whose memory keeps the shared part, by rendezvous hashing. */
-function homeServer(
-  servers: readonly BackendServer[],
-  key: string | undefined,
-): BackendServer | undefined {
-  if (key === undefined) return undefined
+/** Chance that a server has to read a shared part. */
+function unreadChance(server: BackendServer, [home, second]: Homes): number {
+  if (server === home) return HOME_UNREAD
+  return server === second ? SECOND_HOME_UNREAD : 1
+}
+
+type Homes = readonly [BackendServer | undefined, BackendServer | undefined]
+
+/** The servers whose memory keeps the shared part, by rendezvous hashing. */
+function homeServers(servers: readonly BackendServer[], key: string | undefined): Homes {
+  if (key === undefined) return [undefined, undefined]
   let home: BackendServer | undefined
+  let second: BackendServer | undefined
   let highest = -1
+  let next = -1
   for (const server of servers) {
     const weight = hash32(`${server.id} ${key}`)
-    if (weight <= highest) continue
-    highest = weight
-    home = server
+    if (weight > highest) {
+      ;[second, next] = [home, highest]
+      ;[home, highest] = [server, weight]
+    } else if (weight > next) [second, next] = [server, weight]
   }
-  return home
+  return [home, second]
 }
