--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -61,7 +61,7 @@
   heard(marks: readonly FeedMark[], from: ListenAddress): void {
     for (const mark of marks) {
       const feed = this.#feeds.get(mark.kind)
-      if (feed?.isKnown && feed.hear(mark) === 'behind') void this.#pull(feed, from)
+      if (feed?.hear(mark) === 'behind') void this.#pull(feed, from.host)
     }
   }
 
@@ -70,7 +70,7 @@
     this.#agent.destroy()
   }
 
-  async #pull(feed: FeedState<unknown>, from: ListenAddress): Promise<void> {
+  async #pull(feed: FeedState<unknown>, host: string): Promise<void> {
     if (this.#pulling.has(feed.kind)) return
     this.#pulling.add(feed.kind)
     const sentAtMs = this.opts.clock()
@@ -78,7 +78,7 @@
     try {
       const res = await requestJson({
         method: 'GET',
-        url: `http://${from.host}:${from.port}/feed/${feed.kind}?after=${after}`,
+        url: `http://${host}:${this.opts.address.port}/feed/${feed.kind}?after=${after}`,
         timeoutMs: PULL_TIMEOUT_MS,
         agent: this.#agent,
         maxBytes: MAX_NEWS_BYTES,
--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -143,7 +143,7 @@
   /** Compares with another instance's mark; a mark that proves more is taken over. */
   hear(mark: FeedMark): Standing {
     if (mark.asOf < this.#asOf) return 'ahead'
-    if (mark.changedAt > this.#asOf) return 'behind'
+    if (!this.isKnown || mark.changedAt > this.#asOf) return 'behind'
     this.#prove(this.opts.clock() - mark.ageMs)
     this.#asOf = mark.asOf
     return 'current'
--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -33,6 +33,12 @@
   timeout: 504,
 }
 
+/**
+ * When a caller comes back that found no server, in milliseconds: servers whose entries
+ * lapsed register again within two seconds.
+ */
+export const NO_SERVER_RETRY_MS = 1_200
+
 /** The body, or why there is none. */
 export type ReadBody = Buffer | 'too_large' | 'broken'
 
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -4,6 +4,7 @@
  */
 import { judgeAnswer } from '../cascade/cascade.js'
 import { readWhole, type AttemptAnswer } from './attempt.js'
+import { NO_SERVER_RETRY_MS } from './caller.js'
 import { pumpEvents, type PumpEnd } from './pumpEvents.js'
 import type { RequestContext, Sent } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
@@ -92,9 +93,10 @@
     return { outcome: 'failed', status: caller.refuse(told), reason: told }
   }
   const told = reason === 'server_failed' ? 'server_refused' : reason
+  const retryMs = reason === 'no_server' ? NO_SERVER_RETRY_MS : RETRY_AFTER_MS
   const status = caller.refuse(
     told === 'timeout' ? 'overloaded' : told,
-    RETRY_AFTER_MS + freeInMs,
+    (retryMs + freeInMs) * (1 + ctx.opts.node.opts.random()),
   )
   return { outcome: 'refused', status, reason: told }
 }
--- a/packages/gateway/src/forward/forwardWhole.ts
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -1,5 +1,6 @@
 /** Forwards a request whose answer is passed on once it is whole. */
 import { readWhole, type AttemptAnswer, type BodyOutcome } from './attempt.js'
+import { NO_SERVER_RETRY_MS } from './caller.js'
 import type { RequestContext, Sent } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import { after } from './timer.js'
@@ -58,9 +59,10 @@
     return { outcome: 'failed', status: caller.refuse(told), reason: told }
   }
   const told = reason === 'timeout' ? 'overloaded' : reason
+  const retryMs = told === 'no_server' ? NO_SERVER_RETRY_MS : RETRY_AFTER_MS
   const status = caller.refuse(
     told === 'server_failed' ? 'server_refused' : told,
-    RETRY_AFTER_MS,
+    retryMs * (1 + ctx.opts.node.opts.random()),
   )
   return { outcome: 'refused', status, reason: told }
 }
--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -6,8 +6,11 @@
 import { forwardWhole } from './forwardWhole.js'
 import { RequestContext } from './requestContext.js'
 
-/** When a caller comes back to an instance that has no configuration yet, in milliseconds. */
-const NO_CONFIG_RETRY_MS = 300
+/**
+ * When a caller comes back to an instance that has no configuration yet, in milliseconds:
+ * a start takes some hundred, and the caller may reach another instance.
+ */
+const NO_CONFIG_RETRY_MS = 600
 
 /** What a request is checked against; `reason` says why it is refused. */
 type Admission =
--- a/packages/gateway/src/process/feeds.ts
+++ b/packages/gateway/src/process/feeds.ts
@@ -10,20 +10,22 @@
 /**
  * Creates the feeds of a process.
  *
+ * @param onNews Called after each whole list and each change.
+ *
  * @example
  * const feeds = createFeeds(node, store, () => server.setLimits(limits))
  */
 export function createFeeds<T>(
   node: GatewayNode,
   store: StorePort<T>,
-  onConfig: () => void,
+  onNews: () => void,
 ): Feeds<T> {
   const { servers, rollouts, clock, log } = node.opts
   const takeConfigs = (events: readonly FeedEvent<T>[]): void => {
     for (const { name, object } of events) {
       const cfg = object === undefined ? 'other' : store.readConfig(name, object)
       if (cfg === 'unreadable') log('config_unreadable', { name })
-      else if (cfg !== 'other' && node.putInForce(cfg)) onConfig()
+      else if (cfg !== 'other') node.putInForce(cfg)
     }
   }
   const takeServers = (events: readonly FeedEvent<T>[]) =>
@@ -50,8 +52,14 @@
     FeedState.create<T>({
       kind,
       clock,
-      onList,
-      onChanges,
+      onList: (events) => {
+        onList(events)
+        onNews()
+      },
+      onChanges: (events) => {
+        onChanges(events)
+        onNews()
+      },
       onReturn: (outageMs) => {
         log('store_news_regained', { kind, outageMs })
         onReturn()
@@ -72,7 +80,14 @@
         servers.listReturned()
       },
     ),
-    rollouts: create('rollouts', takeRollouts, takeRollouts),
+    rollouts: create(
+      'rollouts',
+      (events) => {
+        rollouts.keepOnly(new Set(events.map(({ name }) => name)))
+        takeRollouts(events)
+      },
+      takeRollouts,
+    ),
   }
 }
 
--- a/packages/gateway/src/process/meetInstances.ts
+++ b/packages/gateway/src/process/meetInstances.ts
@@ -18,20 +18,31 @@
   readonly self: PeerAddress
   readonly store: Pick<StorePort<unknown>, 'register' | 'instances'>
   readonly peers: PeerBook
+  /** Hosts of some instances; the way to the others while the store is away. */
+  readonly seedHosts: readonly string[]
 }
 
 /**
  * Registers this instance and learns of the others; returns a function that stops it.
  *
  * @example
- * const stop = meetInstances({ self, store, peers })
+ * const stop = meetInstances({ self, store, peers, seedHosts })
  * stop()
  */
-export function meetInstances({ self, store, peers }: MeetOptions): () => void {
+export function meetInstances({
+  self,
+  store,
+  peers,
+  seedHosts,
+}: MeetOptions): () => void {
   let isRegistered = false
   let looks = -1
   let isStopped = false
   let timer: NodeJS.Timeout | undefined
+  for (const host of seedHosts) {
+    // Its name comes with its first report.
+    if (host !== self.host) peers.know({ name: `seed ${host}`, host, port: self.port })
+  }
   const look = async (): Promise<void> => {
     isRegistered ||= await store.register(self)
     const found = await store.instances()
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -56,9 +56,12 @@
   const setLimits = (): void => {
     if (node.inForce) callers.setLimits(node.inForce.cfg.limits)
   }
-  const feeds = createFeeds(node, store, setLimits)
+  const feeds = createFeeds(node, store, () => {
+    node.hasLists ||= Object.values(feeds).every(({ isKnown }) => isKnown)
+    setLimits()
+  })
   const exchange = await FeedExchange.create({
-    address: { host: settings.host, port: settings.peerPort },
+    address: settings.feeds,
     clock: monotonicClock,
     // Whatever the store's objects are, they are passed on as they came.
     feeds: Object.values(feeds) as unknown as FeedState<unknown>[],
@@ -71,16 +74,17 @@
   const followers = follow(opts, node, feeds, () => {
     link.send()
   })
-  void Promise.all(followers.map(({ firstList }) => firstList)).then(() => {
-    node.hasLists = true
-    setLimits()
-  })
   const readiness = await PlainServer.create(settings.readiness, () =>
     isReady(node) ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' },
   )
   const metricsServer = await serveMetrics(metrics, settings)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
-  const stopMeeting = meetInstances({ self, store, peers: node.opts.peers })
+  const stopMeeting = meetInstances({
+    self,
+    store,
+    peers: node.opts.peers,
+    seedHosts: settings.seedHosts,
+  })
   const stopLooking = lookAtRollouts(node, conductor)
 
   await opts.ended
--- a/packages/gateway/src/process/settings.ts
+++ b/packages/gateway/src/process/settings.ts
@@ -8,8 +8,12 @@
   readonly zone: string
   /** Address on which other entry instances reach this one. */
   readonly host: string
-  /** Port for reports (UDP) and feeds (TCP) of other entry instances. */
+  /** Port for reports (UDP) of other entry instances; the same at all of them. */
   readonly peerPort: number
+  /** Where other entry instances pull feeds (TCP); the same port at all of them. */
+  readonly feeds: ListenAddress
+  /** Hosts of some entry instances, which may be down. */
+  readonly seedHosts: readonly string[]
   readonly callers: ListenAddress
   /** Where the balancer asks whether this instance wants new connections. */
   readonly readiness: ListenAddress
--- a/packages/gateway/src/rollout/rolloutBook.ts
+++ b/packages/gateway/src/rollout/rolloutBook.ts
@@ -70,6 +70,13 @@
     if (!isSame && old?.target !== rollout.target) this.#withdrawn.delete(rollout.service)
   }
 
+  /** Forgets roll-outs of all other services. */
+  keepOnly(services: ReadonlySet<string>): void {
+    for (const service of [...this.#rollouts.keys()]) {
+      if (!services.has(service)) this.remove(service)
+    }
+  }
+
   remove(service: string): void {
     this.#rollouts.delete(service)
   }
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -33,7 +33,7 @@
   name: string,
   storePort: number,
 ): Promise<TestGateway> {
-  const [callers, readiness, metrics, peerPort] = await freePorts(4)
+  const [callers, readiness, metrics, peerPort, feeds] = await freePorts(5)
   const lines: LogLine[] = []
   const log: Log = (event, fields) => lines.push({ event, fields })
   let end: () => void = () => undefined
@@ -43,6 +43,8 @@
       zone: 'z1',
       host: LOCALHOST,
       peerPort: peerPort ?? 0,
+      feeds: { host: LOCALHOST, port: feeds ?? 0 },
+      seedHosts: [],
       callers: { host: LOCALHOST, port: callers ?? 0 },
       readiness: { host: LOCALHOST, port: readiness ?? 0 },
       metrics: { host: LOCALHOST, port: metrics ?? 0 },
