Refuse streams that come when a leaving gateway can't finish them

Cause: a connection without a request is not idle to Node, stays open after the listener is closed, and a stream that came on it 3.7 s after SIGTERM was cut at the end of the grace. The new test gets no answer without the change, 503 with it.

--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -1,7 +1,7 @@
 /** One request from its arrival to its answer. */
 import type { GatewayNode, ConfigInForce } from '../gatewayNode.js'
 import type { Route, Workspace } from '../model/config.js'
-import type { Caller, OwnReason } from './caller.js'
+import { NO_SERVER_RETRY_MS, type Caller, type OwnReason } from './caller.js'
 import { forwardStream } from './forwardStream.js'
 import { forwardWhole } from './forwardWhole.js'
 import { RequestContext } from './requestContext.js'
@@ -12,6 +12,15 @@
  */
 const NO_CONFIG_RETRY_MS = 600
 
+/** When a caller comes back to another instance, in milliseconds. */
+const OTHER_INSTANCE_RETRY_MS = 20
+
+const RETRY_MS: Readonly<Partial<Record<OwnReason, number>>> = {
+  no_configuration: NO_CONFIG_RETRY_MS,
+  shutting_down: OTHER_INSTANCE_RETRY_MS,
+  no_server: NO_SERVER_RETRY_MS,
+}
+
 /** What a request is checked against; `reason` says why it is refused. */
 type Admission =
   | {
@@ -51,6 +60,10 @@
     return
   }
   const { inForce, route, workspace } = admission
+  if (node.isClosing && route.kind === 'stream') {
+    refuse(node, caller, 'shutting_down')
+    return
+  }
   const service = inForce.cfg.services.get(pickService(node, route))
   if (!service) {
     refuse(node, caller, 'no_server')
@@ -99,7 +112,7 @@
 
 function refuse(node: GatewayNode, caller: Caller, reason: OwnReason): void {
   const { log, metrics, clock } = node.opts
-  const retryMs = reason === 'no_configuration' ? NO_CONFIG_RETRY_MS : undefined
+  const retryMs = RETRY_MS[reason]
   const status = caller.refuse(reason, retryMs)
   metrics.requests.inc({ outcome: 'refused' })
   metrics.refusals.inc({ reason })
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -80,6 +80,8 @@
   hasLists = false
   /** Set once the process has been asked to end. */
   isLeaving = false
+  /** Set once no stream that begins now could end before the process does. */
+  isClosing = false
   #inForce: ConfigInForce | undefined
   readonly #budgets = new Map<string, RepeatBudget>()
 
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -94,6 +94,7 @@
   stopMeeting()
   void store.unregister(settings.name)
   await new Promise((resolve) => setTimeout(resolve, LEAVE_AFTER_MS))
+  node.isClosing = true
   await callers.finish(settings.graceMs * GRACE_PART - LEAVE_AFTER_MS)
   stopLooking()
   for (const follower of followers) follower.close()
--- a/packages/scenario/src/fleet/__tests__/path.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/path.spec.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect } from 'node:net'
 import { after, before, beforeEach, describe, it } from 'node:test'
 import { ReplicaStandin, StoreStandin } from '@wagtailway/standins'
 import { callFleet, eventIds, type FleetAnswer } from '../fleetClient.js'
@@ -249,6 +251,28 @@
   })
 })
 
+describe('a stream that comes on an old connection to a gateway that is almost gone', () => {
+  it('is refused at once instead of being cut', async () => {
+    const leaving = await startGateway('n4', store.port)
+    await eventually(() => leaving.isReady())
+    for (const replica of models) replica.fate = () => 'hang'
+    const socket = connect(leaving.port, '127.0.0.1')
+    await once(socket, 'connect')
+    const left = leaving.close()
+    await new Promise((resolve) => setTimeout(resolve, 3_200))
+    socket.write(
+      'GET /notes/1 HTTP/1.1\r\nHost: app.example\r\nX-Credential: key-1\r\n' +
+        'X-Request-Id: late\r\nAccept: text/event-stream\r\n\r\n',
+    )
+    const [head] = (await once(socket, 'data')) as [Buffer]
+    assert.match(head.toString(), /^HTTP\/1.1 503 /)
+    assert.match(head.toString(), /Connection: close/i)
+    await left
+    assert.equal(runsOf(models), 0)
+    socket.destroy()
+  })
+})
+
 describe('a roll-out', () => {
   it('is completed though the answers to its writes are lost', async () => {
     const fresh = await ReplicaStandin.create({ id: 'p9' })
