--- /dev/null
+++ b/packages/scenario/bin/wagtailway-soak.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { run } from '../dist/soak/cli.js'
+
+await run()
--- a/packages/scenario/src/fleet/fleetClient.ts
+++ b/packages/scenario/src/fleet/fleetClient.ts
@@ -2,6 +2,8 @@
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 
 export interface FleetCall {
+  /** @default '127.0.0.1' */
+  readonly server?: string
   readonly port: number
   readonly method?: 'GET' | 'POST'
   readonly path: string
@@ -41,7 +43,14 @@
       ...call.headers,
     }
     const req = request(
-      { host: '127.0.0.1', port, method, path, headers, ...(agent && { agent }) },
+      {
+        host: call.server ?? '127.0.0.1',
+        port,
+        method,
+        path,
+        headers,
+        ...(agent && { agent }),
+      },
       (res) => {
         const parts: Buffer[] = []
         res.on('data', (part: Buffer) => parts.push(part))
--- /dev/null
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -0,0 +1,137 @@
+/** One real gateway process of the soak, with relays between it and the store. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { callFleet } from '../fleet/fleetClient.js'
+import { TcpRelay } from '../relay/index.js'
+
+const PROGRAM = fileURLToPath(
+  new URL('../../../../platform/dist/main.js', import.meta.url),
+)
+
+export interface SoakPorts {
+  readonly callers: number
+  readonly readiness: number
+  readonly control: number
+  readonly peers: number
+  readonly metrics: number
+}
+
+export interface SoakGatewayOptions {
+  readonly name: string
+  /** A loopback address of its own: all gateways use the same ports. */
+  readonly host: string
+  readonly seeds: readonly string[]
+  readonly ports: SoakPorts
+  readonly storePort: number
+}
+
+/**
+ * A gateway that can be killed, paused, stopped and started again.
+ *
+ * @example
+ * const gateway = await SoakGateway.create(options)
+ * gateway.signal('SIGSTOP')
+ * await gateway.close()
+ */
+export class SoakGateway {
+  /** Last lines of standard output, for a failure's report. */
+  readonly lines: string[] = []
+  /** Whether it is being restarted, paused or cut off by the soak. */
+  disturbedUntilMs = 0
+  #child: ChildProcess | undefined
+
+  private constructor(
+    readonly opts: SoakGatewayOptions,
+    readonly store: TcpRelay,
+    private readonly folder: string,
+  ) {}
+
+  static async create(opts: SoakGatewayOptions): Promise<SoakGateway> {
+    const store = await TcpRelay.create({ target: `127.0.0.1:${opts.storePort}` })
+    const folder = await mkdtemp(join(tmpdir(), 'wagtailway-soak-'))
+    const gateway = new SoakGateway(opts, store, folder)
+    await writeFile(gateway.#settingsPath, gateway.#settings())
+    gateway.start()
+    return gateway
+  }
+
+  get #settingsPath(): string {
+    return join(this.folder, 'local.toml')
+  }
+
+  get isRunning(): boolean {
+    return this.#child?.exitCode === null && this.#child.signalCode === null
+  }
+
+  start(): void {
+    const { ports } = this.opts
+    const args = ['--settings', this.#settingsPath, '--metrics-port', `${ports.metrics}`]
+    const child = spawn(process.execPath, [PROGRAM, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    })
+    for (const stream of [child.stdout, child.stderr]) {
+      stream.on('data', (chunk: Buffer) => {
+        this.lines.push(...chunk.toString().split('\n'))
+        this.lines.splice(0, Math.max(0, this.lines.length - KEPT_LINES))
+      })
+    }
+    this.#child = child
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    if (this.isRunning) this.#child?.kill(signal)
+  }
+
+  /** Resolves once the process has ended. */
+  async ended(): Promise<void> {
+    const child = this.#child
+    if (!child || !this.isRunning) return
+    await new Promise((resolve) => child.once('exit', resolve))
+  }
+
+  async isReady(): Promise<boolean> {
+    const { host, ports } = this.opts
+    const answer = await callFleet({
+      server: host,
+      port: ports.readiness,
+      path: '/-/readiness',
+      timeoutMs: 500,
+    })
+    return answer.status === 200
+  }
+
+  async close(): Promise<void> {
+    this.signal('SIGCONT')
+    this.signal('SIGKILL')
+    await this.ended()
+    await this.store.close()
+    await rm(this.folder, { recursive: true, force: true })
+  }
+
+  #settings(): string {
+    const { name, host, ports, seeds } = this.opts
+    const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
+    return [
+      `nodeName = "${name}"`,
+      `ipAddress = "${host}"`,
+      'zone = "z1"',
+      `internalPortRange = [${ports.peers}, ${ports.peers}]`,
+      `seeds = [${seedList}]`,
+      '[listenAddresses]',
+      `front = "${host}:${ports.callers}"`,
+      `ready = "${host}:${ports.readiness}"`,
+      `control = "${host}:${ports.control}"`,
+      '[platform]',
+      `address = "${this.store.address}"`,
+      '[bounds]',
+      'graceS = 4',
+      'sessionS = 1',
+    ].join('\n')
+  }
+}
+
+/** Lines kept for a report. */
+const KEPT_LINES = 200
