--- a/packages/scenario/src/fleet/__tests__/path.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/path.spec.ts
@@ -2,9 +2,13 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { after, before, beforeEach, describe, it } from 'node:test'
-import { ReplicaStandin, StoreStandin } from '@wagtailway/standins'
+import {
+  ReplicaStandin,
+  StoreStandin,
+  callerHeaders,
+  fleetConfig,
+} from '@wagtailway/standins'
 import { callFleet, eventIds, type FleetAnswer } from '../fleetClient.js'
-import { fleetConfig } from '../fleetConfig.js'
 import { eventually, startGateway, type TestGateway } from '../gatewayHarness.js'
 
 const KEY = { 'x-credential': 'key-1' }
@@ -31,9 +35,11 @@
     path,
     method: opts.post === true ? 'POST' : 'GET',
     headers: {
-      'x-credential': opts.key ?? KEY['x-credential'],
-      'x-request-id': `r-${requests}`,
-      ...(opts.stream === true && { accept: 'text/event-stream', 'x-model': '*' }),
+      ...callerHeaders({
+        requestId: `r-${requests}`,
+        isStream: opts.stream === true,
+        ...(opts.key !== undefined && { key: opts.key }),
+      }),
       ...opts.headers,
     },
     ...(opts.post === true && { body: 'body' }),
--- a/packages/scenario/src/fleet/fleetClient.ts
+++ b/packages/scenario/src/fleet/fleetClient.ts
@@ -37,11 +37,7 @@
 export function callFleet(call: FleetCall): Promise<FleetAnswer> {
   return new Promise((resolve) => {
     const { port, method = 'GET', path, body, agent } = call
-    const headers = {
-      host: call.host ?? 'app.example',
-      'x-deadline-remaining': String(call.timeoutMs ?? DEFAULT_TIMEOUT_MS),
-      ...call.headers,
-    }
+    const headers = { host: call.host ?? 'app.example', ...call.headers }
     const req = request(
       {
         host: call.server ?? '127.0.0.1',
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -1,9 +1,13 @@
 /** Runs real gateways under random faults and checks the promises. */
 import { Agent } from 'node:http'
 import { seededRandom } from '@wagtailway/core'
-import { ReplicaStandin, StoreStandin } from '@wagtailway/standins'
+import {
+  ReplicaStandin,
+  StoreStandin,
+  callerHeaders,
+  fleetConfig,
+} from '@wagtailway/standins'
 import { callFleet } from '../fleet/fleetClient.js'
-import { fleetConfig } from '../fleet/fleetConfig.js'
 import { eventually, freePorts } from '../fleet/gatewayHarness.js'
 import { checkSoak, type Leave, type SoakCall } from './soakCheck.js'
 import { beginFault, type SoakWorld } from './soakFaults.js'
@@ -31,6 +35,9 @@
 /** Pause between two requests of one caller, in milliseconds. */
 const CALL_PAUSE_MS = 20
 
+/** Time after which a caller leaves, in milliseconds: beyond each route's time-out. */
+const CALL_TIMEOUT_MS = 3_000
+
 /** Callers; each keeps its connection while its gateway lives. */
 const CALLERS = 8
 
@@ -151,14 +158,14 @@
       port: gateway.opts.ports.callers,
       method: kind === 'once' ? 'POST' : 'GET',
       path,
-      headers: {
-        'x-credential': 'key-1',
-        'x-request-id': id,
-        ...(kind === 'stream' && { accept: 'text/event-stream', 'x-model': '*' }),
-      },
+      headers: callerHeaders({
+        requestId: id,
+        isStream: kind === 'stream',
+        waitMs: CALL_TIMEOUT_MS,
+      }),
       ...(kind === 'once' && { body: id }),
       agent,
-      timeoutMs: 3_000,
+      timeoutMs: CALL_TIMEOUT_MS,
     })
     calls.push({ id, kind, path, answer })
     await sleep(CALL_PAUSE_MS)
@@ -174,7 +181,7 @@
         server: host,
         port: ports.callers,
         path: '/plain/last',
-        headers: { 'x-credential': 'key-1', 'x-request-id': `last-${name}` },
+        headers: callerHeaders({ requestId: `last-${name}` }),
       })
       return status === 200 ? [] : [`${name} answered ${status} after the calm`]
     }),
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { settingsFile } from '@wagtailway/standins'
 import { callFleet } from '../fleet/fleetClient.js'
 import { TcpRelay } from '../relay/index.js'
 
@@ -112,24 +113,8 @@
   }
 
   #settings(): string {
-    const { name, host, ports, seeds } = this.opts
-    const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
-    return [
-      `nodeName = "${name}"`,
-      `ipAddress = "${host}"`,
-      'zone = "z1"',
-      `internalPortRange = [${ports.peers}, ${ports.peers}]`,
-      `seeds = [${seedList}]`,
-      '[listenAddresses]',
-      `front = "${host}:${ports.callers}"`,
-      `ready = "${host}:${ports.readiness}"`,
-      `control = "${host}:${ports.control}"`,
-      '[platform]',
-      `address = "${this.store.address}"`,
-      '[bounds]',
-      'graceS = 4',
-      'sessionS = 1',
-    ].join('\n')
+    const store = this.store.address
+    return settingsFile({ ...this.opts, store, graceS: 4, sessionS: 1 })
   }
 }
 
--- /dev/null
+++ b/packages/standins/src/fleet/settingsFile.ts
@@ -0,0 +1,44 @@
+/** The settings file that the users' platform lays before a process. */
+
+export interface SettingsFileOptions {
+  readonly name: string
+  readonly host: string
+  readonly seeds: readonly string[]
+  readonly ports: {
+    readonly callers: number
+    readonly readiness: number
+    readonly control: number
+    readonly peers: number
+  }
+  /** `host:port` of the store. */
+  readonly store: string
+  readonly graceS: number
+  readonly sessionS: number
+}
+
+/**
+ * Text of a settings file.
+ *
+ * @example
+ * await writeFile('local.toml', settingsFile(options))
+ */
+export function settingsFile(opts: SettingsFileOptions): string {
+  const { name, host, ports, seeds, store, graceS, sessionS } = opts
+  const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
+  return [
+    `nodeName = "${name}"`,
+    `ipAddress = "${host}"`,
+    'zone = "z1"',
+    `internalPortRange = [${ports.peers}, ${ports.peers}]`,
+    `seeds = [${seedList}]`,
+    '[listenAddresses]',
+    `front = "${host}:${ports.callers}"`,
+    `ready = "${host}:${ports.readiness}"`,
+    `control = "${host}:${ports.control}"`,
+    '[platform]',
+    `address = "${store}"`,
+    '[bounds]',
+    `graceS = ${graceS}`,
+    `sessionS = ${sessionS}`,
+  ].join('\n')
+}
