Gateway: endings of requests stand once; drop what nothing reads

Whole answers and streams refused, ended and passed answers on in two copies; they share forward/endings.ts now. The share of connections is worked out once a placement instead of once a server, and the order of instances once an instance instead of at each look. Gone: settings and facts that no decision read, a promise that nobody awaited. Behaviour stays; a stream refused for lack of time is logged with the reason that its caller is told.

--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -5,6 +5,14 @@
 import { judgeAnswer } from '../cascade/cascade.js'
 import { readWhole, type AttemptAnswer } from './attempt.js'
 import { NO_SERVER_RETRY_MS } from './caller.js'
+import {
+  callerLeft,
+  isRefusedByServer,
+  passOn,
+  refuseUnserved,
+  sinceSentMs,
+  type UnservedReason,
+} from './endings.js'
 import { pumpEvents, type PumpEnd } from './pumpEvents.js'
 import type { RequestContext, Sent } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
@@ -57,48 +65,38 @@
   }
   for (;;) {
     if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
-    if (ctx.leftMs <= 0) return endUnanswered(ctx, state, 'timeout')
+    if (ctx.leftMs <= 0) return endUnserved(ctx, state, 'timeout')
     const model = ctx.models[state.modelIndex]
     const place = ctx.pick(model)
-    if (!place) return endUnanswered(ctx, state, 'no_server')
+    if (!place) return endUnserved(ctx, state, 'no_server')
     if (!state.hasBegun && place.expectedMs > ctx.leftMs) {
-      return endUnanswered(ctx, state, 'overloaded', place.expectedMs - ctx.leftMs)
+      return endUnserved(ctx, state, 'overloaded', place.expectedMs - ctx.leftMs)
     }
     const sent = ctx.send(place, model, state.lastEventId)
     const step = await oneSend(ctx, state, sent)
     if (step.type === 'done') return step.outcome
-    if (step.type === 'give_up') return endUnanswered(ctx, state, step.reason)
+    if (step.type === 'give_up') return endUnserved(ctx, state, step.reason)
     const isPaid = step.isPaid === true || ctx.mayGoOn(step.reason)
     if (!ctx.hasAttemptsLeft || !isPaid) {
-      return endUnanswered(ctx, state, 'server_refused')
+      return endUnserved(ctx, state, 'server_refused')
     }
   }
 }
 
 /** Ends a stream without its last event; one that has begun is visibly broken off. */
-function endUnanswered(
+function endUnserved(
   ctx: RequestContext,
   state: StreamState,
-  reason: 'timeout' | 'no_server' | 'overloaded' | 'server_refused' | 'server_failed',
+  reason: UnservedReason,
   freeInMs = 0,
 ): RequestOutcome {
   const { caller } = ctx.opts
-  if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
-  if (state.hasBegun) {
+  if (state.hasBegun && !caller.hasLeft) {
     caller.res.destroy()
     return { outcome: 'broken_off', status: 200, reason }
   }
-  if (ctx.mayHaveRun) {
-    const told = reason === 'timeout' ? 'timeout' : 'server_failed'
-    return { outcome: 'failed', status: caller.refuse(told), reason: told }
-  }
-  const told = reason === 'server_failed' ? 'server_refused' : reason
   const retryMs = reason === 'no_server' ? NO_SERVER_RETRY_MS : RETRY_AFTER_MS
-  const status = caller.refuse(
-    told === 'timeout' ? 'overloaded' : told,
-    (retryMs + freeInMs) * (1 + ctx.opts.node.opts.random()),
-  )
-  return { outcome: 'refused', status, reason: told }
+  return refuseUnserved(ctx, reason, retryMs + freeInMs)
 }
 
 async function oneSend(
@@ -136,7 +134,7 @@
   try {
     const head = await sent.attempt.head
     watch.cancel()
-    if (caller.hasLeft) return left(ctx, sent)
+    if (caller.hasLeft) return { type: 'done', outcome: callerLeft(ctx, sent) }
     if (head.type === 'answered') return await answered(ctx, state, sent, head)
     sent.end(isLate ? 'silent' : head.reason)
     ctx.spend(server)
@@ -157,12 +155,6 @@
   }
 }
 
-function left(ctx: RequestContext, sent: Sent): StreamStep {
-  sent.end('caller_left')
-  if (sent.attempt.ran === 'may_have_run') ctx.noteRan(sent.place.server)
-  return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
-}
-
 async function answered(
   ctx: RequestContext,
   state: StreamState,
@@ -171,12 +163,7 @@
 ): Promise<StreamStep> {
   const { route, node } = ctx.opts
   const { server } = sent.place
-  if (head.facts.hasNotRun || head.status === 421) {
-    head.res.resume()
-    sent.end(`refused_${head.status}`)
-    ctx.spend(server)
-    if (head.status === 421)
-      node.opts.servers.apply([{ id: server.id, server: undefined }])
+  if (isRefusedByServer(ctx, sent, head)) {
     return { type: 'again', reason: 'server_refused' }
   }
   ctx.noteRan(server)
@@ -246,10 +233,10 @@
   sent: Sent,
   head: AttemptAnswer,
 ): Promise<StreamStep> {
-  const { caller, route, node } = ctx.opts
+  const { caller, route } = ctx.opts
   const { server } = sent.place
   const read = await readWhole(sent.attempt, head, MAX_PLAIN_BYTES)
-  if (caller.hasLeft) return left(ctx, sent)
+  if (caller.hasLeft) return { type: 'done', outcome: callerLeft(ctx, sent) }
   sent.end(`status_${head.status}`)
   ctx.spend(server)
   const isServerFault = head.status >= 500 || read.type === 'broken'
@@ -260,21 +247,13 @@
   }
   const isUnfit = head.status < 300 || read.type === 'broken' || state.hasBegun
   if (isUnfit) return { type: 'give_up', reason: 'server_failed' }
-  caller.res.writeHead(head.status, [
-    ...node.opts.dialect.callerHeaders(head.res.rawHeaders),
-    'Content-Length',
-    String(read.body.length),
-  ])
-  caller.res.end(read.body)
-  return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
+  return { type: 'done', outcome: passOn(ctx, head, read.body) }
 }
 
 function observeSpeed(ctx: RequestContext, sent: Sent): void {
-  const { node, caller } = ctx.opts
-  const { clock, speeds } = node.opts
-  const sinceMs = clock() - caller.arrivedAtMs - sent.line.sentAtMs
-  const { tokensToRead } = sent.place
-  speeds.observe(sent.line.model ?? '', tokensToRead, sinceMs - sent.aheadMs)
+  const { model = '' } = sent.line
+  const readingMs = sinceSentMs(ctx, sent) - sent.aheadMs
+  ctx.opts.node.opts.speeds.observe(model, sent.place.tokensToRead, readingMs)
 }
 
 function asksNextModel(
--- a/packages/gateway/src/forward/forwardWhole.ts
+++ b/packages/gateway/src/forward/forwardWhole.ts
@@ -1,6 +1,14 @@
 /** Forwards a request whose answer is passed on once it is whole. */
 import { readWhole, type AttemptAnswer, type BodyOutcome } from './attempt.js'
 import { NO_SERVER_RETRY_MS } from './caller.js'
+import {
+  callerLeft,
+  isRefusedByServer,
+  passOn,
+  refuseUnserved,
+  sinceSentMs,
+  type UnservedReason,
+} from './endings.js'
 import type { RequestContext, Sent } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import { after } from './timer.js'
@@ -17,6 +25,9 @@
 /** Part of the time left that a send may take if another one can follow. */
 const LEFT_PART = 0.5
 
+/** When a caller that found no free server comes back, in milliseconds: a few answers later. */
+const RETRY_AFTER_MS = 100
+
 /** What became of one send. */
 type SendResult =
   | { readonly type: 'done'; readonly outcome: RequestOutcome }
@@ -33,43 +44,26 @@
 export async function forwardWhole(ctx: RequestContext): Promise<RequestOutcome> {
   for (;;) {
     if (ctx.opts.caller.hasLeft) return { outcome: 'caller_left', status: 0 }
-    if (ctx.leftMs <= 0) return refuseUnanswered(ctx, 'timeout')
+    if (ctx.leftMs <= 0) return endUnserved(ctx, 'timeout')
     const place = ctx.pick(undefined)
     if (!place)
-      return refuseUnanswered(ctx, ctx.lines.length > 0 ? 'server_refused' : 'no_server')
+      return endUnserved(ctx, ctx.lines.length > 0 ? 'server_refused' : 'no_server')
     const sent = ctx.send(place, undefined, undefined)
     const result = await conclude(ctx, sent)
     if (result.type === 'done') return result.outcome
-    if (result.type === 'give_up') return refuseUnanswered(ctx, result.status)
+    if (result.type === 'give_up') return endUnserved(ctx, result.status)
     ctx.spend(place.server)
     const isPaid = result.isPaid === true || ctx.mayGoOn(result.reason)
-    if (!ctx.hasAttemptsLeft || !isPaid) return refuseUnanswered(ctx, 'server_refused')
+    if (!ctx.hasAttemptsLeft || !isPaid) return endUnserved(ctx, 'server_refused')
   }
 }
 
-/** Answers for a request that no server has answered, truthfully about whether it ran. */
-function refuseUnanswered(
-  ctx: RequestContext,
-  reason: 'timeout' | 'no_server' | 'server_refused' | 'server_failed',
-): RequestOutcome {
-  const { caller } = ctx.opts
-  if (caller.hasLeft) return { outcome: 'caller_left', status: 0 }
-  if (ctx.mayHaveRun) {
-    const told = reason === 'timeout' ? 'timeout' : 'server_failed'
-    return { outcome: 'failed', status: caller.refuse(told), reason: told }
-  }
-  const told = reason === 'timeout' ? 'overloaded' : reason
-  const retryMs = told === 'no_server' ? NO_SERVER_RETRY_MS : RETRY_AFTER_MS
-  const status = caller.refuse(
-    told === 'server_failed' ? 'server_refused' : told,
-    retryMs * (1 + ctx.opts.node.opts.random()),
-  )
-  return { outcome: 'refused', status, reason: told }
+/** Ends a request without a server's answer. */
+function endUnserved(ctx: RequestContext, reason: UnservedReason): RequestOutcome {
+  const retryMs = reason === 'no_server' ? NO_SERVER_RETRY_MS : RETRY_AFTER_MS
+  return refuseUnserved(ctx, reason, retryMs)
 }
 
-/** When a caller that found no free server comes back, in milliseconds: a few answers later. */
-const RETRY_AFTER_MS = 100
-
 async function conclude(ctx: RequestContext, sent: Sent): Promise<SendResult> {
   const { caller, route } = ctx.opts
   const { server } = sent.place
@@ -94,11 +88,7 @@
   })
   try {
     const head = await sent.attempt.head
-    if (caller.hasLeft) {
-      sent.end('caller_left')
-      if (sent.attempt.ran === 'may_have_run') ctx.noteRan(server)
-      return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
-    }
+    if (caller.hasLeft) return { type: 'done', outcome: callerLeft(ctx, sent) }
     if (head.type === 'answered') return await concludeAnswer(ctx, sent, head)
     sent.end(isLate ? 'silent' : head.reason)
     if (head.ran === 'not_run') {
@@ -124,24 +114,17 @@
   sent: Sent,
   head: AttemptAnswer,
 ): Promise<SendResult> {
-  const { caller, route, node } = ctx.opts
+  const { caller, route } = ctx.opts
   const { server } = sent.place
-  if (head.facts.hasNotRun || head.status === 421) {
-    head.res.resume()
-    sent.end(`refused_${head.status}`)
-    if (head.status === 421)
-      node.opts.servers.apply([{ id: server.id, server: undefined }])
+  if (isRefusedByServer(ctx, sent, head)) {
     return { type: 'again', reason: 'server_refused' }
   }
   ctx.noteRan(server)
   const read = await readWhole(sent.attempt, head, MAX_ANSWER_BYTES)
-  if (caller.hasLeft) {
-    sent.end('caller_left')
-    return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
-  }
+  if (caller.hasLeft) return { type: 'done', outcome: callerLeft(ctx, sent) }
   const isGood = isUsable(head, read)
   const isServerFault = !isGood || head.status >= 500
-  const isSlow = ctx.isSlow(server, 'answer', node.opts.clock() - sentAt(ctx, sent))
+  const isSlow = ctx.isSlow(server, 'answer', sinceSentMs(ctx, sent))
   ctx.noteAnswer(server, !isServerFault && !isSlow)
   sent.end(isGood ? `status_${head.status}` : 'broken_answer')
   const mayRepeat = route.kind === 'idempotent' && ctx.hasAttemptsLeft && ctx.leftMs > 0
@@ -150,8 +133,7 @@
     return { type: 'again', reason, isPaid: true }
   }
   if (!isUsable(head, read)) return { type: 'give_up', status: 'server_failed' }
-  passOn(ctx, head, read.body)
-  return { type: 'done', outcome: { outcome: 'answered', status: head.status } }
+  return { type: 'done', outcome: passOn(ctx, head, read.body) }
 }
 
 /** Whether an answer is whole and a success is truly the server's. */
@@ -161,18 +143,3 @@
 ): read is Extract<BodyOutcome, { type: 'whole' }> {
   return read.type === 'whole' && (status >= 300 || (facts.isSigned && !facts.isEncoded))
 }
-
-function passOn(ctx: RequestContext, { status, res }: AttemptAnswer, body: Buffer): void {
-  const { caller, node } = ctx.opts
-  caller.res.writeHead(status, [
-    ...node.opts.dialect.callerHeaders(res.rawHeaders),
-    'Content-Length',
-    String(body.length),
-  ])
-  caller.res.end(body)
-}
-
-/** When a send began, on the monotonic clock. */
-function sentAt(ctx: RequestContext, sent: Sent): number {
-  return ctx.opts.caller.arrivedAtMs + sent.line.sentAtMs
-}
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -123,7 +123,8 @@
   /** The place for the next send, `undefined` if no server takes it. */
   pick(model: string | undefined): Place | undefined {
     const { node, service, caller } = this.opts
-    const { health, speeds, load, random, zone, rollouts, servers, readParts } = node.opts
+    const { health, speeds, load, random, zone, rollouts, servers } = node.opts
+    const { readParts, connections } = node.opts
     const versions = rollouts.versionsFor(
       service.name,
       this.#rolloutPlace(),
@@ -138,7 +139,8 @@
     // The only server there is may succeed where it just failed.
     const usable =
       fresh.length > 0 ? fresh : (known ?? []).filter((s) => this.#mayRetryOn(s))
-    const open = usable.filter((server) => this.#hasConnectionFor(server))
+    const share = this.#connectionShare()
+    const open = usable.filter(({ id }) => connections.count(id) < share)
     const { promptParts, promptTokens } = caller.facts
     const shared = promptParts.slice(0, -1)
     const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0)
@@ -319,10 +321,10 @@
     )
   }
 
-  #hasConnectionFor(server: BackendServer): boolean {
+  /** Connections to one server that this instance may have. */
+  #connectionShare(): number {
     const { node, service } = this.opts
-    const { connections, peers } = node.opts
-    const share = (service.connectionLimit * CONNECTION_SHARE) / peers.knownCount
-    return connections.count(server.id) < Math.max(2, share)
+    const equalShare = service.connectionLimit / node.opts.peers.knownCount
+    return Math.max(2, equalShare * CONNECTION_SHARE)
   }
 }
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -26,8 +26,6 @@
   readonly repeatSlack: number
   /** Share of a service's requests that a bad version may get in all. */
   readonly exposureShare: number
-  /** Requests that a bad version may get beside that share. */
-  readonly exposureSlack: number
   /** Requests of a session that follow each other within this time belong together. */
   readonly sessionMs: number
 }
--- a/packages/gateway/src/model/config.ts
+++ b/packages/gateway/src/model/config.ts
@@ -36,8 +36,6 @@
   readonly maxAttempts: number
   /** Whether callers need no key. */
   readonly isPublic: boolean
-  /** Whether requests tell the parts of their prompts, for placement. */
-  readonly hasPrompts: boolean
   readonly isResumable: boolean
 }
 
--- a/packages/gateway/src/model/requestFacts.ts
+++ b/packages/gateway/src/model/requestFacts.ts
@@ -12,11 +12,9 @@
   /** How long the caller will wait, in milliseconds. */
   readonly remainingMs: number | undefined
   readonly key: string | undefined
-  readonly model: string | undefined
   /** Requests with the same one that follow each other closely belong together. */
   readonly session: string | undefined
   readonly promptTokens: number
-  readonly maxOutputTokens: number
   /** In the order of the prompt; the last belongs to the request or its session. */
   readonly promptParts: readonly PromptPart[]
   /** Last event that the caller already has. */
--- a/packages/gateway/src/peers/peerBook.ts
+++ b/packages/gateway/src/peers/peerBook.ts
@@ -19,6 +19,7 @@
 
 interface Peer {
   readonly address: PeerAddress
+  readonly order: string
   readonly zone: string | undefined
   heardAtMs: number
   sequence: number
@@ -36,12 +37,15 @@
  */
 export class PeerBook {
   readonly #peers = new Map<string, Peer>()
+  readonly #order: string
   #mostAlive = 1
 
   private constructor(
     private readonly self: { readonly name: string; readonly zone: string },
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.#order = orderOf(self.name)
+  }
 
   static create(
     self: { readonly name: string; readonly zone: string },
@@ -55,6 +59,7 @@
     if (address.name === this.self.name || this.#peers.has(address.name)) return
     this.#peers.set(address.name, {
       address,
+      order: orderOf(address.name),
       zone: undefined,
       // Reports go there for a while, and an answer tells whether it lives.
       heardAtMs: this.clock() - ALIVE_MS,
@@ -74,6 +79,7 @@
     if (old && report.sequence <= old.sequence) return false
     this.#peers.set(report.name, {
       address: { name: report.name, ...from },
+      order: old?.order ?? orderOf(report.name),
       zone: report.zone,
       heardAtMs: this.clock(),
       sequence: report.sequence,
@@ -94,7 +100,9 @@
       if (heardAtMs < oldestMs) this.#peers.delete(name)
     }
     return [...this.#peers.values()]
-      .filter(({ zone }) => reach === 'all' || zone === undefined || this.#isNear(zone))
+      .filter(
+        ({ zone }) => reach === 'all' || (zone ?? this.self.zone) === this.self.zone,
+      )
       .map(({ address }) => address)
   }
 
@@ -119,17 +127,13 @@
 
   /** Number of living instances that come before this one. */
   rank(): number {
-    return this.#alive().filter(
-      ({ address }) => orderOf(address.name) < orderOf(this.self.name),
-    ).length
+    return this.#alive().filter(({ order }) => order < this.#order).length
   }
 
   /** Number of living instances of the own zone that come before this one. */
   zoneRank(): number {
-    const own = orderOf(this.self.name)
     return this.#alive().filter(
-      ({ address, zone }) =>
-        zone !== undefined && this.#isNear(zone) && orderOf(address.name) < own,
+      ({ order, zone }) => zone === this.self.zone && order < this.#order,
     ).length
   }
 
@@ -145,10 +149,6 @@
     return longest
   }
 
-  #isNear(zone: string): boolean {
-    return zone === this.self.zone
-  }
-
   #alive(): Peer[] {
     const oldestMs = this.clock() - ALIVE_MS
     return [...this.#peers.values()].filter(
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -85,8 +85,4 @@
     }
     return total
   }
-
-  forget(serverId: string): void {
-    this.#own.delete(serverId)
-  }
 }
--- a/packages/gateway/src/process/followFeed.ts
+++ b/packages/gateway/src/process/followFeed.ts
@@ -1,4 +1,5 @@
 /** Follows all objects of one kind in the store, as often as the schedule says. */
+import { setTimeout as delay } from 'node:timers/promises'
 import type { Clock, Random } from '@wagtailway/core'
 import type { FeedState } from '../feed/feedState.js'
 import { planLook, type LookInputs } from '../feed/lookSchedule.js'
@@ -35,21 +36,15 @@
  *
  * @example
  * const follower = Follower.create(options)
- * await follower.firstList
  * follower.close()
  */
 export class Follower<T> {
-  readonly firstList: Promise<void>
   #isClosed = false
   #failures = 0
   #lookedAtMs = Number.NEGATIVE_INFINITY
   #isHistoryGone = false
-  #listed: () => void = () => undefined
 
   private constructor(private readonly opts: FollowOptions<T>) {
-    this.firstList = new Promise((resolve) => {
-      this.#listed = resolve
-    })
     void this.#loop()
   }
 
@@ -72,7 +67,7 @@
         sinceLookMs: clock() - this.#lookedAtMs,
       })
       if (!look) {
-        await sleep(IDLE_PAUSE_MS)
+        await delay(IDLE_PAUSE_MS)
         continue
       }
       this.#lookedAtMs = clock()
@@ -93,7 +88,6 @@
     this.#answered()
     this.#isHistoryGone = false
     feed.takeList(listed.val.events, listed.val.revision, sentAtMs)
-    this.#listed()
   }
 
   async #watch(waitMs: number): Promise<void> {
@@ -134,10 +128,6 @@
 
   async #pause(): Promise<void> {
     const longest = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.#failures)
-    await sleep(longest * (0.5 + this.opts.random() / 2))
+    await delay(longest * (0.5 + this.opts.random() / 2))
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -55,7 +55,6 @@
         repeatWindowMs: 10_000,
         repeatSlack: 60,
         exposureShare: 0.15,
-        exposureSlack: 30,
         sessionMs: 1_000,
       },
     },
