Feeds: tell where each update came from, why the store is polled, how a pull failed

New lines feed_update (source, whole or changes, revision, age) and feed_stale (a poll by an instance that doesn't watch); feed_pull_failed gains kind, host, revision and duration. New counters feed_updates, feed_polls, feed_pulls and the gauge feed_age_seconds.

The choice of whom to pull from is now apart from HTTP (FeedPuller), and the follower takes its delay as a function; no decision changes.

--- a/packages/gateway/src/feed/__tests__/feedState.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedState.spec.ts
@@ -22,6 +22,7 @@
     },
     onChanges: applyEvents,
     onStoreRecovered: (ms) => outagesMs.push(ms),
+    onApplied: () => undefined,
   })
   return { clock, feed, objects, outagesMs }
 }
@@ -31,7 +32,7 @@
 describe('FeedState', () => {
   it('adopts the mark of another instance only if it has all changes up to it', () => {
     const { feed, clock } = setUp()
-    feed.applyList([A], 10, clock.now())
+    feed.applyList([A], 10, clock.now(), 'store')
     clock.advance(1_000)
     const mark = { kind: 'servers', changedAt: 8, asOf: 14, ageMs: 300 }
     assert.equal(feed.applyMark(mark), 'current')
@@ -51,38 +52,38 @@
   it('sends changes, or the complete list if its history does not go back far enough', () => {
     const first = setUp()
     const second = setUp()
-    first.feed.applyList([A], 10, first.clock.now())
-    second.feed.applyUpdate(first.feed.updateSince(0), 0, second.clock.now())
+    first.feed.applyList([A], 10, first.clock.now(), 'store')
+    second.feed.applyUpdate(first.feed.updateSince(0), 0, second.clock.now(), 'store')
     assert.deepEqual([...second.objects], [['a', 'one']])
     const events = [
       { name: 'b', object: 'two' },
       { name: 'a', object: undefined },
     ]
-    first.feed.applyChanges(events, 10, 15, first.clock.now())
+    first.feed.applyChanges(events, 10, 15, first.clock.now(), 'store')
     const update = first.feed.updateSince(second.feed.asOf)
     assert.equal(update.isWhole, false)
-    second.feed.applyUpdate(update, 10, second.clock.now())
+    second.feed.applyUpdate(update, 10, second.clock.now(), 'store')
     assert.deepEqual([...second.objects], [['b', 'two']])
     assert.equal(second.feed.asOf, 15)
   })
 
   it('ignores an older list, and changes after a gap', () => {
     const { feed, objects, clock } = setUp()
-    feed.applyList([A], 10, clock.now())
-    feed.applyList([], 9, clock.now())
-    feed.applyChanges([{ name: 'a', object: undefined }], 12, 14, clock.now())
+    feed.applyList([A], 10, clock.now(), 'store')
+    feed.applyList([], 9, clock.now(), 'store')
+    feed.applyChanges([{ name: 'a', object: undefined }], 12, 14, clock.now(), 'store')
     assert.deepEqual([...objects], [['a', 'one']])
     assert.equal(feed.asOf, 10)
   })
 
   it('reports the duration of an outage at the first confirmation after it', () => {
     const { feed, outagesMs, clock } = setUp()
-    feed.applyList([A], 10, clock.now())
+    feed.applyList([A], 10, clock.now(), 'store')
     clock.advance(2_000)
-    feed.applyChanges([], 10, 11, clock.now())
+    feed.applyChanges([], 10, 11, clock.now(), 'store')
     assert.deepEqual(outagesMs, [])
     clock.advance(6_000)
-    feed.applyChanges([], 11, 12, clock.now())
+    feed.applyChanges([], 11, 12, clock.now(), 'store')
     assert.deepEqual(outagesMs, [6_000])
   })
 })
--- a/packages/gateway/src/feed/__tests__/pollSchedule.spec.ts
+++ b/packages/gateway/src/feed/__tests__/pollSchedule.spec.ts
@@ -48,7 +48,10 @@
   })
 
   it('requests a list at once if it has none, and watches only after the discovery period', () => {
-    assert.deepEqual(planPoll({ ...INPUTS, hasList: false }), { waitMs: 0 })
+    assert.deepEqual(planPoll({ ...INPUTS, hasList: false }), {
+      reason: 'first',
+      waitMs: 0,
+    })
     const discovering = { ...INPUTS, isDiscovering: true, instanceCount: 1, zoneRank: 0 }
     assert.equal(planPoll(discovering), undefined)
     assert.ok(planPoll({ ...discovering, isDiscovering: false }))
--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -4,6 +4,7 @@
 import { PlainServer } from '../http/plainServer.js'
 import { requestJson } from '../http/requestJson.js'
 import type { ListenAddress } from '../http/callerServer.js'
+import { FeedPuller, type FeedPullerOptions } from './feedPuller.js'
 import type { FeedMark, FeedUpdate, FeedState } from './feedState.js'
 
 /**
@@ -20,11 +21,13 @@
 
 const FEED_PATH = /^\/feed\/([^/?]+)\?after=(\d+)$/
 
-export interface FeedExchangeOptions {
+export interface FeedExchangeOptions extends Pick<
+  FeedPullerOptions,
+  'onPulled' | 'onFailed'
+> {
   readonly address: ListenAddress
   readonly clock: Clock
   readonly feeds: readonly FeedState<unknown>[]
-  readonly onFault: (detail: string) => void
 }
 
 /**
@@ -36,14 +39,16 @@
  */
 export class FeedExchange {
   readonly #agent = new Agent({ keepAlive: true, timeout: 10_000 })
-  readonly #kindsBeingPulled = new Set<string>()
-  readonly #feeds: ReadonlyMap<string, FeedState<unknown>>
+  readonly #puller: FeedPuller
 
   private constructor(
     private readonly opts: FeedExchangeOptions,
     private readonly server: PlainServer,
   ) {
-    this.#feeds = new Map(opts.feeds.map((feed) => [feed.kind, feed]))
+    this.#puller = FeedPuller.create({
+      ...opts,
+      pull: (host, kind, after) => this.#pull(host, kind, after),
+    })
   }
 
   static async create(opts: FeedExchangeOptions): Promise<FeedExchange> {
@@ -68,10 +73,7 @@
    * behind.
    */
   applyMarks(marks: readonly FeedMark[], from: ListenAddress): void {
-    for (const mark of marks) {
-      const feed = this.#feeds.get(mark.kind)
-      if (feed?.applyMark(mark) === 'behind') void this.#pull(feed, from.host)
-    }
+    this.#puller.applyMarks(marks, from.host)
   }
 
   close(): void {
@@ -79,25 +81,15 @@
     this.#agent.destroy()
   }
 
-  async #pull(feed: FeedState<unknown>, host: string): Promise<void> {
-    if (this.#kindsBeingPulled.has(feed.kind)) return
-    this.#kindsBeingPulled.add(feed.kind)
-    const sentAtMs = this.opts.clock()
-    const after = feed.asOf
-    try {
-      const response = await requestJson({
-        method: 'GET',
-        url: `http://${host}:${this.opts.address.port}/feed/${feed.kind}?after=${after}`,
-        timeoutMs: PULL_TIMEOUT_MS,
-        agent: this.#agent,
-        maxBytes: MAX_UPDATE_BYTES,
-      })
-      if (response.status !== 200) throw new Error(`status ${response.status}`)
-      feed.applyUpdate(response.body as FeedUpdate<unknown>, after, sentAtMs)
-    } catch (err) {
-      this.opts.onFault(`pull failed: ${String(err)}`)
-    } finally {
-      this.#kindsBeingPulled.delete(feed.kind)
-    }
+  async #pull(host: string, kind: string, after: number): Promise<FeedUpdate<unknown>> {
+    const response = await requestJson({
+      method: 'GET',
+      url: `http://${host}:${this.opts.address.port}/feed/${kind}?after=${after}`,
+      timeoutMs: PULL_TIMEOUT_MS,
+      agent: this.#agent,
+      maxBytes: MAX_UPDATE_BYTES,
+    })
+    if (response.status !== 200) throw new Error(`status ${response.status}`)
+    return response.body as FeedUpdate<unknown>
   }
 }
--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -39,6 +39,20 @@
   readonly ageMs: number
 }
 
+/** Where an update came from: the store itself, or the host of another instance. */
+export type FeedSource = 'store' | { readonly host: string }
+
+/** An update that was applied, for logs and metrics. */
+export interface AppliedUpdate {
+  readonly kind: string
+  readonly source: FeedSource
+  readonly isWhole: boolean
+  readonly eventCount: number
+  readonly asOf: number
+  /** Age of the confirmation that came with the update, in milliseconds. */
+  readonly ageMs: number
+}
+
 /** Update that an instance sends to one that is behind. */
 export interface FeedUpdate<T> {
   readonly mark: FeedMark
@@ -64,13 +78,15 @@
   readonly onChanges: (events: readonly FeedEvent<T>[]) => void
   /** Called at the first confirmation after an outage, before the update is applied. */
   readonly onStoreRecovered: (outageMs: number) => void
+  /** Called after each complete list and each update with changes. */
+  readonly onApplied: (applied: AppliedUpdate) => void
 }
 
 /**
  * Objects of one kind that this process follows.
  *
  * @example
- * feed.applyList(events, 530, sentAtMs)
+ * feed.applyList(events, 530, sentAtMs, 'store')
  * feed.mark.ageMs // 4
  */
 export class FeedState<T> {
@@ -118,7 +134,12 @@
    * Applies a complete list that the store created after `sentAtMs`; ignores a list older
    * than the known state.
    */
-  applyList(events: readonly FeedEvent<T>[], asOf: number, sentAtMs: number): void {
+  applyList(
+    events: readonly FeedEvent<T>[],
+    asOf: number,
+    sentAtMs: number,
+    source: FeedSource,
+  ): void {
     if (asOf < this.#asOf) return
     this.#confirm(sentAtMs)
     this.#objects.clear()
@@ -130,6 +151,7 @@
     this.#changedAt = asOf
     this.#asOf = asOf
     this.opts.onList(events)
+    this.#reportApplied(source, true, events.length)
   }
 
   /** Applies all changes with revisions after `after`, up to `asOf`. */
@@ -138,6 +160,7 @@
     after: number,
     asOf: number,
     sentAtMs: number,
+    source: FeedSource,
   ): void {
     // The state is already newer (another source was faster), or changes between `#asOf`
     // and `after` are missing.
@@ -158,6 +181,7 @@
       this.#history = this.#history.slice(dropped)
     }
     this.opts.onChanges(events)
+    this.#reportApplied(source, false, events.length)
   }
 
   /**
@@ -188,10 +212,23 @@
     { mark, isWhole, events }: FeedUpdate<T>,
     after: number,
     sentAtMs: number,
+    source: FeedSource,
   ): void {
     const confirmedAtMs = sentAtMs - mark.ageMs
-    if (isWhole) this.applyList(events, mark.asOf, confirmedAtMs)
-    else this.applyChanges(events, after, mark.asOf, confirmedAtMs)
+    if (isWhole) this.applyList(events, mark.asOf, confirmedAtMs, source)
+    else this.applyChanges(events, after, mark.asOf, confirmedAtMs, source)
+  }
+
+  #reportApplied(source: FeedSource, isWhole: boolean, eventCount: number): void {
+    const { kind, onApplied } = this.opts
+    onApplied({
+      kind,
+      source,
+      isWhole,
+      eventCount,
+      asOf: this.#asOf,
+      ageMs: Math.round(this.ageMs),
+    })
   }
 
   #confirm(newConfirmedAtMs: number): void {
--- a/packages/gateway/src/feed/pollSchedule.ts
+++ b/packages/gateway/src/feed/pollSchedule.ts
@@ -67,20 +67,31 @@
 }
 
 /**
- * Decides whether to poll the store now, and how long the store may wait for changes
- * before it responds; `undefined` if no poll is due.
+ * Why the store is polled: the instance watches it, has no list yet, or its state has not
+ * been confirmed for too long.
+ */
+export type PollReason = 'watch' | 'first' | 'stale'
+
+export interface Poll {
+  readonly reason: PollReason
+  /** How long the store may wait for changes before it responds, in milliseconds. */
+  readonly waitMs: number
+}
+
+/**
+ * Decides whether to poll the store now; `undefined` if no poll is due.
  *
  * @example
- * planPoll(inputs) // { waitMs: 1000 }
+ * planPoll(inputs) // { reason: 'watch', waitMs: 1000 }
  */
-export function planPoll(inputs: PollInputs): { readonly waitMs: number } | undefined {
+export function planPoll(inputs: PollInputs): Poll | undefined {
   const { instanceCount, zoneRank } = inputs
-  if (!inputs.hasList) return { waitMs: 0 }
+  if (!inputs.hasList) return { reason: 'first', waitMs: 0 }
   if (!inputs.isDiscovering && instanceCount <= SMALL_FLEET_SIZE) {
-    return { waitMs: SMALL_FLEET_WATCH_MS }
+    return { reason: 'watch', waitMs: SMALL_FLEET_WATCH_MS }
   }
   const waitMs = Math.round(inputs.maxPropagationMs * WATCH_RATIO)
-  if (!inputs.isDiscovering && zoneRank === 0) return { waitMs }
+  if (!inputs.isDiscovering && zoneRank === 0) return { reason: 'watch', waitMs }
   const staleMs =
     inputs.maxPropagationMs * STALE_RATIO +
     Math.min(MAX_RANK_DELAY_MS, zoneRank * RANK_DELAY_MS)
@@ -88,5 +99,5 @@
   // During an outage of the store, the state of every instance becomes stale.
   if (inputs.failures > 0 && inputs.sinceLastPollMs < OUTAGE_POLL_INTERVAL_MS)
     return undefined
-  return { waitMs }
+  return { reason: 'stale', waitMs }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Forwards HTTP requests and event streams to backend servers, by model and version. */
 export * from './cascade/cascade.js'
 export * from './feed/feedExchange.js'
+export * from './feed/feedPuller.js'
 export * from './feed/feedState.js'
 export * from './feed/pollSchedule.js'
 export * from './forward/serverConnections.js'
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -71,6 +71,30 @@
       labelNames: ['detail'],
       registers,
     }),
+    feedUpdates: new Counter({
+      name: 'wagtailway_gateway_feed_updates_total',
+      help: 'Lists and changes of followed objects that were applied, by kind and source',
+      labelNames: ['kind', 'source'],
+      registers,
+    }),
+    feedPolls: new Counter({
+      name: 'wagtailway_gateway_feed_polls_total',
+      help: 'Polls of the store for followed objects, by kind and reason',
+      labelNames: ['kind', 'reason'],
+      registers,
+    }),
+    feedPulls: new Counter({
+      name: 'wagtailway_gateway_feed_pulls_total',
+      help: 'Requests for updates to other entry instances, by kind and result',
+      labelNames: ['kind', 'result'],
+      registers,
+    }),
+    feedAgeSeconds: new Gauge({
+      name: 'wagtailway_gateway_feed_age_seconds',
+      help: 'Time since followed objects were last confirmed to be current, by kind',
+      labelNames: ['kind'],
+      registers,
+    }),
     configVersion: new Gauge({
       name: 'wagtailway_gateway_config_version',
       help: 'Version of the configuration in force',
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -1,10 +1,9 @@
 /**
  * Polls the store for all objects of one kind, as often as the poll schedule requires.
  */
-import { setTimeout as delay } from 'node:timers/promises'
 import type { Clock, Random } from '@wagtailway/core'
 import type { FeedState } from '../feed/feedState.js'
-import { planPoll, type PollInputs } from '../feed/pollSchedule.js'
+import { planPoll, type PollInputs, type PollReason } from '../feed/pollSchedule.js'
 import type { Log } from '../observe/log.js'
 import type { FollowedKind, StoreFailure, StorePort } from './storePort.js'
 
@@ -30,6 +29,8 @@
   readonly log: Log
   readonly clock: Clock
   readonly random: Random
+  /** Resolves after a delay in milliseconds. */
+  readonly sleep: (ms: number) => Promise<unknown>
   /** Returns the current inputs of the schedule that describe the fleet. */
   readonly fleet: () => Pick<
     PollInputs,
@@ -37,6 +38,8 @@
   >
   /** Called after changes from the store itself, not from another entry instance. */
   readonly onStoreChanges: () => void
+  /** Called before each poll, to count it. */
+  readonly onPoll: (kind: FollowedKind, reason: PollReason) => void
 }
 
 /**
@@ -66,7 +69,7 @@
   }
 
   async #loop(): Promise<void> {
-    const { feed, clock, fleet } = this.opts
+    const { feed, clock, fleet, sleep } = this.opts
     while (!this.#isClosed) {
       const poll = planPoll({
         ...fleet(),
@@ -76,9 +79,10 @@
         sinceLastPollMs: clock() - this.#lastPollAtMs,
       })
       if (!poll) {
-        await delay(SCHEDULE_CHECK_INTERVAL_MS)
+        await sleep(SCHEDULE_CHECK_INTERVAL_MS)
         continue
       }
+      this.#reportPoll(poll.reason)
       this.#lastPollAtMs = clock()
       if (!feed.hasList || this.#isHistoryLost) await this.#list()
       else await this.#watch(poll.waitMs)
@@ -96,7 +100,7 @@
     }
     this.#recordSuccess()
     this.#isHistoryLost = false
-    feed.applyList(listed.val.events, listed.val.revision, sentAtMs)
+    feed.applyList(listed.val.events, listed.val.revision, sentAtMs, 'store')
   }
 
   async #watch(waitMs: number): Promise<void> {
@@ -107,7 +111,7 @@
     if (watched.ok) {
       this.#recordSuccess()
       const { events, revision } = watched.val
-      feed.applyChanges(events, after, revision, sentAtMs)
+      feed.applyChanges(events, after, revision, sentAtMs, 'store')
       if (events.length > 0) onStoreChanges()
       return
     }
@@ -135,8 +139,21 @@
     this.#failures = 0
   }
 
+  #reportPoll(reason: PollReason): void {
+    const { kind, feed, log, clock, onPoll } = this.opts
+    onPoll(kind, reason)
+    if (reason !== 'stale') return
+    log('feed_stale', {
+      kind,
+      asOf: feed.asOf,
+      ageMs: Math.round(feed.ageMs),
+      failures: this.#failures,
+      sinceLastPollMs: Math.round(clock() - this.#lastPollAtMs),
+    })
+  }
+
   async #backOff(): Promise<void> {
     const maxDelayMs = Math.min(MAX_BACKOFF_MS, BACKOFF_BASE_MS * 2 ** this.#failures)
-    await delay(maxDelayMs * (0.5 + this.opts.random() / 2))
+    await this.opts.sleep(maxDelayMs * (0.5 + this.opts.random() / 2))
   }
 }
--- a/packages/gateway/src/process/feeds.ts
+++ b/packages/gateway/src/process/feeds.ts
@@ -1,5 +1,5 @@
 /** The feeds of a process, and how their updates are applied to the gateway. */
-import { FeedState, type FeedEvent } from '../feed/feedState.js'
+import { FeedState, type AppliedUpdate, type FeedEvent } from '../feed/feedState.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { Log } from '../observe/log.js'
@@ -20,7 +20,7 @@
   store: StorePort<T>,
   onUpdate: () => void,
 ): Feeds<T> {
-  const { servers, rollouts, clock, log } = node.opts
+  const { servers, rollouts, clock, log, metrics } = node.opts
   const applyConfigs = (events: readonly FeedEvent<T>[]): void => {
     for (const { name, object } of events) {
       const cfg = object === undefined ? 'other' : store.decodeConfig(name, object)
@@ -43,6 +43,14 @@
       } else rollouts.remove(name)
     }
   }
+  const reportApplied = ({ source, ...applied }: AppliedUpdate): void => {
+    const isFromStore = source === 'store'
+    metrics.feedUpdates.inc({
+      kind: applied.kind,
+      source: isFromStore ? 'store' : 'instance',
+    })
+    log('feed_update', { ...applied, source: isFromStore ? 'store' : source.host })
+  }
   const create = (
     kind: FollowedKind,
     onList: (events: readonly FeedEvent<T>[]) => void,
@@ -64,6 +72,7 @@
         log('store_news_regained', { kind, outageMs })
         onStoreRecovered()
       },
+      onApplied: reportApplied,
     })
   return {
     config: create('config', applyConfigs, applyConfigs),
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -1,4 +1,5 @@
 /** Life cycle of one entry instance: start, run, drain, stop. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { monotonicClock } from '@wagtailway/core'
 import type { CascadeOptions } from '../cascade/cascade.js'
 import { FeedExchange } from '../feed/feedExchange.js'
@@ -13,7 +14,7 @@
 import { ROLLOUT_POLL_MS, RolloutController } from '../rollout/rolloutController.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
 import { createNode } from './createNode.js'
-import { createFeeds } from './feeds.js'
+import { createFeeds, type Feeds } from './feeds.js'
 import { FeedFollower } from './feedFollower.js'
 import { linkPeers } from './linkPeers.js'
 import { discoverInstances } from './discoverInstances.js'
@@ -65,8 +66,12 @@
     clock: monotonicClock,
     // The exchange forwards store objects unchanged, so their type does not matter to it.
     feeds: Object.values(feeds) as unknown as FeedState<unknown>[],
-    onFault: (detail) => {
-      log('feed_pull_failed', { detail })
+    onPulled: (kind) => {
+      metrics.feedPulls.inc({ kind, result: 'ok' })
+    },
+    onFailed: (failed) => {
+      metrics.feedPulls.inc({ kind: failed.kind, result: 'failed' })
+      log('feed_pull_failed', { ...failed })
     },
   })
   const rolloutController = createRolloutController(node, store)
@@ -77,7 +82,7 @@
   const readinessServer = await PlainServer.create(settings.readinessAddress, () =>
     isReady(node) ? { status: 200, text: 'ready' } : { status: 503, text: 'not ready' },
   )
-  const metricsServer = await serveMetrics(metrics, settings)
+  const metricsServer = await serveMetrics(metrics, settings, feeds)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   const stopDiscovery = discoverInstances({
     self,
@@ -113,7 +118,7 @@
 }
 
 function followFeeds<T>(
-  { settings, store, log }: GatewayOptions<T>,
+  { settings, store, log, metrics }: GatewayOptions<T>,
   node: GatewayNode,
   feeds: Readonly<Record<FollowedKind, FeedState<T>>>,
   notifyPeers: () => void,
@@ -129,6 +134,7 @@
       log,
       clock,
       random,
+      sleep,
       fleet: () => ({
         instanceCount: peers.aliveCount,
         zoneRank: peers.zoneRank(),
@@ -138,6 +144,9 @@
       onStoreChanges: () => {
         if (peers.aliveCount > SMALL_FLEET_SIZE) notifyPeers()
       },
+      onPoll: (polledKind, reason) => {
+        metrics.feedPolls.inc({ kind: polledKind, reason })
+      },
     }),
   )
 }
@@ -196,17 +205,17 @@
   }
 }
 
-async function serveMetrics(
-  { registry }: GatewayMetrics,
+async function serveMetrics<T>(
+  { registry, feedAgeSeconds }: GatewayMetrics,
   settings: GatewaySettings,
+  feeds: Feeds<T>,
 ): Promise<PlainServer> {
-  return PlainServer.create(settings.metricsAddress, async (path) =>
-    path === METRICS_PATH
-      ? {
-          status: 200,
-          contentType: registry.contentType,
-          text: await registry.metrics(),
-        }
-      : { status: 404, text: 'not found' },
-  )
+  return PlainServer.create(settings.metricsAddress, async (path) => {
+    if (path !== METRICS_PATH) return { status: 404, text: 'not found' }
+    for (const { kind, hasList, ageMs } of Object.values(feeds)) {
+      if (hasList) feedAgeSeconds.set({ kind }, ageMs / 1_000)
+    }
+    const text = await registry.metrics()
+    return { status: 200, contentType: registry.contentType, text }
+  })
 }
