Feeds: an update holds only the newest change of each object

Cause, first part: the history kept and sent every superseded version.

The history is now a map by name. feedState.spec 'sends only the newest of several changes to an object' failed before (three events instead of one).

--- a/packages/gateway/src/feed/__tests__/feedState.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedState.spec.ts
@@ -67,6 +67,30 @@
     assert.equal(second.feed.asOf, 15)
   })
 
+  it('sends only the newest of several changes to an object', () => {
+    const { feed, clock } = setUp()
+    feed.applyList([A], 10, clock.now(), 'store')
+    for (const revision of [11, 12, 13]) {
+      const changed = { name: 'a', object: `at ${revision}` }
+      feed.applyChanges([changed], revision - 1, revision, clock.now(), 'store')
+    }
+    assert.deepEqual(feed.updateSince(10).events, [{ name: 'a', object: 'at 13' }])
+    assert.deepEqual(feed.updateSince(13).events, [])
+  })
+
+  it('sends the complete list for a revision before the oldest change that it retains', () => {
+    const { feed, clock } = setUp()
+    feed.applyList([A], 10, clock.now(), 'store')
+    for (let revision = 11; revision <= 400; revision += 1) {
+      const changed = { name: `b${revision}`, object: 'two' }
+      feed.applyChanges([changed], revision - 1, revision, clock.now(), 'store')
+    }
+    assert.equal(feed.updateSince(99).isWhole, true)
+    const changes = feed.updateSince(100)
+    assert.equal(changes.isWhole, false)
+    assert.deepEqual(changes.events[0], { name: 'b101', object: 'two' })
+  })
+
   it('ignores an older list, and changes after a gap', () => {
     const { feed, objects, clock } = setUp()
     feed.applyList([A], 10, clock.now(), 'store')
--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -5,8 +5,8 @@
 import type { Clock } from '@wagtailway/core'
 
 /**
- * Changes retained for other entry instances. An instance that needs older changes gets
- * the complete list.
+ * Changed objects retained for other entry instances. An instance that needs older changes
+ * gets the complete list.
  */
 const MAX_HISTORY_CHANGES = 300
 
@@ -91,8 +91,13 @@
  */
 export class FeedState<T> {
   readonly #objects = new Map<string, T>()
-  #history: Change<T>[] = []
-  /** All changes after this revision are in the history. */
+  /**
+   * The newest change of each object, by name, the oldest first. Earlier changes of the
+   * same object are dropped, so an update grows with the state and not with the number of
+   * changes.
+   */
+  readonly #history = new Map<string, Change<T>>()
+  /** Each object changed after this revision is in the history. */
   #historyStartRevision = 0
   #changedAt = 0
   #asOf = 0
@@ -146,7 +151,7 @@
     for (const { name, object } of events) {
       if (object !== undefined) this.#objects.set(name, object)
     }
-    this.#history = []
+    this.#history.clear()
     this.#historyStartRevision = asOf
     this.#changedAt = asOf
     this.#asOf = asOf
@@ -172,14 +177,10 @@
     for (const { name, object } of events) {
       if (object === undefined) this.#objects.delete(name)
       else this.#objects.set(name, object)
-      this.#history.push({ name, object, revision: asOf })
-    }
-    const dropped = this.#history.length - MAX_HISTORY_CHANGES
-    if (dropped > 0) {
-      this.#historyStartRevision =
-        this.#history[dropped - 1]?.revision ?? this.#historyStartRevision
-      this.#history = this.#history.slice(dropped)
+      this.#history.delete(name)
+      this.#history.set(name, { name, object, revision: asOf })
     }
+    this.#trimHistory()
     this.opts.onChanges(events)
     this.#reportApplied(source, false, events.length)
   }
@@ -201,7 +202,7 @@
     const isWhole = after < this.#historyStartRevision
     const events = isWhole
       ? [...this.#objects].map(([name, object]) => ({ name, object }))
-      : this.#history
+      : [...this.#history.values()]
           .filter(({ revision }) => revision > after)
           .map(({ name, object }) => ({ name, object }))
     return { mark: this.mark, isWhole, events }
@@ -219,6 +220,14 @@
     else this.applyChanges(events, after, mark.asOf, confirmedAtMs, source)
   }
 
+  #trimHistory(): void {
+    for (const [name, { revision }] of this.#history) {
+      if (this.#history.size <= MAX_HISTORY_CHANGES) return
+      this.#history.delete(name)
+      this.#historyStartRevision = revision
+    }
+  }
+
   #reportApplied(source: FeedSource, isWhole: boolean, eventCount: number): void {
     const { kind, onApplied } = this.opts
     onApplied({
