--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -9,8 +9,8 @@
 import type { FeedMark, FeedUpdate, FeedState } from './feedState.js'
 
 /**
- * Timeout of one pull, in milliseconds; after it the feed can be pulled from another
- * instance.
+ * Time without data after which a pull has failed, in milliseconds; the feed can then be
+ * pulled from another instance.
  */
 const PULL_TIMEOUT_MS = 600
 
--- a/packages/scenario/src/feedFleet/feedFleet.ts
+++ b/packages/scenario/src/feedFleet/feedFleet.ts
@@ -8,6 +8,7 @@
   FeedPuller,
   FeedState,
   PeerTable,
+  TransferTimeout,
   encodeFeedUpdate,
   reportIntervalMs,
   reportScope,
@@ -21,7 +22,7 @@
 import { VirtualLink, startTransfer } from './virtualLink.js'
 import { VirtualStore, type VirtualObject } from './virtualStore.js'
 
-/** Timeout of a call to the store or another instance, in milliseconds, as in the gateway. */
+/** Time without data after which a call has failed, in milliseconds, as in the gateway. */
 const CALL_TIMEOUT_MS = 600
 
 /** Time that a message is under way within a zone and between zones, in milliseconds. */
@@ -228,7 +229,7 @@
         from: this.storeLink,
         to: node.link,
         delayMs: ZONE_DELAY_MS,
-        timeoutMs: CALL_TIMEOUT_MS + waitMs,
+        waitMs,
         isLost: this.losesStoreCall(node.name, callNumber),
         respond,
         bytes: (response) => (response.ok ? jsonBytes(response.val.events) : 0),
@@ -249,19 +250,19 @@
       from: source.link,
       to: node.link,
       delayMs: source.zone === node.zone ? ZONE_DELAY_MS : OTHER_ZONE_DELAY_MS,
-      timeoutMs: CALL_TIMEOUT_MS,
+      waitMs: 0,
       isLost: false,
       respond: () => Promise.resolve(source.feed.updateSince(after)),
       bytes: (update) => this.#updateBytes(update),
     })
   }
 
-  /** Sends a request and transfers the response; rejects after the timeout. */
+  /** Sends a request and transfers the response; rejects if no data arrives for a while. */
   #exchange<T>(opts: {
     readonly from: VirtualLink
     readonly to: VirtualLink
     readonly delayMs: number
-    readonly timeoutMs: number
+    readonly waitMs: number
     readonly isLost: boolean
     readonly respond: () => Promise<T>
     readonly bytes: (response: T) => number
@@ -269,9 +270,14 @@
     const { world } = this
     return new Promise((resolve, reject) => {
       let isOpen = true
-      const cancelTimer = world.after(opts.timeoutMs, () => {
-        isOpen = false
-        reject(new Error(`no response within ${opts.timeoutMs} ms`))
+      const timeout = TransferTimeout.create({
+        startTimer: (ms, fn) => world.after(ms, fn),
+        silenceMs: CALL_TIMEOUT_MS,
+        waitMs: opts.waitMs,
+        onTimeout: (detail) => {
+          isOpen = false
+          reject(new Error(detail))
+        },
       })
       const deliver = (response: T): void => {
         startTransfer({
@@ -280,10 +286,13 @@
           to: opts.to,
           bytes: opts.bytes(response),
           delayMs: opts.delayMs,
-          onChunk: () => isOpen,
+          onChunk: () => {
+            if (isOpen) timeout.recordProgress()
+            return isOpen
+          },
           onComplete: () => {
             if (!isOpen) return
-            cancelTimer()
+            timeout.cancel()
             resolve(response)
           },
         })
