Feeds: a failed poll is tried again within the bound, and lists stand in for large watches

Watches return each version stored meanwhile: a watcher with 10 Mbit/s fell further behind with each version of a storm. And instances that were being sent a change by others polled the store for it as well, over the same link.

Now three failures in a row make an outage, and polls of instances that don't watch don't wait. After a failed or slow watch the list is read, which is never larger than the state. An instance that pulls a change polls the store only after half of the bound without an update.

--- a/packages/gateway/src/feed/__tests__/pollSchedule.spec.ts
+++ b/packages/gateway/src/feed/__tests__/pollSchedule.spec.ts
@@ -11,6 +11,7 @@
   zoneRank: 5,
   hasList: true,
   ageMs: 500,
+  pullingForMs: undefined,
   failures: 0,
   sinceLastPollMs: 10_000,
 }
@@ -47,6 +48,18 @@
     assert.ok(planPoll({ ...duringOutage, sinceLastPollMs: 5_000 }))
   })
 
+  it('polls again after a single failure, however recent', () => {
+    const failedOnce = { ...INPUTS, ageMs: 2_600, failures: 1, sinceLastPollMs: 100 }
+    assert.equal(planPoll(failedOnce)?.reason, 'stale')
+  })
+
+  it('waits for other instances first while it is pulling a change', () => {
+    const pulling = { ...INPUTS, ageMs: 2_900, pullingForMs: 300 }
+    assert.equal(planPoll(pulling), undefined)
+    const inVain = { ...INPUTS, ageMs: 900, pullingForMs: 1_700 }
+    assert.equal(planPoll(inVain)?.reason, 'pull_failed')
+  })
+
   it('requests a list at once if it has none, and watches only after the discovery period', () => {
     assert.deepEqual(planPoll({ ...INPUTS, hasList: false }), {
       reason: 'first',
--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -91,6 +91,11 @@
     this.#puller.applyMarks(marks, from)
   }
 
+  /** Time for which this instance has been pulling without an update, in milliseconds. */
+  pullingForMs(kind: string): number | undefined {
+    return this.#puller.pullingForMs(kind)
+  }
+
   close(): void {
     this.server.close()
     this.#agent.destroy()
--- a/packages/gateway/src/feed/feedPuller.ts
+++ b/packages/gateway/src/feed/feedPuller.ts
@@ -58,7 +58,11 @@
 interface PulledFeed {
   readonly feed: FeedState<unknown>
   readonly sources: Map<string, Source>
-  isPulling: boolean
+  /**
+   * When this instance began to pull, or last received an update while it was pulling, on
+   * the monotonic clock.
+   */
+  pullingSinceMs: number | undefined
 }
 
 /**
@@ -76,7 +80,7 @@
     this.#pulled = new Map(
       opts.feeds.map((feed) => [
         feed.kind,
-        { feed, sources: new Map(), isPulling: false },
+        { feed, sources: new Map(), pullingSinceMs: undefined },
       ]),
     )
   }
@@ -98,6 +102,15 @@
     }
   }
 
+  /**
+   * Time for which this instance has been pulling without an update, in milliseconds;
+   * `undefined` if it isn't pulling.
+   */
+  pullingForMs(kind: string): number | undefined {
+    const sinceMs = this.#pulled.get(kind)?.pullingSinceMs
+    return sinceMs === undefined ? undefined : this.opts.clock() - sinceMs
+  }
+
   #addSource({ sources }: PulledFeed, from: ReportSource, changedAt: number): void {
     const { clock, zone } = this.opts
     const delayMs = from.zone === zone ? 0 : OTHER_ZONE_DELAY_MS
@@ -106,8 +119,8 @@
   }
 
   async #pullUntilCurrent(pulled: PulledFeed): Promise<void> {
-    if (pulled.isPulling) return
-    pulled.isPulling = true
+    if (pulled.pullingSinceMs !== undefined) return
+    pulled.pullingSinceMs = this.opts.clock()
     try {
       for (;;) {
         const source = this.#nextSource(pulled)
@@ -117,7 +130,7 @@
         else await this.#pull(pulled, source)
       }
     } finally {
-      pulled.isPulling = false
+      pulled.pullingSinceMs = undefined
     }
   }
 
@@ -142,7 +155,8 @@
     return eligible[Math.floor(random() * eligible.length)]
   }
 
-  async #pull({ feed, sources }: PulledFeed, source: Source): Promise<void> {
+  async #pull(pulled: PulledFeed, source: Source): Promise<void> {
+    const { feed, sources } = pulled
     const { clock, random, pull, onPulled, onFailed } = this.opts
     const { kind } = feed
     const { host, zone, changedAt } = source
@@ -154,6 +168,7 @@
       if (response.type === 'update') {
         sources.delete(host)
         feed.applyUpdate(response.update, after, sentAtMs, { host })
+        pulled.pullingSinceMs = clock()
         return
       }
       const notBeforeMs = clock() + BUSY_RETRY_MS * (0.5 + random())
--- a/packages/gateway/src/feed/pollSchedule.ts
+++ b/packages/gateway/src/feed/pollSchedule.ts
@@ -41,6 +41,18 @@
 /** Duration of the discovery of other instances after the start, in milliseconds. */
 export const DISCOVERY_MS = 4_500
 
+/**
+ * Time for which an instance that knows of a change tries to pull it before it polls the
+ * store itself, as a share of `maxPropagationMs`.
+ */
+const PULL_RATIO = 0.5
+
+/**
+ * Polls that fail in a row before an instance that doesn't watch takes the store for
+ * unavailable. A single failure may be that of one connection.
+ */
+const MAX_QUICK_FAILURES = 3
+
 /**
  * Poll interval of an instance that doesn't watch, during an outage of the store, in
  * milliseconds.
@@ -60,6 +72,11 @@
   readonly hasList: boolean
   /** Time since the list was last confirmed to be current, in milliseconds. */
   readonly ageMs: number
+  /**
+   * Time for which this instance has been pulling a change from others without an update,
+   * in milliseconds; `undefined` if it isn't pulling.
+   */
+  readonly pullingForMs: number | undefined
   /** Polls that failed in a row. */
   readonly failures: number
   /** Time since the start of the last poll, in milliseconds. */
@@ -67,10 +84,11 @@
 }
 
 /**
- * Why the store is polled: the instance watches it, has no list yet, or its state has not
- * been confirmed for too long.
+ * Why the store is polled: the instance watches it, has no list yet, its state has not
+ * been confirmed for too long, or no other instance sends it a change that it has heard
+ * of.
  */
-export type PollReason = 'watch' | 'first' | 'stale'
+export type PollReason = 'watch' | 'first' | 'stale' | 'pull_failed'
 
 export interface Poll {
   readonly reason: PollReason
@@ -92,12 +110,18 @@
   }
   const waitMs = Math.round(inputs.maxPropagationMs * WATCH_RATIO)
   if (!inputs.isDiscovering && zoneRank === 0) return { reason: 'watch', waitMs }
-  const staleMs =
-    inputs.maxPropagationMs * STALE_RATIO +
-    Math.min(MAX_RANK_DELAY_MS, zoneRank * RANK_DELAY_MS)
-  if (inputs.ageMs < staleMs) return undefined
+  const rankDelayMs = Math.min(MAX_RANK_DELAY_MS, zoneRank * RANK_DELAY_MS)
+  const isDue =
+    inputs.pullingForMs === undefined
+      ? inputs.ageMs >= inputs.maxPropagationMs * STALE_RATIO + rankDelayMs
+      : inputs.pullingForMs >= inputs.maxPropagationMs * PULL_RATIO + rankDelayMs
+  if (!isDue) return undefined
   // During an outage of the store, the state of every instance becomes stale.
-  if (inputs.failures > 0 && inputs.sinceLastPollMs < OUTAGE_POLL_INTERVAL_MS)
-    return undefined
-  return { reason: 'stale', waitMs }
+  const isOutage = inputs.failures >= MAX_QUICK_FAILURES
+  if (isOutage && inputs.sinceLastPollMs < OUTAGE_POLL_INTERVAL_MS) return undefined
+  // Without a wait, an unresponsive connection is detected while there is time for another.
+  return {
+    reason: inputs.pullingForMs === undefined ? 'stale' : 'pull_failed',
+    waitMs: 0,
+  }
 }
--- a/packages/gateway/src/http/requestJson.ts
+++ b/packages/gateway/src/http/requestJson.ts
@@ -2,7 +2,7 @@
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
-import { startTimer } from '@wagtailway/core'
+import { monotonicClock, startTimer } from '@wagtailway/core'
 import { TransferTimeout } from './transferTimeout.js'
 
 const gunzipAsync = promisify(gunzip)
@@ -48,6 +48,8 @@
   /** Parsed body; `undefined` if it is empty. */
   readonly body: unknown
   readonly text: string
+  /** Time from the first to the last byte of the response, in milliseconds. */
+  readonly transferMs: number
 }
 
 /**
@@ -107,16 +109,19 @@
   const res = await new Promise<IncomingMessage>((resolve) => {
     outgoing.on('response', resolve)
   })
+  const startedAtMs = monotonicClock()
   const received = await readBody(res, req.url, maxBytes, () => {
     timeout.recordProgress()
   })
   timeout.cancel()
+  const transferMs = monotonicClock() - startedAtMs
   const isCompressed = res.headers['content-encoding'] === 'gzip'
   const bytes = isCompressed
     ? await gunzipAsync(received, { maxOutputLength: maxBytes })
     : received
   const text = bytes.toString()
-  return { status: res.statusCode ?? 0, body: parseBody(text, req.previous), text }
+  const body = parseBody(text, req.previous)
+  return { status: res.statusCode ?? 0, body, text, transferMs }
 }
 
 function readBody(
--- /dev/null
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { Err, Ok, VirtualClock, seededRandom, type Result } from '@wagtailway/core'
+import { FeedState } from '../../feed/feedState.js'
+import { FeedFollower } from '../feedFollower.js'
+import type { StoreFailure, StoreUpdate } from '../storePort.js'
+
+const LARGE_FLEET = 75
+
+const SMALL_FLEET = 8
+
+/** Duration of each call, in milliseconds. */
+const CALL_MS = 5
+
+interface Call {
+  readonly type: 'list' | 'watch'
+  readonly atMs: number
+}
+
+type Response = Result<StoreUpdate<number>, StoreFailure>
+
+const UNAVAILABLE: Response = Err({ type: 'unavailable', detail: 'no data' })
+
+/** Runs a follower for some seconds in virtual time and returns its calls. */
+async function follow(opts: {
+  readonly forMs: number
+  readonly instanceCount: number
+  readonly pullingForMs?: (nowMs: number) => number | undefined
+  readonly respond: (call: Call, index: number) => Response
+}): Promise<Call[]> {
+  const clock = VirtualClock.create()
+  const feed = FeedState.create<number>({
+    kind: 'config',
+    clock: clock.now,
+    onList: () => undefined,
+    onChanges: () => undefined,
+    onStoreRecovered: () => undefined,
+    onApplied: () => undefined,
+  })
+  const calls: Call[] = []
+  const respond = async (type: Call['type']): Promise<Response> => {
+    const call = { type, atMs: clock.now() }
+    calls.push(call)
+    await pass(CALL_MS)
+    return opts.respond(call, calls.length - 1)
+  }
+  let stop: () => void = () => undefined
+  const pass = async (ms: number): Promise<void> => {
+    await Promise.resolve()
+    clock.advance(ms)
+    if (clock.now() >= opts.forMs) stop()
+  }
+  await new Promise<void>((resolve) => {
+    const follower = FeedFollower.create<number>({
+      kind: 'config',
+      feed,
+      store: {
+        list: () => respond('list'),
+        watch: () => respond('watch'),
+      },
+      log: () => undefined,
+      clock: clock.now,
+      random: seededRandom(1),
+      sleep: pass,
+      fleet: () => ({
+        isDiscovering: false,
+        instanceCount: opts.instanceCount,
+        zoneRank: 5,
+        maxPropagationMs: 3_000,
+        pullingForMs: opts.pullingForMs?.(clock.now()),
+      }),
+      onStoreChanges: () => undefined,
+      onPoll: () => undefined,
+    })
+    stop = () => {
+      follower.close()
+      resolve()
+    }
+  })
+  return calls
+}
+
+function update(revision: number, transferMs = 1): Response {
+  return Ok({ events: [{ name: 'main', object: revision }], revision, transferMs })
+}
+
+describe('FeedFollower of an instance that does not watch', () => {
+  it('polls again at once after a single failure, long before the propagation limit', async () => {
+    const calls = await follow({
+      forMs: 6_000,
+      instanceCount: LARGE_FLEET,
+      respond: (_call, index) => (index === 1 ? UNAVAILABLE : update(10 + index)),
+    })
+    const [first, failed, repeated] = calls
+    assert.ok(first && failed && repeated)
+    assert.ok(failed.atMs - first.atMs < 3_000)
+    assert.ok(repeated.atMs - failed.atMs < 200, `${repeated.atMs - failed.atMs} ms`)
+  })
+
+  it('polls seldom once several polls have failed in a row', async () => {
+    const calls = await follow({
+      forMs: 30_000,
+      instanceCount: LARGE_FLEET,
+      respond: (_call, index) => (index === 0 ? update(10) : UNAVAILABLE),
+    })
+    assert.ok(calls.length <= 12, `${calls.length} calls`)
+  })
+
+  it('reads the list if a change that it has heard of does not arrive', async () => {
+    const calls = await follow({
+      forMs: 2_200,
+      instanceCount: LARGE_FLEET,
+      pullingForMs: (nowMs) => (nowMs < 100 ? undefined : nowMs - 100),
+      respond: (_call, index) => update(10 + index),
+    })
+    assert.equal(calls[1]?.type, 'list')
+    assert.ok(calls[1].atMs >= 1_500 && calls[1].atMs <= 2_000, `${calls[1].atMs} ms`)
+  })
+})
+
+describe('FeedFollower of an instance that watches', () => {
+  it('reads the list after a failed watch', async () => {
+    const calls = await follow({
+      forMs: 200,
+      instanceCount: SMALL_FLEET,
+      respond: (_call, index) => (index === 1 ? UNAVAILABLE : update(10 + index)),
+    })
+    assert.deepEqual(
+      calls.slice(0, 4).map(({ type }) => type),
+      ['list', 'watch', 'list', 'watch'],
+    )
+  })
+
+  it('leaves its link free for a while after a slow update, and then reads the list', async () => {
+    const calls = await follow({
+      forMs: 400,
+      instanceCount: SMALL_FLEET,
+      respond: (_call, index) => update(10 + index, index === 1 ? 400 : 1),
+    })
+    assert.equal(calls[2]?.type, 'list')
+    assert.equal(calls[2].atMs - (calls[1]?.atMs ?? 0), 200 + CALL_MS)
+  })
+})
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -19,6 +19,16 @@
  */
 const MAX_BACKOFF_MS = 800
 
+/**
+ * Transfer time from which an update counts as slow, in milliseconds. After a slow one the
+ * link is left free for a while, and then the list is read: a watch would return each
+ * version that was stored in the meantime.
+ */
+const SLOW_TRANSFER_MS = 200
+
+/** Pause after a slow update, as a share of its transfer time. */
+const SLOW_TRANSFER_PAUSE = 0.5
+
 /** Interval between two checks of the schedule while no poll is due, in milliseconds. */
 const SCHEDULE_CHECK_INTERVAL_MS = 100
 
@@ -34,7 +44,7 @@
   /** Returns the current inputs of the schedule that describe the fleet. */
   readonly fleet: () => Pick<
     PollInputs,
-    'isDiscovering' | 'instanceCount' | 'zoneRank' | 'maxPropagationMs'
+    'isDiscovering' | 'instanceCount' | 'zoneRank' | 'maxPropagationMs' | 'pullingForMs'
   >
   /** Called after changes from the store itself, not from another entry instance. */
   readonly onStoreChanges: () => void
@@ -53,8 +63,11 @@
   #isClosed = false
   #failures = 0
   #lastPollAtMs = Number.NEGATIVE_INFINITY
-  /** Whether the store has dropped changes after `asOf`, so that a new list is needed. */
-  #isHistoryLost = false
+  /**
+   * Whether a list is read next instead of a watch: the store has dropped changes after
+   * `asOf`, or a watch would return too much. A list is never larger than the state.
+   */
+  #needsList = false
 
   private constructor(private readonly opts: FeedFollowerOptions<T>) {
     void this.#loop()
@@ -84,14 +97,16 @@
       }
       this.#reportPoll(poll.reason)
       this.#lastPollAtMs = clock()
-      if (!feed.hasList || this.#isHistoryLost) await this.#list()
+      // Something has changed, so a list is not larger than the changes.
+      this.#needsList ||= !feed.hasList || poll.reason === 'pull_failed'
+      if (this.#needsList) await this.#list(poll.reason)
       else await this.#watch(poll.waitMs)
       if (this.#failures > 0) await this.#backOff()
     }
   }
 
-  async #list(): Promise<void> {
-    const { kind, feed, store, clock } = this.opts
+  async #list(reason: PollReason): Promise<void> {
+    const { kind, feed, store, clock, onStoreChanges } = this.opts
     const sentAtMs = clock()
     const listed = await store.list(kind)
     if (listed.err) {
@@ -99,8 +114,11 @@
       return
     }
     this.#recordSuccess()
-    this.#isHistoryLost = false
+    this.#needsList = false
+    const { asOf } = feed
     feed.applyList(listed.val.events, listed.val.revision, sentAtMs, 'store')
+    // A list doesn't tell what has changed; only watchers pass it on to the others at once.
+    if (reason === 'watch' && feed.asOf > asOf) onStoreChanges()
   }
 
   async #watch(waitMs: number): Promise<void> {
@@ -110,14 +128,18 @@
     const watched = await store.watch(kind, after, waitMs)
     if (watched.ok) {
       this.#recordSuccess()
-      const { events, revision } = watched.val
+      const { events, revision, transferMs } = watched.val
       feed.applyChanges(events, after, revision, sentAtMs, 'store')
       if (events.length > 0) onStoreChanges()
+      if (transferMs >= SLOW_TRANSFER_MS) {
+        this.#needsList = true
+        await this.opts.sleep(transferMs * SLOW_TRANSFER_PAUSE)
+      }
       return
     }
+    this.#needsList = true
     if (watched.val.type === 'history_gone') {
       log('store_history_gone', { kind, revision: after })
-      this.#isHistoryLost = true
     } else this.#recordFailure(watched.val)
   }
 
@@ -142,9 +164,10 @@
   #reportPoll(reason: PollReason): void {
     const { kind, feed, log, clock, onPoll } = this.opts
     onPoll(kind, reason)
-    if (reason !== 'stale') return
+    if (reason !== 'stale' && reason !== 'pull_failed') return
     log('feed_stale', {
       kind,
+      reason,
       asOf: feed.asOf,
       ageMs: Math.round(feed.ageMs),
       failures: this.#failures,
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -80,7 +80,7 @@
   })
   const rolloutController = createRolloutController(node, store)
   const peerLink = await linkPeers(node, settings, rolloutController, exchange)
-  const followers = followFeeds(opts, node, feeds, () => {
+  const followers = followFeeds(opts, node, feeds, exchange, () => {
     peerLink.send()
   })
   const readinessServer = await PlainServer.create(settings.readinessAddress, () =>
@@ -124,7 +124,8 @@
 function followFeeds<T>(
   { settings, store, log, metrics }: GatewayOptions<T>,
   node: GatewayNode,
-  feeds: Readonly<Record<FollowedKind, FeedState<T>>>,
+  feeds: Feeds<T>,
+  exchange: FeedExchange,
   notifyPeers: () => void,
 ): FeedFollower<T>[] {
   const { clock, random, peers } = node.opts
@@ -144,6 +145,7 @@
         zoneRank: peers.zoneRank(),
         isDiscovering: clock() - startedAtMs < DISCOVERY_MS,
         maxPropagationMs: settings.maxPropagationMs,
+        pullingForMs: exchange.pullingForMs(kind),
       }),
       onStoreChanges: () => {
         if (peers.aliveCount > SMALL_FLEET_SIZE) notifyPeers()
--- a/packages/gateway/src/process/storePort.ts
+++ b/packages/gateway/src/process/storePort.ts
@@ -24,6 +24,8 @@
 export interface StoreUpdate<T> {
   readonly events: readonly FeedEvent<T>[]
   readonly revision: number
+  /** Time from the first to the last byte of the response, in milliseconds. */
+  readonly transferMs: number
 }
 
 /**
--- a/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
+++ b/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
@@ -15,17 +15,18 @@
 /** Time until the instances know each other and have their first list, in milliseconds. */
 const WARM_UP_MS = 6_000
 
+const FLEET = {
+  zones: 3,
+  machinesPerZone: [
+    { count: 2, linkMbps: 200 },
+    { count: 23, linkMbps: 10 },
+  ],
+  storeLinkMbps: 1_000,
+  maxPropagationMs: MAX_PROPAGATION_MS,
+}
+
 function createFleet(seed: number): FeedFleet {
-  return FeedFleet.create({
-    seed,
-    zones: 3,
-    machinesPerZone: [
-      { count: 2, linkMbps: 200 },
-      { count: 23, linkMbps: 10 },
-    ],
-    storeLinkMbps: 1_000,
-    maxPropagationMs: MAX_PROPAGATION_MS,
-  })
+  return FeedFleet.create({ ...FLEET, seed })
 }
 
 async function warmUp(fleet: FeedFleet, routeCount: number): Promise<unknown> {
@@ -68,4 +69,39 @@
     const delaysMs = versions.map((version) => slowest(fleet, version))
     assert.ok(Math.max(...delaysMs) <= MAX_PROPAGATION_MS, delaysMs.join(' '))
   })
+
+  it('applies changes within the limit although its watchers lose the store and every second poll is lost', async () => {
+    const fleet = createFleet(1)
+    const contents = await warmUp(fleet, SMALL_ROUTE_COUNT)
+    const watchers = new Set(fleet.watchers)
+    fleet.losesStoreCall = (node, callNumber) =>
+      watchers.has(node) || callNumber % 2 === 0
+    const versions = Array.from({ length: 12 }, (_, i) => i + 2)
+    for (const version of versions) {
+      fleet.putConfig(version, contents)
+      await fleet.run(1_000)
+    }
+    await fleet.run(MAX_PROPAGATION_MS)
+    const delaysMs = versions.map((version) => slowest(fleet, version))
+    assert.ok(Math.max(...delaysMs) <= MAX_PROPAGATION_MS, delaysMs.join(' '))
+  })
+})
+
+describe('a fleet of 75 instances on links of 10 Mbit/s', () => {
+  it('applies each of twelve changes in quick succession to 1,400 routes within the limit', async () => {
+    const fleet = FeedFleet.create({
+      ...FLEET,
+      seed: 1,
+      machinesPerZone: [{ count: 25, linkMbps: 10 }],
+    })
+    const contents = await warmUp(fleet, LARGE_ROUTE_COUNT)
+    const versions = Array.from({ length: 12 }, (_, i) => i + 2)
+    for (const version of versions) {
+      fleet.putConfig(version, contents)
+      await fleet.run(330)
+    }
+    await fleet.run(3 * MAX_PROPAGATION_MS)
+    const delaysMs = versions.map((version) => slowest(fleet, version))
+    assert.ok(Math.max(...delaysMs) <= MAX_PROPAGATION_MS, delaysMs.join(' '))
+  })
 })
--- a/packages/scenario/src/feedFleet/feedFleet.ts
+++ b/packages/scenario/src/feedFleet/feedFleet.ts
@@ -2,7 +2,7 @@
  * Entry instances that follow one kind of object, with the gateway's own feeds, poll
  * schedule and peer tables, over links of limited bandwidth in virtual time.
  */
-import { Err, type Result } from '@wagtailway/core'
+import { Err, Ok, type Result } from '@wagtailway/core'
 import {
   FeedFollower,
   FeedPuller,
@@ -20,7 +20,7 @@
 } from '@wagtailway/gateway'
 import { VirtualWorld } from '../hunt/virtualWorld.js'
 import { VirtualLink, startTransfer } from './virtualLink.js'
-import { VirtualStore, type VirtualObject } from './virtualStore.js'
+import { VirtualStore, type VirtualObject, type VirtualUpdate } from './virtualStore.js'
 
 /** Time without data after which a call has failed, in milliseconds, as in the gateway. */
 const CALL_TIMEOUT_MS = 600
@@ -193,7 +193,8 @@
       kind: 'config',
       feed,
       store: {
-        list: () => this.#callStore(node, 0, () => Promise.resolve(this.#storedList())),
+        list: () =>
+          this.#callStore(node, 0, () => Promise.resolve(Ok(this.store.list()))),
         watch: (_kind, after, waitMs) =>
           this.#callStore(node, waitMs, () => this.store.watch(after, waitMs)),
       },
@@ -206,6 +207,7 @@
         instanceCount: peers.aliveCount,
         zoneRank: peers.zoneRank(),
         maxPropagationMs: opts.maxPropagationMs,
+        pullingForMs: puller.pullingForMs('config'),
       }),
       onStoreChanges: () => {
         this.#sendReport(node, 'all')
@@ -215,31 +217,25 @@
     return node
   }
 
-  #storedList(): Result<StoreUpdate<VirtualObject>, StoreFailure> {
-    return { ok: true, err: false, val: this.store.list() } as Result<
-      StoreUpdate<VirtualObject>,
-      StoreFailure
-    >
-  }
-
   async #callStore(
     node: FleetNode,
     waitMs: number,
-    respond: () => Promise<Result<StoreUpdate<VirtualObject>, StoreFailure>>,
+    respond: () => Promise<Result<VirtualUpdate, StoreFailure>>,
   ): Promise<Result<StoreUpdate<VirtualObject>, StoreFailure>> {
     this.storeCalls += 1
     const callNumber = (this.#callsByNode.get(node.name) ?? 0) + 1
     this.#callsByNode.set(node.name, callNumber)
     try {
-      return await this.#exchange({
+      const { response, transferMs } = await this.#exchange({
         from: this.storeLink,
         to: node.link,
         delayMs: ZONE_DELAY_MS,
         waitMs,
         isLost: this.losesStoreCall(node.name, callNumber),
         respond,
-        bytes: (response) => (response.ok ? jsonBytes(response.val.events) : 0),
+        bytes: (result) => (result.ok ? jsonBytes(result.val.events) : 0),
       })
+      return response.map((update) => ({ ...update, transferMs }))
     } catch (err) {
       return Err({ type: 'unavailable', detail: String(err) })
     }
@@ -257,7 +253,7 @@
       respond: () =>
         Promise.resolve().then(() => respondToPull(source, node.name, after)),
       bytes: ({ bytes }) => bytes,
-    }).then(({ response }) => response)
+    }).then(({ response }) => response.pull)
   }
 
   /** Sends a request and transfers the response; rejects if no data arrives for a while. */
@@ -269,7 +265,7 @@
     readonly isLost: boolean
     readonly respond: () => Promise<T>
     readonly bytes: (response: T) => number
-  }): Promise<T> {
+  }): Promise<{ readonly response: T; readonly transferMs: number }> {
     const { world } = this
     return new Promise((resolve, reject) => {
       let isOpen = true
@@ -283,6 +279,7 @@
         },
       })
       const deliver = (response: T): void => {
+        const startedAtMs = world.nowMs
         startTransfer({
           world,
           from: opts.from,
@@ -296,7 +293,7 @@
           onComplete: () => {
             if (!isOpen) return
             timeout.cancel()
-            resolve(response)
+            resolve({ response, transferMs: world.nowMs - startedAtMs })
           },
         })
       }
@@ -337,16 +334,16 @@
   { feed, server }: FleetNode,
   host: string,
   after: number,
-): { readonly response: PullResponse; readonly bytes: number } {
+): { readonly pull: PullResponse; readonly bytes: number } {
   const response = server.respond({ kind: feed.kind, after, host, acceptsGzip: true })
   switch (response.type) {
     case 'unknown':
       throw new Error('status 404')
     case 'busy':
-      return { response, bytes: jsonBytes(response.holders) }
+      return { pull: response, bytes: jsonBytes(response.holders) }
     case 'update': {
       const update = feed.updateSince(after)
-      return { response: { type: 'update', update }, bytes: response.body.length }
+      return { pull: { type: 'update', update }, bytes: response.body.length }
     }
   }
 }
--- a/packages/scenario/src/feedFleet/virtualLink.ts
+++ b/packages/scenario/src/feedFleet/virtualLink.ts
@@ -8,10 +8,12 @@
 
 const BITS_PER_MS_PER_MBPS = 1_000
 
-/** The link of one machine; transfers in progress share it. */
+/** The link of one machine, the same in both directions; transfers in progress share it. */
 export class VirtualLink {
   /** When the link has sent all chunks that were handed to it so far. */
-  busyUntilMs = 0
+  sendingUntilMs = 0
+  /** When the link has received all chunks that were sent to it so far. */
+  receivingUntilMs = 0
   sentBytes = 0
 
   private constructor(readonly mbps: number) {}
@@ -51,11 +53,11 @@
 function sendChunk(transfer: Transfer, remainingBytes: number): void {
   const { world, from, to, delayMs, onChunk, onComplete } = transfer
   const bytes = Math.min(CHUNK_BYTES, remainingBytes)
-  const startMs = Math.max(world.nowMs, from.busyUntilMs, to.busyUntilMs)
-  from.busyUntilMs = startMs + from.chunkMs(bytes)
-  to.busyUntilMs = startMs + to.chunkMs(bytes)
+  const startMs = Math.max(world.nowMs, from.sendingUntilMs, to.receivingUntilMs)
+  from.sendingUntilMs = startMs + from.chunkMs(bytes)
+  to.receivingUntilMs = startMs + to.chunkMs(bytes)
   from.sentBytes += bytes
-  const receivedAtMs = Math.max(from.busyUntilMs, to.busyUntilMs)
+  const receivedAtMs = Math.max(from.sendingUntilMs, to.receivingUntilMs)
   world.after(receivedAtMs - world.nowMs, () => {
     const leftBytes = remainingBytes - bytes
     if (leftBytes > 0) {
--- a/packages/scenario/src/feedFleet/virtualStore.ts
+++ b/packages/scenario/src/feedFleet/virtualStore.ts
@@ -13,6 +13,9 @@
   readonly revision: number
 }
 
+/** What a call returns; how long its transfer took depends on the links. */
+export type VirtualUpdate = Omit<StoreUpdate<VirtualObject>, 'transferMs'>
+
 /**
  * Objects with revisions, lists and watches.
  *
@@ -39,16 +42,13 @@
     for (const wake of [...this.#wakeups]) wake()
   }
 
-  list(): StoreUpdate<VirtualObject> {
+  list(): VirtualUpdate {
     const events = [...this.#objects].map(([name, object]) => ({ name, object }))
     return { events, revision: this.#revision }
   }
 
   /** Resolves with all changes after a revision, at once or after `waitMs` at most. */
-  watch(
-    after: number,
-    waitMs: number,
-  ): Promise<Result<StoreUpdate<VirtualObject>, StoreFailure>> {
+  watch(after: number, waitMs: number): Promise<Result<VirtualUpdate, StoreFailure>> {
     if (after > this.#revision) {
       return Promise.resolve(Err({ type: 'history_gone', detail: `after ${after}` }))
     }
