Feeds: a later list counts as what it changes, not as a change of everything

A list that follows a first one is now compared with what is known; only differences enter the history and the mark.

feedState.spec 'counts only what a later list changes' failed before (changedAt 20 instead of 10).

--- a/packages/gateway/src/feed/__tests__/feedPuller.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedPuller.spec.ts
@@ -15,6 +15,7 @@
   const feed = FeedState.create<unknown>({
     kind: 'config',
     clock: clock.now,
+    isSame: (a, b) => a === b,
     onList: () => undefined,
     onChanges: () => undefined,
     onStoreRecovered: () => undefined,
--- a/packages/gateway/src/feed/__tests__/feedServer.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedServer.spec.ts
@@ -9,6 +9,7 @@
   const feed = FeedState.create<unknown>({
     kind: 'config',
     clock: clock.now,
+    isSame: (a, b) => a === b,
     onList: () => undefined,
     onChanges: () => undefined,
     onStoreRecovered: () => undefined,
--- a/packages/gateway/src/feed/__tests__/feedState.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedState.spec.ts
@@ -16,6 +16,7 @@
   const feed = FeedState.create<string>({
     kind: 'servers',
     clock: clock.now,
+    isSame: (a, b) => a === b,
     onList: (events) => {
       objects.clear()
       applyEvents(events)
@@ -91,6 +92,21 @@
     assert.deepEqual(changes.events[0], { name: 'b101', object: 'two' })
   })
 
+  it('counts only what a later list changes, so that others are not behind it', () => {
+    const { feed, objects, clock } = setUp()
+    const b = { name: 'b', object: 'two' }
+    feed.applyList([A, b], 10, clock.now(), 'store')
+    feed.applyList([A, b], 20, clock.now(), 'store')
+    assert.deepEqual(feed.mark, { kind: 'servers', changedAt: 10, asOf: 20, ageMs: 0 })
+    const changed = { name: 'a', object: 'three' }
+    feed.applyList([changed], 30, clock.now(), 'store')
+    assert.equal(feed.mark.changedAt, 30)
+    assert.deepEqual([...objects], [['a', 'three']])
+    const update = feed.updateSince(20)
+    assert.equal(update.isWhole, false)
+    assert.deepEqual(update.events, [{ name: 'b', object: undefined }, changed])
+  })
+
   it('ignores an older list, and changes after a gap', () => {
     const { feed, objects, clock } = setUp()
     feed.applyList([A], 10, clock.now(), 'store')
--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -74,11 +74,14 @@
 export interface FeedStateOptions<T> {
   readonly kind: string
   readonly clock: Clock
+  /** Whether two objects of the same name don't differ in anything. */
+  readonly isSame: (a: T, b: T) => boolean
+  /** Called with the first complete list. */
   readonly onList: (events: readonly FeedEvent<T>[]) => void
   readonly onChanges: (events: readonly FeedEvent<T>[]) => void
   /** Called at the first confirmation after an outage, before the update is applied. */
   readonly onStoreRecovered: (outageMs: number) => void
-  /** Called after each complete list and each update with changes. */
+  /** Called after the first list and each update that changed something. */
   readonly onApplied: (applied: AppliedUpdate) => void
 }
 
@@ -137,7 +140,8 @@
 
   /**
    * Applies a complete list that the store created after `sentAtMs`; ignores a list older
-   * than the known state.
+   * than the known state. Only what differs from that state counts as changed, so that
+   * other instances that have it already don't pull it again.
    */
   applyList(
     events: readonly FeedEvent<T>[],
@@ -146,12 +150,16 @@
     source: FeedSource,
   ): void {
     if (asOf < this.#asOf) return
+    if (this.hasList) {
+      const changes = this.#differences(events)
+      this.#confirm(sentAtMs)
+      this.#applyEvents(changes, asOf, source, true)
+      return
+    }
     this.#confirm(sentAtMs)
-    this.#objects.clear()
     for (const { name, object } of events) {
       if (object !== undefined) this.#objects.set(name, object)
     }
-    this.#history.clear()
     this.#historyStartRevision = asOf
     this.#changedAt = asOf
     this.#asOf = asOf
@@ -171,6 +179,15 @@
     // and `after` are missing.
     if (asOf < this.#asOf || after > this.#asOf) return
     this.#confirm(sentAtMs)
+    this.#applyEvents(events, asOf, source, false)
+  }
+
+  #applyEvents(
+    events: readonly FeedEvent<T>[],
+    asOf: number,
+    source: FeedSource,
+    isWhole: boolean,
+  ): void {
     this.#asOf = asOf
     if (events.length === 0) return
     this.#changedAt = asOf
@@ -182,7 +199,19 @@
     }
     this.#trimHistory()
     this.opts.onChanges(events)
-    this.#reportApplied(source, false, events.length)
+    this.#reportApplied(source, isWhole, events.length)
+  }
+
+  /** Changes that lead from the known objects to those of a complete list. */
+  #differences(listed: readonly FeedEvent<T>[]): FeedEvent<T>[] {
+    const names = new Set(listed.map(({ name }) => name))
+    const removed = [...this.#objects.keys()].filter((name) => !names.has(name))
+    const changed = listed.filter(({ name, object }) => {
+      const known = this.#objects.get(name)
+      if (known === undefined || object === undefined) return known !== object
+      return !this.opts.isSame(known, object)
+    })
+    return [...removed.map((name) => ({ name, object: undefined })), ...changed]
   }
 
   /**
--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -32,6 +32,7 @@
   const feed = FeedState.create<number>({
     kind: 'config',
     clock: clock.now,
+    isSame: (a, b) => a === b,
     onList: () => undefined,
     onChanges: () => undefined,
     onStoreRecovered: () => undefined,
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -115,10 +115,9 @@
     }
     this.#recordSuccess()
     this.#needsList = false
-    const { asOf } = feed
+    const { changedAt } = feed.mark
     feed.applyList(listed.val.events, listed.val.revision, sentAtMs, 'store')
-    // A list doesn't tell what has changed; only watchers pass it on to the others at once.
-    if (reason === 'watch' && feed.asOf > asOf) onStoreChanges()
+    if (reason === 'watch' && feed.mark.changedAt > changedAt) onStoreChanges()
   }
 
   async #watch(waitMs: number): Promise<void> {
--- a/packages/gateway/src/process/feeds.ts
+++ b/packages/gateway/src/process/feeds.ts
@@ -60,6 +60,7 @@
     FeedState.create<T>({
       kind,
       clock,
+      isSame: (a, b) => store.isSame(a, b),
       onList: (events) => {
         onList(events)
         onUpdate()
--- a/packages/gateway/src/process/storePort.ts
+++ b/packages/gateway/src/process/storePort.ts
@@ -40,6 +40,8 @@
     after: number,
     waitMs: number,
   ): Promise<Result<StoreUpdate<T>, StoreFailure>>
+  /** Whether two objects of the same kind and name don't differ in anything. */
+  isSame(a: T, b: T): boolean
   /** Decodes the configuration; 'other' if the object is not the one in use. */
   decodeConfig(name: string, object: T): GatewayConfig | 'unreadable' | 'other'
   decodeServer(object: T): BackendServer | undefined
--- a/packages/scenario/src/feedFleet/feedFleet.ts
+++ b/packages/scenario/src/feedFleet/feedFleet.ts
@@ -160,6 +160,7 @@
     const feed = FeedState.create<VirtualObject>({
       kind: 'config',
       clock,
+      isSame: (a, b) => a.version === b.version,
       onList: recordVersions,
       onChanges: recordVersions,
       onStoreRecovered: () => undefined,
