--- a/packages/scenario/src/capacity/cli.ts
+++ b/packages/scenario/src/capacity/cli.ts
@@ -1,6 +1,7 @@
 /** Command line of `wagtailway-capacity`. */
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { feedTrial } from './feedReport.js'
 import { falseRemovals } from './falseRemovals.js'
 import { formatProcesses, processTrials } from './processReport.js'
 import type { ProcessTrial } from './processTrial.js'
@@ -88,6 +89,34 @@
         process.stdout.write(`${JSON.stringify(result, undefined, 2)}\n`)
       },
     )
+    .command(
+      'feeds',
+      'Changes of a large configuration over links of limited bandwidth, in virtual time',
+      (args) =>
+        args
+          .option('zones', { type: 'number', default: 3 })
+          .option('wide', { type: 'number', default: 2, describe: 'Wide links a zone' })
+          .option('narrow', { type: 'number', default: 23 })
+          .option('wide-mbps', { type: 'number', default: 200 })
+          .option('narrow-mbps', { type: 'number', default: 10 })
+          .option('store-mbps', { type: 'number', default: 1_000 })
+          .option('routes', { type: 'number', default: 1_400 })
+          .option('changes', { type: 'number', default: 12 })
+          .option('gap-ms', { type: 'number', default: 330 })
+          .option('max-propagation-ms', { type: 'number', default: 3_000 }),
+      async (args) => {
+        const trial = await feedTrial({
+          ...args,
+          wideMbps: args['wide-mbps'],
+          narrowMbps: args['narrow-mbps'],
+          storeMbps: args['store-mbps'],
+          gapMs: args['gap-ms'],
+          maxPropagationMs: args['max-propagation-ms'],
+        })
+        process.stdout.write(`${JSON.stringify(trial)}\n`)
+        process.exitCode = trial.late === 0 ? 0 : 1
+      },
+    )
     .command(
       'idle',
       'What real routers spend on each other while no caller comes',
