Stand-in of the store can be restored from a copy; known red: a gateway then calls it in a loop

A feed ignores a list with a lower revision, the next watch gets 410, and so on without a pause: 3,555 calls of one gateway in 2 s.

--- a/packages/standins/src/fleet/storeStandin.ts
+++ b/packages/standins/src/fleet/storeStandin.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-in for the store of the users' platform: objects with revisions, conditional
- * writes, watches over a limited history, lost responses and outages.
+ * writes, watches over a limited history, lost responses, outages and restores from a copy.
  */
 import {
   createServer,
@@ -21,7 +21,7 @@
  */
 export type StoreMode = 'up' | 'down' | 'busy' | 'silent' | 'reset'
 
-interface StoreObject {
+export interface StoreObject {
   readonly name: string
   readonly revision: number
   readonly created: number
@@ -29,6 +29,12 @@
   readonly status: unknown
 }
 
+/** Contents of the store at one moment, to restore it from. */
+export interface StoreCopy {
+  readonly objects: ReadonlyMap<string, StoreObject>
+  readonly revision: number
+}
+
 interface StoreChange {
   readonly kind: string
   readonly deleted: boolean
@@ -64,7 +70,9 @@
   loseNextResponses = 0
   /** Number of calls by type: `watch` or the HTTP method. */
   readonly calls = new Map<string, number>()
-  readonly #objects = new Map<string, StoreObject>()
+  #objects = new Map<string, StoreObject>()
+  /** Rises by one each time the store is restored; sent in every response. */
+  #era = 1
   #history: StoreChange[] = []
   #historyStartRevision = 0
   #revision = 1
@@ -123,6 +131,21 @@
     for (const wake of this.#watchWakeups) wake()
   }
 
+  copy(): StoreCopy {
+    return { objects: new Map(this.#objects), revision: this.#revision }
+  }
+
+  /**
+   * Restores the store from an older copy: what was written since is gone, and its
+   * revisions are given out again.
+   */
+  restore({ objects, revision }: StoreCopy): void {
+    this.#objects = new Map(objects)
+    this.#revision = revision
+    this.#era += 1
+    this.dropHistory()
+  }
+
   async close(): Promise<void> {
     const closed = new Promise((resolve) => this.#server.close(resolve))
     this.#server.closeAllConnections()
@@ -132,6 +155,7 @@
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const chunks: Buffer[] = []
     for await (const chunk of req) chunks.push(chunk as Buffer)
+    res.setHeader('Store-Era', this.#era)
     const mode = this.modeFor(req) ?? this.mode
     if (mode === 'silent') return
     if (mode === 'reset') req.socket.resetAndDestroy()
@@ -230,7 +254,7 @@
     const after = Number(query.get('watch'))
     const deadlineMs = performance.now() + Number(query.get('waitMs') ?? 0)
     for (;;) {
-      if (after < this.#historyStartRevision) {
+      if (after < this.#historyStartRevision || after > this.#revision) {
         send(res, 410, {})
         return
       }
