--- a/packages/scenario/src/soak/soakFaults.ts
+++ b/packages/scenario/src/soak/soakFaults.ts
@@ -55,12 +55,7 @@
       const gateway = selectRandom(random, gateways)
       if (!gateway?.isRunning) return undefined
       markDisturbed(gateway, downMs + 5_000)
-      gateway.signal(signal)
-      void gateway.waitForExit().then(() =>
-        setTimeout(() => {
-          gateway.start()
-        }, downMs),
-      )
+      gateway.restart(signal, downMs)
       return undefined
     },
   }
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -46,7 +46,11 @@
    * `performance.now()`.
    */
   disturbedUntilMs = 0
+  /** Number of processes started so far. */
+  startCount = 0
   #child: ChildProcess | undefined
+  #isRestarting = false
+  #isClosed = false
 
   private constructor(
     readonly opts: SoakGatewayOptions,
@@ -71,7 +75,10 @@
     return this.#child?.exitCode === null && this.#child.signalCode === null
   }
 
+  /** Starts the process; throws if it is running. */
   start(): void {
+    if (this.isRunning) throw new Error(`${this.opts.name} is running`)
+    this.startCount += 1
     const { ports } = this.opts
     const args = ['--settings', this.#settingsPath, '--metrics-port', `${ports.metrics}`]
     const child = spawn(process.execPath, [PROGRAM, ...args], {
@@ -90,6 +97,22 @@
     if (this.isRunning) this.#child?.kill(signal)
   }
 
+  /**
+   * Ends the process with a signal and starts it again `downMs` after its exit. While an
+   * earlier restart is in progress, only sends the signal.
+   */
+  restart(signal: NodeJS.Signals, downMs: number): void {
+    this.signal(signal)
+    if (this.#isRestarting) return
+    this.#isRestarting = true
+    void this.waitForExit().then(() => {
+      setTimeout(() => {
+        this.#isRestarting = false
+        if (!this.#isClosed) this.start()
+      }, downMs)
+    })
+  }
+
   /** Resolves once the process has exited. */
   async waitForExit(): Promise<void> {
     const child = this.#child
@@ -109,6 +132,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true
     this.signal('SIGCONT')
     this.signal('SIGKILL')
     await this.waitForExit()
