--- a/packages/scenario/src/relay/__tests__/tcpRelay.spec.ts
+++ b/packages/scenario/src/relay/__tests__/tcpRelay.spec.ts
@@ -8,6 +8,8 @@
   type Socket,
 } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
+import { waitUntil } from '../../fleet/gatewayHarness.js'
+import { RelayConnection } from '../relayConnection.js'
 import { TcpRelay } from '../tcpRelay.js'
 
 /** Sends each received chunk back. */
@@ -94,4 +96,14 @@
     relay.set({ type: 'pass' })
     socket.destroy()
   })
+
+  it('leaves no handle open if it is closed while the end of a connection is being sent', async () => {
+    const { port } = server.address() as AddressInfo
+    const [socket, upstream] = [connect(port), connect(port)]
+    await Promise.all([once(socket, 'connect'), once(upstream, 'connect')])
+    const connection = RelayConnection.create(socket, upstream, () => undefined)
+    upstream.end()
+    connection.close()
+    await waitUntil(() => !process.getActiveResourcesInfo().includes('TCPSocketWrap'))
+  })
 })
--- a/packages/scenario/src/relay/relayConnection.ts
+++ b/packages/scenario/src/relay/relayConnection.ts
@@ -43,8 +43,11 @@
   close(): void {
     if (this.#closed) return
     this.#closed = true
-    this.socket.resetAndDestroy()
-    this.upstream.resetAndDestroy()
+    for (const socket of [this.socket, this.upstream]) {
+      // Node does not close the handle of a socket that is reset after its end was sent.
+      if (socket.writableEnded) socket.destroy()
+      else socket.resetAndDestroy()
+    }
     this.onClosed()
   }
 
