--- a/packages/gateway/src/feed/__tests__/feedPuller.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedPuller.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { VirtualClock, seededRandom } from '@wagtailway/core'
 import { FeedPuller, type FailedPull, type PullResponse } from '../feedPuller.js'
-import { FeedState } from '../feedState.js'
+import { createTestFeed } from './testFeed.js'
 
 const OWN = { host: 'own', zone: 'z1' }
 const OTHER = { host: 'other', zone: 'z2' }
@@ -12,15 +12,7 @@
 
 function setUp(respond: (host: string) => PullResponse | 'fail') {
   const clock = VirtualClock.create(10_000)
-  const feed = FeedState.create<unknown>({
-    kind: 'config',
-    clock: clock.now,
-    isSame: (a, b) => a === b,
-    onList: () => undefined,
-    onChanges: () => undefined,
-    onStoreRecovered: () => undefined,
-    onApplied: () => undefined,
-  })
+  const feed = createTestFeed<unknown>(clock.now)
   feed.applyList([], 5, clock.now(), 'store')
   const asked: { host: string; atMs: number }[] = []
   const failed: FailedPull[] = []
--- a/packages/gateway/src/feed/__tests__/feedServer.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedServer.spec.ts
@@ -2,19 +2,11 @@
 import { describe, it } from 'node:test'
 import { VirtualClock } from '@wagtailway/core'
 import { FeedServer, type FeedResponse } from '../feedServer.js'
-import { FeedState } from '../feedState.js'
+import { createTestFeed } from './testFeed.js'
 
 function setUp(linkMbps: number) {
   const clock = VirtualClock.create(10_000)
-  const feed = FeedState.create<unknown>({
-    kind: 'config',
-    clock: clock.now,
-    isSame: (a, b) => a === b,
-    onList: () => undefined,
-    onChanges: () => undefined,
-    onStoreRecovered: () => undefined,
-    onApplied: () => undefined,
-  })
+  const feed = createTestFeed<unknown>(clock.now)
   const server = FeedServer.create({ clock: clock.now, linkMbps, feeds: [feed] })
   const request = (host: string, after = 0): FeedResponse =>
     server.respond({ kind: 'config', after, host, acceptsGzip: false })
--- a/packages/gateway/src/feed/__tests__/feedState.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedState.spec.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { VirtualClock } from '@wagtailway/core'
-import { FeedState, type FeedEvent } from '../feedState.js'
+import type { FeedEvent } from '../feedState.js'
+import { createTestFeed } from './testFeed.js'
 
 function setUp() {
   const clock = VirtualClock.create(10_000)
@@ -13,17 +14,14 @@
       else objects.set(name, object)
     }
   }
-  const feed = FeedState.create<string>({
+  const feed = createTestFeed<string>(clock.now, {
     kind: 'servers',
-    clock: clock.now,
-    isSame: (a, b) => a === b,
     onList: (events) => {
       objects.clear()
       applyEvents(events)
     },
     onChanges: applyEvents,
     onStoreRecovered: (ms) => outagesMs.push(ms),
-    onApplied: () => undefined,
   })
   return { clock, feed, objects, outagesMs }
 }
--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { Err, Ok, VirtualClock, seededRandom, type Result } from '@wagtailway/core'
-import { FeedState } from '../../feed/feedState.js'
+import { createTestFeed } from '../../feed/__tests__/testFeed.js'
 import { FeedFollower } from '../feedFollower.js'
 import type { StoreFailure, StoreUpdate } from '../storePort.js'
 
@@ -29,15 +29,7 @@
   readonly respond: (call: Call, index: number) => Response
 }): Promise<Call[]> {
   const clock = VirtualClock.create()
-  const feed = FeedState.create<number>({
-    kind: 'config',
-    clock: clock.now,
-    isSame: (a, b) => a === b,
-    onList: () => undefined,
-    onChanges: () => undefined,
-    onStoreRecovered: () => undefined,
-    onApplied: () => undefined,
-  })
+  const feed = createTestFeed<number>(clock.now)
   const calls: Call[] = []
   const respond = async (type: Call['type']): Promise<Response> => {
     const call = { type, atMs: clock.now() }
--- a/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
+++ b/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
@@ -40,6 +40,21 @@
   return Math.max(...fleet.propagations(version).map(({ delayMs }) => delayMs))
 }
 
+/** Stores twelve versions; returns the longest delay of each, in milliseconds. */
+async function storeTwelve(
+  fleet: FeedFleet,
+  contents: unknown,
+  gapMs: number,
+): Promise<number[]> {
+  const versions = Array.from({ length: 12 }, (_, i) => i + 2)
+  for (const version of versions) {
+    fleet.putConfig(version, contents)
+    await fleet.run(gapMs)
+  }
+  await fleet.run(3 * MAX_PROPAGATION_MS)
+  return versions.map((version) => slowest(fleet, version))
+}
+
 describe('a fleet of 75 instances, most on links of 10 Mbit/s', () => {
   it('applies a change to a small configuration within the limit', async () => {
     const fleet = createFleet(1)
@@ -60,13 +75,7 @@
   it('applies each of twelve changes in quick succession to such a configuration within the limit', async () => {
     const fleet = createFleet(1)
     const contents = await warmUp(fleet, LARGE_ROUTE_COUNT)
-    const versions = Array.from({ length: 12 }, (_, i) => i + 2)
-    for (const version of versions) {
-      fleet.putConfig(version, contents)
-      await fleet.run(330)
-    }
-    await fleet.run(3 * MAX_PROPAGATION_MS)
-    const delaysMs = versions.map((version) => slowest(fleet, version))
+    const delaysMs = await storeTwelve(fleet, contents, 330)
     assert.ok(Math.max(...delaysMs) <= MAX_PROPAGATION_MS, delaysMs.join(' '))
   })
 
@@ -76,13 +85,7 @@
     const watchers = new Set(fleet.watchers)
     fleet.losesStoreCall = (node, callNumber) =>
       watchers.has(node) || callNumber % 2 === 0
-    const versions = Array.from({ length: 12 }, (_, i) => i + 2)
-    for (const version of versions) {
-      fleet.putConfig(version, contents)
-      await fleet.run(1_000)
-    }
-    await fleet.run(MAX_PROPAGATION_MS)
-    const delaysMs = versions.map((version) => slowest(fleet, version))
+    const delaysMs = await storeTwelve(fleet, contents, 1_000)
     assert.ok(Math.max(...delaysMs) <= MAX_PROPAGATION_MS, delaysMs.join(' '))
   })
 })
@@ -95,13 +98,7 @@
       machinesPerZone: [{ count: 25, linkMbps: 10 }],
     })
     const contents = await warmUp(fleet, LARGE_ROUTE_COUNT)
-    const versions = Array.from({ length: 12 }, (_, i) => i + 2)
-    for (const version of versions) {
-      fleet.putConfig(version, contents)
-      await fleet.run(330)
-    }
-    await fleet.run(3 * MAX_PROPAGATION_MS)
-    const delaysMs = versions.map((version) => slowest(fleet, version))
+    const delaysMs = await storeTwelve(fleet, contents, 330)
     assert.ok(Math.max(...delaysMs) <= MAX_PROPAGATION_MS, delaysMs.join(' '))
   })
 })
