--- a/packages/scenario/src/feedFleet/feedFleet.ts
+++ b/packages/scenario/src/feedFleet/feedFleet.ts
@@ -64,7 +64,7 @@
   readonly puller: FeedPuller
   readonly peers: PeerTable
   reportNumber: number
-  /** Newest version and the time at which it was applied. */
+  /** When each version was applied, in milliseconds of virtual time. */
   readonly appliedAtMs: Map<number, number>
 }
 
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -46,7 +46,7 @@
    * `performance.now()`.
    */
   disturbedUntilMs = 0
-  /** Number of processes started so far. */
+  /** Number of processes that this gateway has had so far. */
   startCount = 0
   #child: ChildProcess | undefined
   #isRestarting = false
