Feeds and their emulator compute transfer times with one function

The time that bytes take on a link stood twice, in linkBacklog and in the emulator's link. No change of behaviour: tests of the gateway and the emulator pass, linter and formatter too.

--- a/packages/gateway/src/feed/linkBacklog.ts
+++ b/packages/gateway/src/feed/linkBacklog.ts
@@ -11,6 +11,16 @@
 
 const BITS_PER_MS_PER_MBPS = 1_000
 
+/**
+ * Time that a transfer occupies a link of `linkMbps` megabits per second, in milliseconds.
+ *
+ * @example
+ * transferTimeMs(90_000, 10) // 72
+ */
+export function transferTimeMs(bytes: number, linkMbps: number): number {
+  return (bytes * BITS_PER_BYTE) / (linkMbps * BITS_PER_MS_PER_MBPS)
+}
+
 export interface LinkBacklogOptions {
   readonly clock: Clock
   /** Bandwidth of the link, in megabits per second. */
@@ -42,8 +52,7 @@
     const nowMs = this.opts.clock()
     const backlogMs = Math.max(0, this.#busyUntilMs - nowMs)
     if (backlogMs > MAX_BACKLOG_MS) return undefined
-    const bitsPerMs = this.opts.linkMbps * BITS_PER_MS_PER_MBPS
-    this.#busyUntilMs = nowMs + backlogMs + (bytes * BITS_PER_BYTE) / bitsPerMs
+    this.#busyUntilMs = nowMs + backlogMs + transferTimeMs(bytes, this.opts.linkMbps)
     return this.#busyUntilMs - nowMs
   }
 }
--- a/packages/scenario/src/feedFleet/virtualLink.ts
+++ b/packages/scenario/src/feedFleet/virtualLink.ts
@@ -1,13 +1,10 @@
 /** Transfers over links of limited bandwidth in virtual time. */
+import { transferTimeMs } from '@wagtailway/gateway'
 import type { VirtualWorld } from '../hunt/virtualWorld.js'
 
 /** Bytes after which transfers over the same link take turns. */
 const CHUNK_BYTES = 16_384
 
-const BITS_PER_BYTE = 8
-
-const BITS_PER_MS_PER_MBPS = 1_000
-
 /** The link of one machine, the same in both directions; transfers in progress share it. */
 export class VirtualLink {
   /** When the link has sent all chunks that were handed to it so far. */
@@ -23,7 +20,7 @@
   }
 
   chunkMs(bytes: number): number {
-    return (bytes * BITS_PER_BYTE) / (this.mbps * BITS_PER_MS_PER_MBPS)
+    return transferTimeMs(bytes, this.mbps)
   }
 }
 
