Tests choose ports that no other program is given

Then the gateway cannot start, or another server responds after the gateway was closed.

The spec fails at once, with the log, if its gateway has ended.

--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -1,8 +1,8 @@
 /** Runs a gateway inside the test process, with a stand-in for the users' store. */
-import { createServer } from 'node:net'
 import { createMetrics, runGateway, type Log } from '@wagtailway/gateway'
 import { PlatformStore, StoreClient, platformHeaders } from '@wagtailway/platform'
 import { sendToFleet } from './fleetClient.js'
+import { findFreePorts } from './freePorts.js'
 
 export interface LogLine {
   readonly event: string
@@ -98,23 +98,3 @@
     await new Promise((resolve) => setTimeout(resolve, 25))
   }
 }
-
-/** Finds ports on loopback that are free at the time of the call. */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, LOCALHOST, () => {
-            const address = server.address()
-            resolve(typeof address === 'object' && address ? address.port : 0)
-          })
-        }),
-    ),
-  )
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  )
-  return ports
-}
--- a/packages/scenario/src/soak/__tests__/soakGateway.spec.ts
+++ b/packages/scenario/src/soak/__tests__/soakGateway.spec.ts
@@ -2,7 +2,8 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { StoreStandin, fleetConfig } from '@wagtailway/standins'
 import { sendToFleet } from '../../fleet/fleetClient.js'
-import { findFreePorts, waitUntil } from '../../fleet/gatewayHarness.js'
+import { findFreePorts } from '../../fleet/freePorts.js'
+import { waitUntil } from '../../fleet/gatewayHarness.js'
 import { SoakGateway } from '../soakGateway.js'
 
 const HOST = '127.0.0.1'
@@ -33,7 +34,10 @@
     ports: { callers, readiness, control, peers, metrics },
     storePort: store.port,
   })
-  await waitUntil(() => gateway.isReady())
+  await waitUntil(() => {
+    assert.ok(gateway.isRunning, gateway.logLines.join('\n'))
+    return gateway.isReady()
+  })
 })
 
 afterEach(async () => {
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -8,7 +8,8 @@
   fleetConfig,
 } from '@wagtailway/standins'
 import { sendToFleet } from '../fleet/fleetClient.js'
-import { findFreePorts, waitUntil } from '../fleet/gatewayHarness.js'
+import { findFreePorts } from '../fleet/freePorts.js'
+import { waitUntil } from '../fleet/gatewayHarness.js'
 import { checkSoak, type DrainPeriod, type SoakCall } from './soakCheck.js'
 import { injectFault, type SoakContext } from './soakFaults.js'
 import { SoakGateway } from './soakGateway.js'
