--- a/packages/gateway/src/feed/__tests__/feedCodec.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedCodec.spec.ts
@@ -4,7 +4,7 @@
 import { FeedEncoder } from '../feedCodec.js'
 import type { FeedUpdate } from '../feedState.js'
 
-const MARK = { kind: 'config', changedAt: 8, asOf: 14, ageMs: 300 }
+const MARK = { kind: 'config', era: 1, changedAt: 8, asOf: 14, ageMs: 300 }
 
 function update(object: unknown, ageMs = 300): FeedUpdate<unknown> {
   const events = [
--- a/packages/gateway/src/feed/__tests__/feedPuller.spec.ts
+++ b/packages/gateway/src/feed/__tests__/feedPuller.spec.ts
@@ -2,18 +2,18 @@
 import { describe, it } from 'node:test'
 import { VirtualClock, seededRandom } from '@wagtailway/core'
 import { FeedPuller, type FailedPull, type PullResponse } from '../feedPuller.js'
-import { createTestFeed } from './testFeed.js'
+import { at, createTestFeed } from './testFeed.js'
 
 const OWN = { host: 'own', zone: 'z1' }
 const OTHER = { host: 'other', zone: 'z2' }
 
 /** Changed at 8, confirmed up to 14. */
-const MARK = { kind: 'config', changedAt: 8, asOf: 14, ageMs: 0 }
+const MARK = { kind: 'config', era: 1, changedAt: 8, asOf: 14, ageMs: 0 }
 
 function setUp(respond: (host: string) => PullResponse | 'fail') {
   const clock = VirtualClock.create(10_000)
   const feed = createTestFeed<unknown>(clock.now)
-  feed.applyList([], 5, clock.now(), 'store')
+  feed.applyList([], at(5), clock.now(), 'store')
   const asked: { host: string; atMs: number }[] = []
   const failed: FailedPull[] = []
   const puller = FeedPuller.create({
@@ -108,4 +108,14 @@
     await settle()
     assert.equal(asked.length, 2)
   })
+
+  it('asks an instance of a newer era although its revisions are lower', async () => {
+    const mark = { ...MARK, era: 2, changedAt: 2, asOf: 3 }
+    const update = { mark, isWhole: true, events: [{ name: 'main', object: 2 }] }
+    const { feed, puller, asked, settle } = setUp(() => ({ type: 'update', update }))
+    puller.applyMarks([mark], OWN)
+    await settle()
+    assert.equal(asked.length, 1)
+    assert.deepEqual(feed.position, at(3, 2))
+  })
 })
--- a/packages/gateway/src/feed/feedCodec.ts
+++ b/packages/gateway/src/feed/feedCodec.ts
@@ -27,7 +27,7 @@
  *
  * @example
  * const encoder = FeedEncoder.create()
- * const { body, isCompressed } = encoder.encode(feed.updateSince(530), true)
+ * const { body, isCompressed } = encoder.encode(feed.updateSince({ era: 1, revision: 530 }), true)
  */
 export class FeedEncoder {
   #last: EncodedEvents | undefined
--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -11,7 +11,7 @@
   type ReportSource,
 } from './feedPuller.js'
 import { FeedServer, type FeedResponse } from './feedServer.js'
-import type { FeedMark, FeedUpdate, FeedState } from './feedState.js'
+import type { FeedMark, FeedUpdate, FeedState, StorePosition } from './feedState.js'
 
 /**
  * Time without data after which a pull has failed, in milliseconds; the feed can then be
@@ -32,6 +32,9 @@
   readonly holders: readonly string[]
 }
 
+/** Request header with the era of the store that the requested revision belongs to. */
+const ERA_HEADER = 'x-store-era'
+
 const FEED_PATH = /^\/feed\/([^/?]+)\?after=(\d+)$/
 
 export interface FeedExchangeOptions extends Pick<
@@ -71,8 +74,10 @@
     const server = await PlainServer.create(opts.address, ({ path, headers, host }) => {
       const [, kind = '', after = ''] = FEED_PATH.exec(path) ?? []
       const acceptsGzip = headers['accept-encoding'] === 'gzip'
+      const eraText = headers[ERA_HEADER]
+      const era = eraText === undefined ? undefined : Number(eraText)
       return toPlainResponse(
-        feedServer.respond({ kind, after: Number(after), host, acceptsGzip }),
+        feedServer.respond({ kind, after: Number(after), era, host, acceptsGzip }),
       )
     })
     return new FeedExchange(opts, server)
@@ -101,10 +106,11 @@
     this.#agent.destroy()
   }
 
-  async #pull(host: string, kind: string, after: number): Promise<PullResponse> {
+  async #pull(host: string, kind: string, after: StorePosition): Promise<PullResponse> {
     const { status, body } = await requestJson({
       method: 'GET',
-      url: `http://${host}:${this.opts.address.port}/feed/${kind}?after=${after}`,
+      url: `http://${host}:${this.opts.address.port}/feed/${kind}?after=${after.revision}`,
+      headers: { [ERA_HEADER]: String(after.era) },
       timeoutMs: PULL_TIMEOUT_MS,
       agent: this.#agent,
       acceptsGzip: true,
--- a/packages/gateway/src/feed/feedPuller.ts
+++ b/packages/gateway/src/feed/feedPuller.ts
@@ -1,6 +1,6 @@
 /** Decides from which entry instance an update is pulled, and when. */
 import type { Clock, Random } from '@wagtailway/core'
-import type { FeedMark, FeedState, FeedUpdate } from './feedState.js'
+import type { FeedMark, FeedState, FeedUpdate, StorePosition } from './feedState.js'
 
 /**
  * Time for which an instance of the own zone is waited for before an update is pulled
@@ -28,8 +28,8 @@
 export interface FailedPull {
   readonly kind: string
   readonly host: string
-  /** Revision that this instance had reached. */
-  readonly after: number
+  /** Position that this instance had reached. */
+  readonly after: StorePosition
   readonly tookMs: number
   readonly detail: string
 }
@@ -41,16 +41,20 @@
   /** Resolves after a delay in milliseconds. */
   readonly sleep: (ms: number) => Promise<unknown>
   readonly feeds: readonly FeedState<unknown>[]
-  /** Requests what an instance knows after a revision; rejects if it does not respond. */
-  readonly pull: (host: string, kind: string, after: number) => Promise<PullResponse>
+  /** Requests what an instance knows after a position; rejects if it does not respond. */
+  readonly pull: (
+    host: string,
+    kind: string,
+    after: StorePosition,
+  ) => Promise<PullResponse>
   readonly onPulled: (kind: string, result: PullResponse['type']) => void
   readonly onFailed: (failed: FailedPull) => void
 }
 
 /** An instance that is ahead of this one. */
 interface Source extends ReportSource {
-  /** Revision of the newest change that it has. */
-  readonly changedAt: number
+  /** Position of the newest change that it has. */
+  readonly changedAt: StorePosition
   /** When it may be asked, on the monotonic clock. */
   readonly notBeforeMs: number
 }
@@ -97,7 +101,8 @@
     for (const mark of marks) {
       const pulled = this.#pulled.get(mark.kind)
       if (pulled?.feed.applyMark(mark) !== 'behind') continue
-      this.#addSource(pulled, from, mark.changedAt)
+      const { era = pulled.feed.era, changedAt } = mark
+      this.#addSource(pulled, from, { era, revision: changedAt })
       void this.#pullUntilCurrent(pulled)
     }
   }
@@ -111,7 +116,11 @@
     return sinceMs === undefined ? undefined : this.opts.clock() - sinceMs
   }
 
-  #addSource({ sources }: PulledFeed, from: ReportSource, changedAt: number): void {
+  #addSource(
+    { sources }: PulledFeed,
+    from: ReportSource,
+    changedAt: StorePosition,
+  ): void {
     const { clock, zone } = this.opts
     const delayMs = from.zone === zone ? 0 : OTHER_ZONE_DELAY_MS
     const notBeforeMs = sources.get(from.host)?.notBeforeMs ?? clock() + delayMs
@@ -142,7 +151,7 @@
   #nextSource({ feed, sources }: PulledFeed): Source | undefined {
     const { clock, random, zone } = this.opts
     for (const [host, { changedAt }] of sources) {
-      if (feed.hasList && changedAt <= feed.asOf) sources.delete(host)
+      if (hasReached(feed, changedAt)) sources.delete(host)
     }
     const all = [...sources.values()]
     const nowMs = clock()
@@ -161,7 +170,7 @@
     const { kind } = feed
     const { host, zone, changedAt } = source
     const sentAtMs = clock()
-    const after = feed.asOf
+    const after = feed.position
     try {
       const response = await pull(host, kind, after)
       onPulled(kind, response.type)
@@ -184,3 +193,11 @@
     }
   }
 }
+
+function hasReached(
+  { hasList, era, asOf }: FeedState<unknown>,
+  position: StorePosition,
+): boolean {
+  if (!hasList) return false
+  return position.era === era ? position.revision <= asOf : position.era < era
+}
--- a/packages/gateway/src/feed/feedServer.ts
+++ b/packages/gateway/src/feed/feedServer.ts
@@ -21,6 +21,8 @@
   readonly kind: string
   /** Revision that the requesting instance has reached. */
   readonly after: number
+  /** Era of that revision; `undefined` from an earlier build. */
+  readonly era: number | undefined
   /** Host of the requesting instance. */
   readonly host: string
   readonly acceptsGzip: boolean
@@ -32,6 +34,7 @@
   /** When each host has received all changes up to `changedAt`, the latest last. */
   readonly receivedAtMs: Map<string, number>
   changedAt: number
+  era: number
 }
 
 export interface FeedServerOptions {
@@ -47,7 +50,7 @@
  *
  * @example
  * const server = FeedServer.create({ clock, linkMbps: 10, feeds })
- * server.respond({ kind: 'config', after: 530, host: '10.1.0.40', acceptsGzip: true })
+ * server.respond({ kind: 'config', after: 530, era: 1, host: '10.1.0.40', acceptsGzip: true })
  */
 export class FeedServer {
   readonly #served: ReadonlyMap<string, ServedFeed>
@@ -58,7 +61,13 @@
     this.#served = new Map(
       opts.feeds.map((feed) => [
         feed.kind,
-        { feed, encoder: FeedEncoder.create(), receivedAtMs: new Map(), changedAt: 0 },
+        {
+          feed,
+          encoder: FeedEncoder.create(),
+          receivedAtMs: new Map(),
+          changedAt: 0,
+          era: 0,
+        },
       ]),
     )
   }
@@ -67,16 +76,18 @@
     return new FeedServer(opts)
   }
 
-  respond({ kind, after, host, acceptsGzip }: FeedRequest): FeedResponse {
+  respond({ kind, after, era, host, acceptsGzip }: FeedRequest): FeedResponse {
     const served = this.#served.get(kind)
     if (!served?.feed.hasList) return { type: 'unknown' }
     const { feed, encoder, receivedAtMs } = served
     const { changedAt } = feed.mark
-    if (served.changedAt !== changedAt) {
+    if (served.changedAt !== changedAt || served.era !== feed.era) {
       served.changedAt = changedAt
+      served.era = feed.era
       receivedAtMs.clear()
     }
-    const encoded = encoder.encode(feed.updateSince(after), acceptsGzip)
+    const position = { era: era ?? feed.era, revision: after }
+    const encoded = encoder.encode(feed.updateSince(position), acceptsGzip)
     if (encoded.body.length >= MIN_LIMITED_BYTES) {
       const sentInMs = this.#backlog.tryReserve(encoded.body.length)
       if (sentInMs === undefined) return { type: 'busy', holders: this.#holders(served) }
--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -22,9 +22,24 @@
   readonly object: T | undefined
 }
 
+/** A point in the history of the store. */
+export interface StorePosition {
+  /**
+   * Number of the store's history. It rises when the store is restored from an older copy;
+   * revisions of different eras are not comparable.
+   */
+  readonly era: number
+  readonly revision: number
+}
+
 /** How far an instance has followed the objects of one kind. */
 export interface FeedMark {
   readonly kind: string
+  /**
+   * Era of the revisions; `undefined` from an earlier build, which means that of the
+   * receiver.
+   */
+  readonly era: number | undefined
   /**
    * Store revision of the last list or update with changes; no object of the kind has
    * changed between it and `asOf`.
@@ -48,6 +63,7 @@
   readonly source: FeedSource
   readonly isWhole: boolean
   readonly eventCount: number
+  readonly era: number
   readonly asOf: number
   /** Age of the confirmation that came with the update, in milliseconds. */
   readonly ageMs: number
@@ -61,6 +77,14 @@
   readonly events: readonly FeedEvent<T>[]
 }
 
+/** The first list of a new era, and where this process stood before it. */
+export interface Restored<T> {
+  readonly before: StorePosition
+  readonly after: StorePosition
+  /** What the list changes in the known objects. */
+  readonly events: readonly FeedEvent<T>[]
+}
+
 /**
  * Whether this process is current, behind or ahead compared with the mark of another
  * instance.
@@ -79,6 +103,8 @@
   /** Called with the first complete list. */
   readonly onList: (events: readonly FeedEvent<T>[]) => void
   readonly onChanges: (events: readonly FeedEvent<T>[]) => void
+  /** Called instead of `onChanges` with the first list of a new era. */
+  readonly onRestored: (restored: Restored<T>) => void
   /** Called at the first confirmation after an outage, before the update is applied. */
   readonly onStoreRecovered: (outageMs: number) => void
   /** Called after the first list and each update that changed something. */
@@ -89,7 +115,7 @@
  * Objects of one kind that this process follows.
  *
  * @example
- * feed.applyList(events, 530, sentAtMs, 'store')
+ * feed.applyList(events, { era: 1, revision: 530 }, sentAtMs, 'store')
  * feed.mark.ageMs // 4
  */
 export class FeedState<T> {
@@ -102,6 +128,7 @@
   readonly #history = new Map<string, Change<T>>()
   /** Each object changed after this revision is in the history. */
   #historyStartRevision = 0
+  #era = 0
   #changedAt = 0
   #asOf = 0
   #confirmedAtMs = Number.NEGATIVE_INFINITY
@@ -121,10 +148,19 @@
     return this.#asOf > 0
   }
 
+  get era(): number {
+    return this.#era
+  }
+
   get asOf(): number {
     return this.#asOf
   }
 
+  /** Newest position up to which all changes are known. */
+  get position(): StorePosition {
+    return { era: this.#era, revision: this.#asOf }
+  }
+
   get ageMs(): number {
     return this.opts.clock() - this.#confirmedAtMs
   }
@@ -132,6 +168,7 @@
   get mark(): FeedMark {
     return {
       kind: this.opts.kind,
+      era: this.#era,
       changedAt: this.#changedAt,
       asOf: this.#asOf,
       ageMs: this.ageMs,
@@ -139,45 +176,52 @@
   }
 
   /**
-   * Applies a complete list that the store created after `sentAtMs`; ignores a list older
-   * than the known state. Only what differs from that state counts as changed, so that
-   * other instances that have it already don't pull it again.
+   * Applies a complete list that the store created after `sentAtMs`. Only what differs
+   * from the known state counts as changed, so that other instances that have it already
+   * don't pull it again; after a restore of the store all of it does.
+   *
+   * @returns Whether it was applied; a list older than the known state is ignored.
    */
   applyList(
     events: readonly FeedEvent<T>[],
-    asOf: number,
+    position: StorePosition,
     sentAtMs: number,
     source: FeedSource,
-  ): void {
-    if (asOf < this.#asOf) return
-    if (this.hasList) {
-      const changes = this.#differences(events)
+  ): boolean {
+    const { era, revision } = position
+    if (era < this.#era || (era === this.#era && revision < this.#asOf)) return false
+    if (!this.hasList) {
       this.#confirm(sentAtMs)
-      this.#applyEvents(changes, asOf, source, true)
-      return
+      this.#startHistory(events, position)
+      this.opts.onList(events)
+      this.#reportApplied(source, true, events.length)
+      return true
     }
+    const changes = this.#differences(events)
     this.#confirm(sentAtMs)
-    for (const { name, object } of events) {
-      if (object !== undefined) this.#objects.set(name, object)
+    if (era === this.#era) {
+      this.#applyEvents(changes, revision, source, true)
+      return true
     }
-    this.#historyStartRevision = asOf
-    this.#changedAt = asOf
-    this.#asOf = asOf
-    this.opts.onList(events)
-    this.#reportApplied(source, true, events.length)
+    const before = this.position
+    this.#startHistory(events, position)
+    this.opts.onRestored({ before, after: this.position, events: changes })
+    this.#reportApplied(source, true, changes.length)
+    return true
   }
 
-  /** Applies all changes with revisions after `after`, up to `asOf`. */
+  /** Applies all changes after the position `after`, up to the revision `asOf`. */
   applyChanges(
     events: readonly FeedEvent<T>[],
-    after: number,
+    after: StorePosition,
     asOf: number,
     sentAtMs: number,
     source: FeedSource,
   ): void {
+    if (after.era !== this.#era) return
     // The state is already newer (another source was faster), or changes between `#asOf`
     // and `after` are missing.
-    if (asOf < this.#asOf || after > this.#asOf) return
+    if (asOf < this.#asOf || after.revision > this.#asOf) return
     this.#confirm(sentAtMs)
     this.#applyEvents(events, asOf, source, false)
   }
@@ -202,6 +246,19 @@
     this.#reportApplied(source, isWhole, events.length)
   }
 
+  /** Replaces all objects by those of a list whose earlier changes are not known. */
+  #startHistory(events: readonly FeedEvent<T>[], { era, revision }: StorePosition): void {
+    this.#objects.clear()
+    for (const { name, object } of events) {
+      if (object !== undefined) this.#objects.set(name, object)
+    }
+    this.#history.clear()
+    this.#historyStartRevision = revision
+    this.#era = era
+    this.#changedAt = revision
+    this.#asOf = revision
+  }
+
   /** Changes that lead from the known objects to those of a complete list. */
   #differences(listed: readonly FeedEvent<T>[]): FeedEvent<T>[] {
     const names = new Set(listed.map(({ name }) => name))
@@ -219,6 +276,8 @@
    * that the mark covers, adopts the mark's revision and confirmation time.
    */
   applyMark(mark: FeedMark): MarkComparison {
+    const { era = this.#era } = mark
+    if (this.hasList && era !== this.#era) return era < this.#era ? 'ahead' : 'behind'
     if (mark.asOf < this.#asOf) return 'ahead'
     if (!this.hasList || mark.changedAt > this.#asOf) return 'behind'
     this.#confirm(this.opts.clock() - mark.ageMs)
@@ -226,13 +285,13 @@
     return 'current'
   }
 
-  /** Update for an instance that knows all changes up to the revision `after`. */
-  updateSince(after: number): FeedUpdate<T> {
-    const isWhole = after < this.#historyStartRevision
+  /** Update for an instance that knows all changes up to the position `after`. */
+  updateSince(after: StorePosition): FeedUpdate<T> {
+    const isWhole = after.era !== this.#era || after.revision < this.#historyStartRevision
     const events = isWhole
       ? [...this.#objects].map(([name, object]) => ({ name, object }))
       : [...this.#history.values()]
-          .filter(({ revision }) => revision > after)
+          .filter(({ revision }) => revision > after.revision)
           .map(({ name, object }) => ({ name, object }))
     return { mark: this.mark, isWhole, events }
   }
@@ -240,13 +299,15 @@
   /** Applies an update that was requested from another instance at `sentAtMs`. */
   applyUpdate(
     { mark, isWhole, events }: FeedUpdate<T>,
-    after: number,
+    after: StorePosition,
     sentAtMs: number,
     source: FeedSource,
   ): void {
     const confirmedAtMs = sentAtMs - mark.ageMs
-    if (isWhole) this.applyList(events, mark.asOf, confirmedAtMs, source)
-    else this.applyChanges(events, after, mark.asOf, confirmedAtMs, source)
+    const { era = after.era, asOf } = mark
+    if (isWhole) this.applyList(events, { era, revision: asOf }, confirmedAtMs, source)
+    else if (era === after.era)
+      this.applyChanges(events, after, mark.asOf, confirmedAtMs, source)
   }
 
   #trimHistory(): void {
@@ -264,6 +325,7 @@
       source,
       isWhole,
       eventCount,
+      era: this.#era,
       asOf: this.#asOf,
       ageMs: Math.round(this.ageMs),
     })
--- a/packages/gateway/src/http/requestJson.ts
+++ b/packages/gateway/src/http/requestJson.ts
@@ -1,5 +1,11 @@
 /** JSON requests over Node's HTTP client, with a timeout. */
-import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
 import { monotonicClock, startTimer } from '@wagtailway/core'
@@ -45,6 +51,7 @@
 
 export interface JsonResponse {
   readonly status: number
+  readonly headers: IncomingHttpHeaders
   /** Parsed body; `undefined` if it is empty. */
   readonly body: unknown
   readonly text: string
@@ -121,7 +128,7 @@
     : received
   const text = bytes.toString()
   const body = parseBody(text, req.previous)
-  return { status: res.statusCode ?? 0, body, text, transferMs }
+  return { status: res.statusCode ?? 0, headers: res.headers, body, text, transferMs }
 }
 
 function readBody(
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -89,6 +89,18 @@
       labelNames: ['kind', 'result'],
       registers,
     }),
+    storeRestores: new Counter({
+      name: 'wagtailway_gateway_store_restores_total',
+      help: 'Restores of the store from an older copy that were noticed, by kind of object',
+      labelNames: ['kind'],
+      registers,
+    }),
+    storeEra: new Gauge({
+      name: 'wagtailway_gateway_store_era',
+      help: 'Era of the store, which rises when it is restored from an older copy, by kind of object',
+      labelNames: ['kind'],
+      registers,
+    }),
     feedAgeSeconds: new Gauge({
       name: 'wagtailway_gateway_feed_age_seconds',
       help: 'Time since followed objects were last confirmed to be current, by kind',
--- a/packages/gateway/src/peers/__tests__/peers.spec.ts
+++ b/packages/gateway/src/peers/__tests__/peers.spec.ts
@@ -17,7 +17,7 @@
     sessionHashes: [17, 4_294_967_295],
     unreachableServers: ['s9'],
     prefillSpeeds: new Map([['large', [0.05, undefined, 0.0712]]]),
-    feedMarks: [{ kind: 'config', changedAt: 4, asOf: 9, ageMs: 120 }],
+    feedMarks: [{ kind: 'config', era: 3, changedAt: 4, asOf: 9, ageMs: 120 }],
     ...changes,
   }
 }
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -57,7 +57,8 @@
   rollouts: [string, string, number][],
   sessionHashes: number[],
   zone: string,
-  feedMarks: [string, number, number, number][],
+  /** The era is absent in reports of earlier builds. */
+  feedMarks: [string, number, number, number, number?][],
   unreachableServers: string[],
   prefillSpeeds: [string, (number | null)[]][],
   /** Absent in reports of earlier builds. */
@@ -93,11 +94,12 @@
     ]),
     [...report.sessionHashes],
     report.zone,
-    report.feedMarks.map(({ kind, changedAt, asOf, ageMs }) => [
+    report.feedMarks.map(({ kind, changedAt, asOf, ageMs, era }) => [
       kind,
       changedAt,
       asOf,
       Math.round(ageMs),
+      era,
     ]),
     [...report.unreachableServers],
     [...report.prefillSpeeds].map(([model, byLength]) => [
@@ -149,8 +151,9 @@
           byLength.map((ms) => ms ?? undefined),
         ]),
       ),
-      feedMarks: feedMarks.map(([kind, changedAt, asOf, ageMs]) => ({
+      feedMarks: feedMarks.map(([kind, changedAt, asOf, ageMs, era]) => ({
         kind,
+        era,
         changedAt,
         asOf,
         ageMs,
--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -73,8 +73,15 @@
   return calls
 }
 
-function update(revision: number, transferMs = 1): Response {
-  return Ok({ events: [{ name: 'main', object: revision }], revision, transferMs })
+const HISTORY_GONE: Response = Err({ type: 'history_gone', detail: 'after 10' })
+
+function update(revision: number, transferMs = 1, era = 1): Response {
+  return Ok({
+    events: [{ name: 'main', object: revision }],
+    era,
+    revision,
+    transferMs,
+  })
 }
 
 describe('FeedFollower of an instance that does not watch', () => {
@@ -133,4 +140,44 @@
     assert.equal(calls[2]?.type, 'list')
     assert.equal(calls[2].atMs - (calls[1]?.atMs ?? 0), 200 + CALL_MS)
   })
+
+  it('reads the list if a watch was answered in a newer era', async () => {
+    const calls = await follow({
+      forMs: 100,
+      instanceCount: SMALL_FLEET,
+      respond: (_call, index) => update(10 + index, 1, index === 0 ? 1 : 2),
+    })
+    assert.deepEqual(
+      calls.slice(0, 4).map(({ type }) => type),
+      ['list', 'watch', 'list', 'watch'],
+    )
+  })
+
+  it('pauses between calls to a store with lower revisions and without its history', async () => {
+    const calls = await follow({
+      forMs: 10_000,
+      instanceCount: SMALL_FLEET,
+      respond: ({ type }, index) =>
+        index === 0 ? update(10) : type === 'list' ? update(5) : HISTORY_GONE,
+    })
+    assert.ok(calls.length < 60, `${calls.length} calls`)
+  })
+
+  it('pauses between calls to a store that keeps no history', async () => {
+    const calls = await follow({
+      forMs: 10_000,
+      instanceCount: SMALL_FLEET,
+      respond: ({ type }, index) => (type === 'list' ? update(10 + index) : HISTORY_GONE),
+    })
+    assert.ok(calls.length < 60, `${calls.length} calls`)
+  })
+
+  it('pauses between calls to a store whose responses differ in the era', async () => {
+    const calls = await follow({
+      forMs: 10_000,
+      instanceCount: SMALL_FLEET,
+      respond: ({ type }, index) => update(10 + index, 1, type === 'list' ? 1 : 2),
+    })
+    assert.ok(calls.length < 60, `${calls.length} calls`)
+  })
 })
--- a/packages/gateway/src/process/discoverInstances.ts
+++ b/packages/gateway/src/process/discoverInstances.ts
@@ -30,6 +30,8 @@
 
 /**
  * Registers this instance and discovers the others; returns a function that stops both.
+ * Registers again if the store no longer lists this instance, as after a restore from an
+ * older copy.
  *
  * @example
  * const stop = discoverInstances({ self, store, peers, seedHosts })
@@ -55,6 +57,10 @@
     const addresses = await store.instances()
     for (const address of addresses ?? []) peers.addAddress(address)
     pollIndex += 1
+    // The list may be some seconds old, so the first polls may not show this instance yet.
+    if (addresses && pollIndex >= FIRST_POLL_INTERVALS_MS.length) {
+      isRegistered &&= addresses.some(({ name }) => name === self.name)
+    }
     const succeeded = isRegistered && addresses !== undefined
     const retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_STEP_MS * (1 + pollIndex))
     const delayMs = succeeded
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -29,6 +29,9 @@
 /** Pause after a slow update, as a share of its transfer time. */
 const SLOW_TRANSFER_PAUSE = 0.5
 
+/** Pause after a list that was older than the known state, in milliseconds. */
+const OLD_LIST_PAUSE_MS = 250
+
 /** Interval between two checks of the schedule while no poll is due, in milliseconds. */
 const SCHEDULE_CHECK_INTERVAL_MS = 100
 
@@ -62,6 +65,8 @@
 export class FeedFollower<T> {
   #isClosed = false
   #failures = 0
+  /** Watches in a row that the store could not continue from the known state. */
+  #lostHistories = 0
   #lastPollAtMs = Number.NEGATIVE_INFINITY
   /**
    * Whether a list is read next instead of a watch: the store has dropped changes after
@@ -101,7 +106,9 @@
       this.#needsList ||= !feed.hasList || poll.reason === 'pull_failed'
       if (this.#needsList) await this.#list(poll.reason)
       else await this.#watch(poll.waitMs)
-      if (this.#failures > 0) await this.#backOff()
+      // The first list after a lost history is read at once.
+      const attempts = Math.max(this.#failures, this.#lostHistories - 1)
+      if (attempts > 0) await this.#backOff(attempts)
     }
   }
 
@@ -116,18 +123,26 @@
     this.#recordSuccess()
     this.#needsList = false
     const { changedAt } = feed.mark
-    feed.applyList(listed.val.events, listed.val.revision, sentAtMs, 'store')
+    const isApplied = feed.applyList(listed.val.events, listed.val, sentAtMs, 'store')
+    if (!isApplied) await this.opts.sleep(OLD_LIST_PAUSE_MS)
     if (reason === 'watch' && feed.mark.changedAt > changedAt) onStoreChanges()
   }
 
   async #watch(waitMs: number): Promise<void> {
     const { kind, feed, store, clock, log, onStoreChanges } = this.opts
     const sentAtMs = clock()
-    const after = feed.asOf
-    const watched = await store.watch(kind, after, waitMs)
+    const after = feed.position
+    const watched = await store.watch(kind, after.revision, waitMs)
     if (watched.ok) {
       this.#recordSuccess()
-      const { events, revision, transferMs } = watched.val
+      const { events, era, revision, transferMs } = watched.val
+      if (era !== after.era) {
+        // The store was restored; its changes after `after` are not those that follow.
+        this.#needsList = true
+        this.#lostHistories += 1
+        return
+      }
+      this.#lostHistories = 0
       feed.applyChanges(events, after, revision, sentAtMs, 'store')
       if (events.length > 0) onStoreChanges()
       if (transferMs >= SLOW_TRANSFER_MS) {
@@ -138,7 +153,8 @@
     }
     this.#needsList = true
     if (watched.val.type === 'history_gone') {
-      log('store_history_gone', { kind, revision: after })
+      this.#lostHistories += 1
+      log('store_history_gone', { kind, ...after })
     } else this.#recordFailure(watched.val)
   }
 
@@ -174,8 +190,8 @@
     })
   }
 
-  async #backOff(): Promise<void> {
-    const maxDelayMs = Math.min(MAX_BACKOFF_MS, BACKOFF_BASE_MS * 2 ** this.#failures)
+  async #backOff(attempts: number): Promise<void> {
+    const maxDelayMs = Math.min(MAX_BACKOFF_MS, BACKOFF_BASE_MS * 2 ** attempts)
     await this.opts.sleep(maxDelayMs * (0.5 + this.opts.random() / 2))
   }
 }
--- a/packages/gateway/src/process/feeds.ts
+++ b/packages/gateway/src/process/feeds.ts
@@ -1,5 +1,10 @@
 /** The feeds of a process, and how their updates are applied to the gateway. */
-import { FeedState, type AppliedUpdate, type FeedEvent } from '../feed/feedState.js'
+import {
+  FeedState,
+  type AppliedUpdate,
+  type FeedEvent,
+  type Restored,
+} from '../feed/feedState.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { Log } from '../observe/log.js'
@@ -43,6 +48,17 @@
       } else rollouts.remove(name)
     }
   }
+  const applyRestoredRollouts = (events: readonly FeedEvent<T>[]): void => {
+    for (const { name, object } of events) {
+      const listed = object && store.decodeRollout(object)
+      rollouts.restore(name, listed)
+      log('rollout_restored', { service: name, listed, known: rollouts.get(name) })
+    }
+  }
+  const reportRestored = (kind: string, { before, after, events }: Restored<T>): void => {
+    metrics.storeRestores.inc({ kind })
+    log('store_restored', { kind, before, after, changes: events.length })
+  }
   const reportApplied = ({ source, ...applied }: AppliedUpdate): void => {
     const isFromStore = source === 'store'
     metrics.feedUpdates.inc({
@@ -55,6 +71,7 @@
     kind: FollowedKind,
     onList: (events: readonly FeedEvent<T>[]) => void,
     onChanges: (events: readonly FeedEvent<T>[]) => void,
+    onRestored: (events: readonly FeedEvent<T>[]) => void,
     onStoreRecovered: () => void = () => undefined,
   ): FeedState<T> =>
     FeedState.create<T>({
@@ -69,6 +86,11 @@
         onChanges(events)
         onUpdate()
       },
+      onRestored: (restored) => {
+        reportRestored(kind, restored)
+        onRestored(restored.events)
+        onUpdate()
+      },
       onStoreRecovered: (outageMs) => {
         log('store_news_regained', { kind, outageMs })
         onStoreRecovered()
@@ -76,7 +98,8 @@
       onApplied: reportApplied,
     })
   return {
-    config: create('config', applyConfigs, applyConfigs),
+    // An older configuration is not activated; the operator writes the newer one again.
+    config: create('config', applyConfigs, applyConfigs, applyConfigs),
     servers: create(
       'servers',
       (events) => {
@@ -86,6 +109,9 @@
       (events) => {
         servers.apply(toServerChanges(events))
       },
+      (events) => {
+        servers.applyRestored(toServerChanges(events))
+      },
       () => {
         servers.startExpiryGrace()
       },
@@ -97,6 +123,7 @@
         applyRollouts(events)
       },
       applyRollouts,
+      applyRestoredRollouts,
     ),
   }
 }
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -212,14 +212,16 @@
 }
 
 async function serveMetrics<T>(
-  { registry, feedAgeSeconds }: GatewayMetrics,
+  { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
   settings: GatewaySettings,
   feeds: Feeds<T>,
 ): Promise<PlainServer> {
   return PlainServer.create(settings.metricsAddress, async ({ path }) => {
     if (path !== METRICS_PATH) return { status: 404, body: 'not found' }
-    for (const { kind, hasList, ageMs } of Object.values(feeds)) {
-      if (hasList) feedAgeSeconds.set({ kind }, ageMs / 1_000)
+    for (const { kind, hasList, era, ageMs } of Object.values(feeds)) {
+      if (!hasList) continue
+      storeEra.set({ kind }, era)
+      feedAgeSeconds.set({ kind }, ageMs / 1_000)
     }
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
--- a/packages/gateway/src/process/storePort.ts
+++ b/packages/gateway/src/process/storePort.ts
@@ -3,7 +3,7 @@
  * protocol.
  */
 import type { Result } from '@wagtailway/core'
-import type { FeedEvent } from '../feed/feedState.js'
+import type { FeedEvent, StorePosition } from '../feed/feedState.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { GatewayConfig } from '../model/config.js'
 import type { PeerAddress } from '../peers/peerTable.js'
@@ -20,10 +20,9 @@
   readonly revision?: number
 }
 
-/** Objects or changes, with the revision up to which they are complete. */
-export interface StoreUpdate<T> {
+/** Objects or changes, with the position up to which they are complete. */
+export interface StoreUpdate<T> extends StorePosition {
   readonly events: readonly FeedEvent<T>[]
-  readonly revision: number
   /** Time from the first to the last byte of the response, in milliseconds. */
   readonly transferMs: number
 }
--- a/packages/gateway/src/rollout/__tests__/rolloutTable.spec.ts
+++ b/packages/gateway/src/rollout/__tests__/rolloutTable.spec.ts
@@ -68,3 +68,58 @@
     assert.equal(rollouts.get('summariser')?.state, 'rolled_back')
   })
 })
+
+describe('RolloutTable after a restore of the store', () => {
+  const OLDER = { ...ROLLOUT, revision: 3 }
+
+  for (const state of ['rolled_back', 'completed'] as const) {
+    it(`keeps a rollout ${state} and has it stored again`, () => {
+      const { rollouts } = setUp()
+      rollouts.put({ ...ROLLOUT, state, share: 1, revision: 9 })
+      rollouts.restore('summariser', OLDER)
+      const [outdated] = rollouts.outdated()
+      assert.equal(outdated?.state, state)
+      assert.equal(outdated.revision, 3)
+      rollouts.put({ ...ROLLOUT, state, share: 1, revision: 4 })
+      assert.deepEqual(rollouts.outdated(), [])
+    })
+  }
+
+  it('keeps the share of a running rollout, so that no session moves back', () => {
+    const { rollouts } = setUp()
+    rollouts.put({ ...ROLLOUT, share: 1 })
+    rollouts.restore('summariser', { ...OLDER, share: 0.03 })
+    assert.equal(rollouts.get('summariser')?.share, 1)
+    assert.equal(rollouts.outdated().length, 1)
+  })
+
+  it('accepts a listed state that is further than the known one', () => {
+    const { rollouts } = setUp()
+    rollouts.put(ROLLOUT)
+    rollouts.restore('summariser', { ...OLDER, state: 'completed', share: 1 })
+    assert.equal(rollouts.get('summariser')?.state, 'completed')
+    assert.deepEqual(rollouts.outdated(), [])
+  })
+
+  it('remembers the state of an order that is written again', () => {
+    const { rollouts } = setUp()
+    rollouts.put({ ...ROLLOUT, state: 'rolled_back' })
+    rollouts.restore('summariser', undefined)
+    assert.equal(rollouts.get('summariser')?.state, 'rolled_back')
+    assert.deepEqual(rollouts.outdated(), [])
+    rollouts.put(OLDER)
+    assert.equal(rollouts.outdated()[0]?.state, 'rolled_back')
+  })
+
+  it('accepts another order that is listed once the known one is not written again', () => {
+    const { rollouts, clock } = setUp()
+    rollouts.put(ROLLOUT)
+    rollouts.restore('summariser', { ...OLDER, target: 'v1' })
+    rollouts.expireMissing()
+    assert.equal(rollouts.get('summariser')?.target, 'v2')
+    clock.advance(5_000)
+    rollouts.expireMissing()
+    assert.equal(rollouts.get('summariser')?.target, 'v1')
+    assert.equal(rollouts.get('summariser')?.firstSeenAtMs, 0)
+  })
+})
--- a/packages/gateway/src/rollout/rolloutController.ts
+++ b/packages/gateway/src/rollout/rolloutController.ts
@@ -58,20 +58,33 @@
     return Math.max(clock() - firstSeenAtMs, peerElapsedMs(service, target))
   }
 
-  /** Advances each running rollout; does nothing while another call is in progress. */
+  /**
+   * Advances each running rollout, and stores again what a restored store has lost; does
+   * nothing while another call is in progress.
+   */
   async advance(): Promise<void> {
     if (this.#isAdvancing) return
     this.#isAdvancing = true
     try {
-      for (const rollout of this.opts.rollouts.running())
-        await this.#advanceRollout(rollout)
+      const { rollouts } = this.opts
+      rollouts.expireMissing()
+      for (const rollout of rollouts.outdated())
+        await this.#writeWhenDue(rollout, rollout)
+      for (const rollout of rollouts.running()) {
+        if (rollout.storage !== 'outdated') await this.#advanceRollout(rollout)
+      }
+      for (const service of this.#dueSinceMs.keys()) {
+        const rollout = rollouts.get(service)
+        if (rollout?.state !== 'running' && rollout?.storage !== 'outdated')
+          this.#dueSinceMs.delete(service)
+      }
     } finally {
       this.#isAdvancing = false
     }
   }
 
   async #advanceRollout(rollout: KnownRollout): Promise<void> {
-    const { rollouts, exposureShare, log, rank, clock, write } = this.opts
+    const { rollouts, exposureShare, log } = this.opts
     const { service, target } = rollout
     const { before, after, counts } = this.#serversByVersion(rollout)
     const wasWithdrawn = rollouts.isWithdrawn(service, target)
@@ -96,10 +109,16 @@
         after: counts(after),
       })
     }
+    if (rollout.storage === 'missing') return
+    await this.#writeWhenDue(rollout, rolloutAfter(rollout, step))
+  }
+
+  async #writeWhenDue({ service }: KnownRollout, next: Rollout): Promise<void> {
+    const { clock, rank, write } = this.opts
     const dueSinceMs = this.#dueSinceMs.get(service) ?? clock()
     this.#dueSinceMs.set(service, dueSinceMs)
     if (clock() - dueSinceMs < rank() * RANK_DELAY_MS) return
-    await write(rolloutAfter(rollout, step))
+    await write(next)
   }
 
   #serversByVersion({ service, target }: KnownRollout) {
--- a/packages/gateway/src/rollout/rolloutTable.ts
+++ b/packages/gateway/src/rollout/rolloutTable.ts
@@ -24,12 +24,33 @@
   readonly revision: number
 }
 
+/**
+ * Whether the store has the known state of a rollout. After a restore from an older copy
+ * its state there may be outdated, or the order may be missing until the operator has
+ * written it again.
+ */
+export type RolloutStorage = 'stored' | 'outdated' | 'missing'
+
 /** A rollout as this process knows it. */
 export interface KnownRollout extends Rollout {
+  readonly storage: RolloutStorage
   /** When this process first received the order, on the monotonic clock. */
   readonly firstSeenAtMs: number
 }
 
+/** What the store lists while the known rollout of the same service is missing there. */
+interface PendingRollout {
+  /** `undefined` if the store lists none. */
+  readonly listed: KnownRollout | undefined
+  readonly untilMs: number
+}
+
+/**
+ * Time for which a rollout is kept that is missing after a restore of the store, in
+ * milliseconds.
+ */
+const MISSING_ROLLOUT_MS = 5_000
+
 /** Below this share a rollout is a canary, in which no active session changes its version. */
 const CANARY_END_SHARE = 0.3
 
@@ -48,6 +69,7 @@
  */
 export class RolloutTable {
   readonly #rollouts = new Map<string, KnownRollout>()
+  readonly #pending = new Map<string, PendingRollout>()
   /** Withdrawn target by service; this process may withdraw it before the others agree. */
   readonly #withdrawn = new Map<string, string>()
 
@@ -64,13 +86,51 @@
   put(rollout: Rollout): void {
     const previous = this.#rollouts.get(rollout.service)
     if (previous && previous.revision > rollout.revision) return
+    this.#pending.delete(rollout.service)
+    if (previous && previous.storage !== 'stored' && previous.target === rollout.target) {
+      this.#rollouts.set(rollout.service, mergeRestored(previous, rollout))
+      return
+    }
     const isSameRollout = previous?.target === rollout.target && !isFinished(previous)
     const firstSeenAtMs = isSameRollout ? previous.firstSeenAtMs : this.clock()
-    this.#rollouts.set(rollout.service, { ...rollout, firstSeenAtMs })
+    this.#rollouts.set(rollout.service, { ...rollout, firstSeenAtMs, storage: 'stored' })
     if (!isSameRollout && previous?.target !== rollout.target)
       this.#withdrawn.delete(rollout.service)
   }
 
+  /**
+   * Applies the rollout of a service that the first list after a restore of the store
+   * contains; `undefined` if it contains none. A state that is further than the listed one
+   * is kept, to be stored again. An order that is missing is kept for a while.
+   */
+  restore(service: string, listed: Rollout | undefined): void {
+    const known = this.#rollouts.get(service)
+    if (!known) {
+      if (listed) this.put(listed)
+      return
+    }
+    if (listed?.target === known.target) {
+      this.#rollouts.set(service, mergeRestored(known, listed))
+      return
+    }
+    const nowMs = this.clock()
+    this.#rollouts.set(service, { ...known, revision: 0, storage: 'missing' })
+    this.#pending.set(service, {
+      listed: listed && { ...listed, firstSeenAtMs: nowMs, storage: 'stored' },
+      untilMs: nowMs + MISSING_ROLLOUT_MS,
+    })
+  }
+
+  /** Gives up missing rollouts that the operator has not written again in time. */
+  expireMissing(): void {
+    for (const [service, { listed, untilMs }] of this.#pending) {
+      if (this.clock() < untilMs) continue
+      this.#pending.delete(service)
+      if (listed) this.#rollouts.set(service, listed)
+      else this.remove(service)
+    }
+  }
+
   /** Removes the rollouts of all other services. */
   retainOnly(services: ReadonlySet<string>): void {
     for (const service of [...this.#rollouts.keys()]) {
@@ -79,9 +139,15 @@
   }
 
   remove(service: string): void {
+    this.#pending.delete(service)
     this.#rollouts.delete(service)
   }
 
+  /** Rollouts whose state the store doesn't have. */
+  outdated(): KnownRollout[] {
+    return [...this.#rollouts.values()].filter(({ storage }) => storage === 'outdated')
+  }
+
   running(): KnownRollout[] {
     return [...this.#rollouts.values()].filter(({ state }) => state === 'running')
   }
@@ -138,6 +204,20 @@
   return hash32(`${target} ${sessionKey}`) / HASH_RANGE
 }
 
+/** Joins a known state with a listed one of the same rollout that may be older. */
+function mergeRestored(known: KnownRollout, listed: Rollout): KnownRollout {
+  const { firstSeenAtMs, state, share } = known
+  if (isFinished(listed) || progress(known) <= progress(listed)) {
+    return { ...listed, firstSeenAtMs, storage: 'stored' }
+  }
+  return { ...listed, state, share, firstSeenAtMs, storage: 'outdated' }
+}
+
+/** How far a rollout is; any finished one is further than a running one. */
+function progress(rollout: Rollout): number {
+  return isFinished(rollout) ? Number.POSITIVE_INFINITY : rollout.share
+}
+
 function isFinished({ state }: Rollout): boolean {
   return state !== 'running'
 }
--- a/packages/gateway/src/servers/__tests__/serverTable.spec.ts
+++ b/packages/gateway/src/servers/__tests__/serverTable.spec.ts
@@ -70,3 +70,44 @@
     assert.deepEqual(removedIds, ['a'])
   })
 })
+
+describe('ServerTable after a restore of the store', () => {
+  it('keeps a draining server draining until its entry changes again', () => {
+    const { table, ready } = setUp()
+    table.apply([{ id: 'a', server: server('a', { isDraining: true }) }])
+    table.applyRestored([{ id: 'a', server: server('a') }])
+    assert.deepEqual(ready(), ['b'])
+    table.apply([{ id: 'a', server: server('a') }])
+    assert.deepEqual(ready(), ['a', 'b'])
+  })
+
+  it('holds a server that had been removed until its entry would have expired', () => {
+    const { table, ready, clock } = setUp()
+    table.apply([{ id: 'a', server: undefined }])
+    clock.advance(20_000)
+    table.applyRestored([{ id: 'a', server: server('a') }])
+    assert.deepEqual(ready(), ['b'])
+    clock.advance(5_000)
+    assert.deepEqual(ready(), ['b', 'a'])
+  })
+
+  it('uses a removed server at once if it has started again', () => {
+    const { table, ready } = setUp()
+    table.apply([{ id: 'a', server: undefined }])
+    table.applyRestored([{ id: 'a', server: server('a', { startedAtMs: 2 }) }])
+    assert.deepEqual(ready(), ['b', 'a'])
+  })
+
+  it('keeps a server that the store lacks while it can register again', () => {
+    const { table, ready, clock } = setUp()
+    const older = server('b')
+    table.apply([{ id: 'b', server: server('b', { startedAtMs: 2 }) }])
+    table.applyRestored([
+      { id: 'a', server: undefined },
+      { id: 'b', server: older },
+    ])
+    assert.deepEqual(ready(), ['a', 'b'])
+    clock.advance(EXPIRY_GRACE_MS)
+    assert.deepEqual(ready(), [])
+  })
+})
--- a/packages/gateway/src/servers/serverTable.ts
+++ b/packages/gateway/src/servers/serverTable.ts
@@ -8,8 +8,22 @@
  */
 export const EXPIRY_GRACE_MS = 2_000
 
+/**
+ * Time after a restore of the store for which an entry that had been removed before gets no
+ * requests, in milliseconds. The entry of a server that has left expires in this time.
+ */
+const RESTORED_ENTRY_DELAY_MS = 5_000
+
+/**
+ * Time for which removed entries are remembered, in milliseconds; the store may be restored
+ * from a copy that still has them.
+ */
+const REMOVED_ENTRY_MEMORY_MS = 60_000
+
 interface KnownServer {
   readonly server: BackendServer
+  /** Set while a restored entry must not be used because it had been removed before. */
+  readonly usableFromMs?: number
   /**
    * Set while the entry is missing from the store but may only have expired in an
    * outage.
@@ -25,6 +39,11 @@
   readonly server: BackendServer | undefined
 }
 
+interface RemovedEntry {
+  readonly startedAtMs: number
+  readonly removedAtMs: number
+}
+
 /**
  * Table of the known backend servers.
  *
@@ -35,6 +54,8 @@
  */
 export class ServerTable {
   readonly #known = new Map<string, KnownServer>()
+  /** Recently removed entries, the oldest first. */
+  readonly #removed = new Map<string, RemovedEntry>()
   #graceUntilMs = Number.NEGATIVE_INFINITY
 
   private constructor(
@@ -60,6 +81,18 @@
     }
   }
 
+  /**
+   * Applies the changes that the first list after a restore of the store contains. Its
+   * entries may be older than the known ones, until each server has registered again.
+   */
+  applyRestored(changes: Iterable<ServerChange>): void {
+    this.startExpiryGrace()
+    for (const { id, server } of changes) {
+      if (server) this.#putRestored(server)
+      else this.#remove(id)
+    }
+  }
+
   /** Replaces all entries. */
   replaceAll(servers: readonly BackendServer[]): void {
     const ids = new Set(servers.map(({ id }) => id))
@@ -83,13 +116,15 @@
   ready(service: string, version?: string): BackendServer[] {
     const nowMs = this.clock()
     const matching: BackendServer[] = []
-    for (const [id, { server, usableUntilMs }] of this.#known) {
+    for (const [id, { server, usableFromMs = 0, usableUntilMs }] of this.#known) {
       if (usableUntilMs !== undefined && nowMs >= usableUntilMs) {
         this.#known.delete(id)
+        this.#rememberRemoved(server)
         this.onRemoved(server)
         continue
       }
       if (server.service !== service || server.isDraining) continue
+      if (nowMs < usableFromMs) continue
       if (version === undefined || server.version === version) matching.push(server)
     }
     return matching
@@ -101,6 +136,18 @@
     this.#known.set(server.id, { server })
   }
 
+  #putRestored(server: BackendServer): void {
+    const previous = this.#known.get(server.id)?.server
+    const removed = this.#removed.get(server.id)
+    if (previous && previous.startedAtMs > server.startedAtMs) this.#remove(server.id)
+    else if (previous?.isDraining && previous.startedAtMs === server.startedAtMs) {
+      this.#put({ ...server, isDraining: true })
+    } else if (!previous && removed?.startedAtMs === server.startedAtMs) {
+      const usableFromMs = this.clock() + RESTORED_ENTRY_DELAY_MS
+      this.#known.set(server.id, { server, usableFromMs })
+    } else this.#put(server)
+  }
+
   #remove(id: string): void {
     const known = this.#known.get(id)
     if (!known) return
@@ -110,6 +157,17 @@
       return
     }
     this.#known.delete(id)
+    this.#rememberRemoved(known.server)
     this.onRemoved(known.server)
   }
+
+  #rememberRemoved({ id, startedAtMs }: BackendServer): void {
+    const removedAtMs = this.clock()
+    this.#removed.delete(id)
+    this.#removed.set(id, { startedAtMs, removedAtMs })
+    for (const [oldest, entry] of this.#removed) {
+      if (removedAtMs - entry.removedAtMs < REMOVED_ENTRY_MEMORY_MS) return
+      this.#removed.delete(oldest)
+    }
+  }
 }
--- a/packages/scenario/src/feedFleet/feedFleet.ts
+++ b/packages/scenario/src/feedFleet/feedFleet.ts
@@ -16,6 +16,7 @@
   type PullResponse,
   type ReportScope,
   type StoreFailure,
+  type StorePosition,
   type StoreUpdate,
 } from '@wagtailway/gateway'
 import { VirtualWorld } from '../hunt/virtualWorld.js'
@@ -163,6 +164,9 @@
       isSame: (a, b) => a.version === b.version,
       onList: recordVersions,
       onChanges: recordVersions,
+      onRestored: ({ events }) => {
+        recordVersions(events)
+      },
       onStoreRecovered: () => undefined,
       onApplied: () => undefined,
     })
@@ -242,7 +246,7 @@
     }
   }
 
-  #pull(node: FleetNode, host: string, after: number): Promise<PullResponse> {
+  #pull(node: FleetNode, host: string, after: StorePosition): Promise<PullResponse> {
     const source = this.#nodes.find(({ name }) => name === host)
     if (!source) return Promise.reject(new Error(`no instance ${host}`))
     return this.#exchange({
@@ -334,9 +338,15 @@
 function respondToPull(
   { feed, server }: FleetNode,
   host: string,
-  after: number,
+  after: StorePosition,
 ): { readonly pull: PullResponse; readonly bytes: number } {
-  const response = server.respond({ kind: feed.kind, after, host, acceptsGzip: true })
+  const response = server.respond({
+    kind: feed.kind,
+    after: after.revision,
+    era: after.era,
+    host,
+    acceptsGzip: true,
+  })
   switch (response.type) {
     case 'unknown':
       throw new Error('status 404')
--- a/packages/scenario/src/feedFleet/virtualStore.ts
+++ b/packages/scenario/src/feedFleet/virtualStore.ts
@@ -24,6 +24,7 @@
  * store.put('main', { version: 1, contents })
  */
 export class VirtualStore {
+  #era = 1
   #revision = 1
   readonly #objects = new Map<string, VirtualObject>()
   readonly #history: StoredChange[] = []
@@ -44,7 +45,7 @@
 
   list(): VirtualUpdate {
     const events = [...this.#objects].map(([name, object]) => ({ name, object }))
-    return { events, revision: this.#revision }
+    return { events, era: this.#era, revision: this.#revision }
   }
 
   /** Resolves with all changes after a revision, at once or after `waitMs` at most. */
@@ -57,7 +58,7 @@
         this.#wakeups.delete(respond)
         cancelTimer()
         const events = this.#history.filter(({ revision }) => revision > after)
-        resolve(Ok({ events, revision: this.#revision }))
+        resolve(Ok({ events, era: this.#era, revision: this.#revision }))
       }
       const cancelTimer = this.world.after(waitMs, respond)
       if (after < this.#revision) respond()
--- a/packages/scenario/src/fleet/__tests__/path.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/path.spec.ts
@@ -215,32 +215,28 @@
     await waitUntil(async () => (await send('/plain/1')).status === 200)
   })
 
-  it(
-    'are followed after the store was restored from an older copy',
-    { todo: 'issue 20: nothing reads the era of the store' },
-    async () => {
-      const copy = store.copy()
-      // Written after the copy, so these revisions are given out again.
-      for (let i = 0; i < 50; i += 1) store.put('servers', 'stranger', { state: i })
-      await waitUntil(() =>
-        gateway.lines.some(
-          ({ event, fields }) => event === 'feed_update' && fields['kind'] === 'servers',
-        ),
-      )
-      await new Promise((resolve) => setTimeout(resolve, 300))
-      store.restore(copy)
-      const callsBefore = countStoreCalls()
-      putConfig({ keys: ['key-restored'] })
-      await new Promise((resolve) => setTimeout(resolve, PROPAGATION_MS))
-      const response = await send('/plain/1', { key: 'key-restored' })
-      const calls = countStoreCalls() - callsBefore
-      for (let i = 0; i < 100; i += 1) store.put('servers', 'stranger', { state: i })
-      putConfig()
-      await waitUntil(async () => (await send('/plain/1')).status === 200)
-      assert.equal(response.status, 200)
-      assert.ok(calls < 50, `${calls} calls`)
-    },
-  )
+  it('are followed after the store was restored from an older copy', async () => {
+    const copy = store.copy()
+    // Written after the copy, so these revisions are given out again.
+    for (let i = 0; i < 50; i += 1) store.put('servers', 'stranger', { state: i })
+    await waitUntil(() =>
+      gateway.lines.some(
+        ({ event, fields }) => event === 'feed_update' && fields['kind'] === 'servers',
+      ),
+    )
+    await new Promise((resolve) => setTimeout(resolve, 300))
+    store.restore(copy)
+    const callsBefore = countStoreCalls()
+    putConfig({ keys: ['key-restored'] })
+    await new Promise((resolve) => setTimeout(resolve, PROPAGATION_MS))
+    const response = await send('/plain/1', { key: 'key-restored' })
+    const calls = countStoreCalls() - callsBefore
+    for (let i = 0; i < 100; i += 1) store.put('servers', 'stranger', { state: i })
+    putConfig()
+    await waitUntil(async () => (await send('/plain/1')).status === 200)
+    assert.equal(response.status, 200)
+    assert.ok(calls < 50, `${calls} calls`)
+  })
 
   for (const mode of ['down', 'busy', 'silent', 'reset'] as const) {
     it(`are followed again after the store was ${mode}, and requests are served meanwhile`, async () => {
--- a/packages/standins/src/fleet/storeStandin.ts
+++ b/packages/standins/src/fleet/storeStandin.ts
@@ -155,11 +155,10 @@
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const chunks: Buffer[] = []
     for await (const chunk of req) chunks.push(chunk as Buffer)
-    res.setHeader('Store-Era', this.#era)
     const mode = this.modeFor(req) ?? this.mode
     if (mode === 'silent') return
     if (mode === 'reset') req.socket.resetAndDestroy()
-    else if (mode !== 'up') send(res, mode === 'down' ? 503 : 429, {})
+    else if (mode !== 'up') this.#send(res, mode === 'down' ? 503 : 429, {})
     else await this.#respond(req, res, Buffer.concat(chunks).toString())
   }
 
@@ -174,7 +173,7 @@
     const callType = url.searchParams.has('watch') ? 'watch' : method
     this.calls.set(callType, (this.calls.get(callType) ?? 0) + 1)
     if (method === 'GET') {
-      if (name !== undefined) sendObject(res, this.read(kind, name))
+      if (name !== undefined) this.#sendObject(res, this.read(kind, name))
       else if (callType === 'watch') await this.#watch(res, kind, url.searchParams)
       else this.#list(res, kind)
       return
@@ -189,7 +188,7 @@
     if (this.loseNextResponses > 0) {
       this.loseNextResponses -= 1
       res.destroy()
-    } else send(res, status.code, status.object ? toWireObject(status.object) : {})
+    } else this.#send(res, status.code, status.object ? toWireObject(status.object) : {})
   }
 
   #applyWrite(
@@ -247,15 +246,17 @@
     const items = [...this.#objects]
       .filter(([key]) => key.startsWith(`${kind}/`))
       .map(([, object]) => toWireObject(object))
-    send(res, 200, { items, hasMore: false, asOf: this.#revision })
+    this.#send(res, 200, { items, hasMore: false, asOf: this.#revision })
   }
 
   async #watch(res: ServerResponse, kind: string, query: URLSearchParams): Promise<void> {
     const after = Number(query.get('watch'))
     const deadlineMs = performance.now() + Number(query.get('waitMs') ?? 0)
+    const era = this.#era
     for (;;) {
-      if (after < this.#historyStartRevision || after > this.#revision) {
-        send(res, 410, {})
+      const isKnown = after >= this.#historyStartRevision && after <= this.#revision
+      if (!isKnown || era !== this.#era) {
+        this.#send(res, 410, {})
         return
       }
       const events = this.#history
@@ -263,13 +264,23 @@
         .map(({ deleted, object }) => ({ deleted, object: toWireObject(object) }))
       const remainingMs = deadlineMs - performance.now()
       if (events.length > 0 || remainingMs <= 0) {
-        send(res, 200, { events, asOf: this.#revision })
+        this.#send(res, 200, { events, asOf: this.#revision })
         return
       }
       await this.#waitForChange(remainingMs)
     }
   }
 
+  #sendObject(res: ServerResponse, object: StoreObject | undefined): void {
+    this.#send(res, object ? 200 : 404, object ? toWireObject(object) : {})
+  }
+
+  #send(res: ServerResponse, status: number, body: unknown): void {
+    const headers = { 'content-type': 'application/json', 'store-era': this.#era }
+    res.writeHead(status, headers)
+    res.end(JSON.stringify(body))
+  }
+
   #waitForChange(ms: number): Promise<void> {
     return new Promise((resolve) => {
       const wake = (): void => {
@@ -293,12 +304,3 @@
   const metadata = { name, revision, created, finalizers: [], deleting: false }
   return { metadata, specification, status }
 }
-
-function sendObject(res: ServerResponse, object: StoreObject | undefined): void {
-  send(res, object ? 200 : 404, object ? toWireObject(object) : {})
-}
-
-function send(res: ServerResponse, status: number, body: unknown): void {
-  res.writeHead(status, { 'content-type': 'application/json' })
-  res.end(JSON.stringify(body))
-}
