--- a/packages/gateway/src/process/__tests__/discoverInstances.spec.ts
+++ b/packages/gateway/src/process/__tests__/discoverInstances.spec.ts
@@ -1,38 +1,38 @@
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { describe, it, type TestContext } from 'node:test'
 import { VirtualClock } from '@wagtailway/core'
 import { PeerTable, type PeerAddress } from '../../peers/peerTable.js'
-import { discoverInstances } from '../discoverInstances.js'
+import { discoverInstances, type DiscoveryOptions } from '../discoverInstances.js'
 
 const SELF = { name: 'n1', host: '10.1.0.40', port: 7_340 }
 
+/** Runs the discovery against a store; returns functions to let time pass and to stop. */
+function discover(t: TestContext, store: DiscoveryOptions['store']) {
+  t.mock.timers.enable({ apis: ['setTimeout'] })
+  const clock = VirtualClock.create()
+  const peers = PeerTable.create({ name: 'n1', zone: 'z1', linkMbps: 100 }, clock.now)
+  const stop = discoverInstances({ self: SELF, store, peers, seedHosts: [] })
+  const pass = async (seconds: number): Promise<void> => {
+    for (let i = 0; i < seconds * 10; i += 1) {
+      await new Promise((resolve) => setImmediate(resolve))
+      t.mock.timers.tick(100)
+    }
+  }
+  return { pass, stop }
+}
+
 describe('discoverInstances', () => {
   it('registers again after the store has lost the entry of this instance', async (t) => {
-    t.mock.timers.enable({ apis: ['setTimeout'] })
     const entries = new Map<string, PeerAddress>()
     let registrations = 0
-    const stop = discoverInstances({
-      self: SELF,
-      store: {
-        register: (address) => {
-          registrations += 1
-          entries.set(address.name, address)
-          return Promise.resolve(true)
-        },
-        instances: () => Promise.resolve([...entries.values()]),
+    const { pass, stop } = discover(t, {
+      register: (address) => {
+        registrations += 1
+        entries.set(address.name, address)
+        return Promise.resolve(true)
       },
-      peers: PeerTable.create(
-        { name: 'n1', zone: 'z1', linkMbps: 100 },
-        VirtualClock.create().now,
-      ),
-      seedHosts: [],
+      instances: () => Promise.resolve([...entries.values()]),
     })
-    const pass = async (seconds: number): Promise<void> => {
-      for (let i = 0; i < seconds * 10; i += 1) {
-        await new Promise((resolve) => setImmediate(resolve))
-        t.mock.timers.tick(100)
-      }
-    }
     await pass(60)
     assert.equal(registrations, 1)
     entries.clear()
@@ -41,4 +41,24 @@
     assert.ok(entries.has('n1'))
     stop()
   })
+
+  it('polls again soon after a single failure, however long it has run', async (t) => {
+    let polls = 0
+    let fails = false
+    const { pass, stop } = discover(t, {
+      register: () => Promise.resolve(true),
+      instances: () => {
+        polls += 1
+        return Promise.resolve(fails ? undefined : [SELF])
+      },
+    })
+    await pass(120)
+    fails = true
+    const pollsBefore = polls
+    while (polls === pollsBefore) await pass(1)
+    fails = false
+    await pass(1)
+    assert.equal(polls, pollsBefore + 2)
+    stop()
+  })
 })
--- a/packages/gateway/src/process/discoverInstances.ts
+++ b/packages/gateway/src/process/discoverInstances.ts
@@ -11,7 +11,7 @@
  */
 const POLL_INTERVAL_MS = 20_000
 
-/** Delay after a failed poll for each poll since the start, in milliseconds. */
+/** Delay after a failed poll for each failure in a row, in milliseconds. */
 const RETRY_STEP_MS = 500
 
 /** Longest delay after a failed poll, in milliseconds. */
@@ -45,6 +45,7 @@
 }: DiscoveryOptions): () => void {
   let isRegistered = false
   let pollIndex = -1
+  let failures = 0
   let isStopped = false
   let timer: NodeJS.Timeout | undefined
   for (const host of seedHosts) {
@@ -62,10 +63,10 @@
       isRegistered &&= addresses.some(({ name }) => name === self.name)
     }
     const succeeded = isRegistered && addresses !== undefined
-    const retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_STEP_MS * (1 + pollIndex))
+    failures = succeeded ? 0 : failures + 1
     const delayMs = succeeded
       ? (FIRST_POLL_INTERVALS_MS[pollIndex] ?? POLL_INTERVAL_MS)
-      : retryDelayMs
+      : Math.min(MAX_RETRY_DELAY_MS, RETRY_STEP_MS * failures)
     if (!isStopped) timer = setTimeout(() => void poll(), delayMs)
   }
   void poll()
