First instances of a zone watch so often that no other one polls

Found by the new emulation of restores: in a quiet fleet of 75 instances all of them called the store, 362 calls in 23.8 s for one kind of object, where three watchers need about 90. At 432 instances it was 888 calls, at times all in one second.

Cause: a watch confirms the state as of its start, so a confirmation is up to two waits old before the next one, and a report interval older when it arrives: 2.58 s at 75 instances, against 2.25 s from which a state counts as stale. The wait of a watch was a fixed share of the propagation limit, whatever the report interval.

The new test of the emulator (only watchers call while nothing changes) failed on the code before: 9 to 75 instances called in each 4 s.

--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -47,7 +47,12 @@
   /** Returns the current inputs of the schedule that describe the fleet. */
   readonly fleet: () => Pick<
     PollInputs,
-    'isDiscovering' | 'instanceCount' | 'zoneRank' | 'maxPropagationMs' | 'pullingForMs'
+    | 'isDiscovering'
+    | 'instanceCount'
+    | 'reportIntervalMs'
+    | 'zoneRank'
+    | 'maxPropagationMs'
+    | 'pullingForMs'
   >
   /** Called after changes from the store itself, not from another entry instance. */
   readonly onStoreChanges: () => void
--- a/packages/scenario/src/capacity/cli.ts
+++ b/packages/scenario/src/capacity/cli.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { feedTrial } from './feedReport.js'
+import { restoreTrial } from './restoreReport.js'
 import { falseRemovals } from './falseRemovals.js'
 import { formatProcesses, processTrials } from './processReport.js'
 import type { ProcessTrial } from './processTrial.js'
@@ -117,6 +118,32 @@
         process.exitCode = trial.late === 0 ? 0 : 1
       },
     )
+    .command(
+      'restores',
+      'Calls and times after restores of the store from an older copy, in virtual time',
+      (args) =>
+        args
+          .option('zones', { type: 'number', default: 3 })
+          .option('wide', { type: 'number', default: 2, describe: 'Wide links a zone' })
+          .option('narrow', { type: 'number', default: 23 })
+          .option('routes', { type: 'number', default: 100 })
+          .option('max-propagation-ms', { type: 'number', default: 3_000 })
+          .option('copy-age-ms', { type: 'number', default: 4_000 })
+          .option('away-ms', { type: 'number', default: 800 })
+          .option('restores', { type: 'number', default: 1 })
+          .option('gap-ms', { type: 'number', default: 3_000 }),
+      async (args) => {
+        const trial = await restoreTrial({
+          ...args,
+          maxPropagationMs: args['max-propagation-ms'],
+          copyAgeMs: args['copy-age-ms'],
+          awayMs: args['away-ms'],
+          gapMs: args['gap-ms'],
+        })
+        process.stdout.write(`${JSON.stringify(trial)}\n`)
+        process.exitCode = trial.maxMs <= args['max-propagation-ms'] ? 0 : 1
+      },
+    )
     .command(
       'idle',
       'What real routers spend on each other while no caller comes',
--- a/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
+++ b/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
@@ -56,6 +56,31 @@
 }
 
 describe('a fleet of 75 instances, most on links of 10 Mbit/s', () => {
+  it('calls the store only from the first instance of each zone while nothing changes', async () => {
+    const fleet = createFleet(1)
+    await warmUp(fleet, SMALL_ROUTE_COUNT)
+    const callers = new Set<string>()
+    fleet.losesStoreCall = (node) => {
+      callers.add(node)
+      return false
+    }
+    await fleet.run(30_000)
+    assert.deepEqual([...callers].toSorted(), fleet.watchers.toSorted())
+  })
+
+  it('follows a restored store within the limit, with few calls', async () => {
+    const fleet = createFleet(1)
+    const contents = await warmUp(fleet, SMALL_ROUTE_COUNT)
+    const copy = fleet.store.copy()
+    fleet.putConfig(2, contents)
+    await fleet.run(MAX_PROPAGATION_MS)
+    fleet.restoreStore(copy)
+    const callsBefore = fleet.storeCalls
+    await fleet.run(MAX_PROPAGATION_MS)
+    assert.ok(Math.max(...fleet.noticeDelaysMs) <= MAX_PROPAGATION_MS)
+    assert.ok(fleet.storeCalls - callsBefore <= 30, `${fleet.storeCalls - callsBefore}`)
+  })
+
   it('applies a change to a small configuration within the limit', async () => {
     const fleet = createFleet(1)
     const contents = await warmUp(fleet, SMALL_ROUTE_COUNT)
--- a/packages/scenario/src/feedFleet/feedFleet.ts
+++ b/packages/scenario/src/feedFleet/feedFleet.ts
@@ -21,7 +21,12 @@
 } from '@wagtailway/gateway'
 import { VirtualWorld } from '../hunt/virtualWorld.js'
 import { VirtualLink, startTransfer } from './virtualLink.js'
-import { VirtualStore, type VirtualObject, type VirtualUpdate } from './virtualStore.js'
+import {
+  VirtualStore,
+  type VirtualObject,
+  type VirtualStoreCopy,
+  type VirtualUpdate,
+} from './virtualStore.js'
 
 /** Time without data after which a call has failed, in milliseconds, as in the gateway. */
 const CALL_TIMEOUT_MS = 600
@@ -82,8 +87,8 @@
   readonly world: VirtualWorld
   readonly store: VirtualStore
   readonly storeLink: VirtualLink
-  /** Number of calls to the store so far. */
-  storeCalls = 0
+  /** Times of all calls to the store so far, in milliseconds of virtual time. */
+  readonly storeCallTimesMs: number[] = []
   /**
    * Called for each call of an instance to the store; the call gets no response if it
    * returns true.
@@ -92,6 +97,9 @@
   readonly #nodes: FleetNode[] = []
   readonly #acceptedAtMs = new Map<number, number>()
   readonly #callsByNode = new Map<string, number>()
+  #restoredAtMs = 0
+  /** Time from the last restore until each instance noticed it, in milliseconds. */
+  readonly #noticeDelaysMs = new Map<string, number>()
 
   private constructor(private readonly opts: FeedFleetOptions) {
     this.world = VirtualWorld.create(opts.seed)
@@ -120,6 +128,27 @@
     this.store.put(OBJECT_NAME, { version, contents })
   }
 
+  /** Number of calls to the store so far. */
+  get storeCalls(): number {
+    return this.storeCallTimesMs.length
+  }
+
+  restoreStore(copy: VirtualStoreCopy): void {
+    this.#restoredAtMs = this.world.nowMs
+    this.#noticeDelaysMs.clear()
+    this.store.restore(copy)
+  }
+
+  /**
+   * Times from the last restore until each instance followed the restored store, in
+   * milliseconds; infinite if one doesn't yet.
+   */
+  get noticeDelaysMs(): number[] {
+    return this.#nodes.map(
+      ({ name }) => this.#noticeDelaysMs.get(name) ?? Number.POSITIVE_INFINITY,
+    )
+  }
+
   run(forMs: number): Promise<void> {
     return this.world.run(this.world.nowMs + forMs)
   }
@@ -165,6 +194,7 @@
       onList: recordVersions,
       onChanges: recordVersions,
       onRestored: ({ events }) => {
+        this.#noticeDelaysMs.set(name, world.nowMs - this.#restoredAtMs)
         recordVersions(events)
       },
       onStoreRecovered: () => undefined,
@@ -210,6 +240,7 @@
       fleet: () => ({
         isDiscovering: false,
         instanceCount: peers.aliveCount,
+        reportIntervalMs: reportIntervalMs(this.#nodes.length - 1),
         zoneRank: peers.zoneRank(),
         maxPropagationMs: opts.maxPropagationMs,
         pullingForMs: puller.pullingForMs('config'),
@@ -227,7 +258,7 @@
     waitMs: number,
     respond: () => Promise<Result<VirtualUpdate, StoreFailure>>,
   ): Promise<Result<StoreUpdate<VirtualObject>, StoreFailure>> {
-    this.storeCalls += 1
+    this.storeCallTimesMs.push(this.world.nowMs)
     const callNumber = (this.#callsByNode.get(node.name) ?? 0) + 1
     this.#callsByNode.set(node.name, callNumber)
     try {
--- a/packages/scenario/src/feedFleet/virtualStore.ts
+++ b/packages/scenario/src/feedFleet/virtualStore.ts
@@ -13,6 +13,12 @@
   readonly revision: number
 }
 
+/** Contents of the store at one moment, to restore it from. */
+export interface VirtualStoreCopy {
+  readonly objects: ReadonlyMap<string, VirtualObject>
+  readonly revision: number
+}
+
 /** What a call returns; how long its transfer took depends on the links. */
 export type VirtualUpdate = Omit<StoreUpdate<VirtualObject>, 'transferMs'>
 
@@ -26,8 +32,9 @@
 export class VirtualStore {
   #era = 1
   #revision = 1
-  readonly #objects = new Map<string, VirtualObject>()
-  readonly #history: StoredChange[] = []
+  #objects = new Map<string, VirtualObject>()
+  #history: StoredChange[] = []
+  #historyStartRevision = 0
   readonly #wakeups = new Set<() => void>()
 
   private constructor(private readonly world: VirtualWorld) {}
@@ -43,6 +50,27 @@
     for (const wake of [...this.#wakeups]) wake()
   }
 
+  get era(): number {
+    return this.#era
+  }
+
+  copy(): VirtualStoreCopy {
+    return { objects: new Map(this.#objects), revision: this.#revision }
+  }
+
+  /**
+   * Restores the store from an older copy; revisions since are given out again, and
+   * waiting watches fail.
+   */
+  restore({ objects, revision }: VirtualStoreCopy): void {
+    this.#objects = new Map(objects)
+    this.#revision = revision
+    this.#era += 1
+    this.#history = []
+    this.#historyStartRevision = revision
+    for (const wake of [...this.#wakeups]) wake()
+  }
+
   list(): VirtualUpdate {
     const events = [...this.#objects].map(([name, object]) => ({ name, object }))
     return { events, era: this.#era, revision: this.#revision }
@@ -50,13 +78,19 @@
 
   /** Resolves with all changes after a revision, at once or after `waitMs` at most. */
   watch(after: number, waitMs: number): Promise<Result<VirtualUpdate, StoreFailure>> {
-    if (after > this.#revision) {
-      return Promise.resolve(Err({ type: 'history_gone', detail: `after ${after}` }))
+    const historyGone = Err({ type: 'history_gone', detail: `after ${after}` } as const)
+    if (after < this.#historyStartRevision || after > this.#revision) {
+      return Promise.resolve(historyGone)
     }
+    const era = this.#era
     return new Promise((resolve) => {
       const respond = (): void => {
         this.#wakeups.delete(respond)
         cancelTimer()
+        if (era !== this.#era) {
+          resolve(historyGone)
+          return
+        }
         const events = this.#history.filter(({ revision }) => revision > after)
         resolve(Ok({ events, era: this.#era, revision: this.#revision }))
       }
