Soak restores the store from a copy and revokes keys

New faults: the store comes back from a copy 1.2 s old, and replicas and operator write again up to 0.6 s later; a configuration without the key that the one before added. New check: a revoked key is refused from 2 s after its revocation on, unless something else disturbed the gateways meanwhile. `--only` selects faults, because the bounds on following the store hold only where no other fault disturbs.

--- a/packages/scenario/src/soak/cli.ts
+++ b/packages/scenario/src/soak/cli.ts
@@ -3,6 +3,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { runSoak } from './runSoak.js'
+import { FAULT_NAMES } from './soakFaults.js'
 
 /**
  * Runs consecutive seeds one after the other and prints the verdict and findings of each.
@@ -25,13 +26,25 @@
       default: 8,
       describe: 'Duration of the faults, in seconds',
     })
+    .option('only', {
+      type: 'string',
+      array: true,
+      choices: FAULT_NAMES,
+      default: FAULT_NAMES,
+      describe: 'Names of the faults to inject',
+    })
     .option('log', { type: 'string', describe: 'File for the logs of a failed seed' })
     .strict()
     .parse()
   let failed = 0
   for (let seed = argv.seed; seed < argv.seed + argv.runs; seed += 1) {
     const faultsMs = argv.seconds * 1_000
-    const report = await runSoak({ seed, gateways: argv.gateways, faultsMs })
+    const report = await runSoak({
+      seed,
+      gateways: argv.gateways,
+      faultsMs,
+      faults: argv.only,
+    })
     const { findings, faults, calls, answered } = report
     const verdict = findings.length === 0 ? 'kept' : 'BROKEN'
     console.log(
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -10,8 +10,14 @@
 import { sendToFleet } from '../fleet/fleetClient.js'
 import { findFreePorts } from '../fleet/freePorts.js'
 import { waitUntil } from '../fleet/gatewayHarness.js'
-import { checkSoak, type DrainPeriod, type SoakCall } from './soakCheck.js'
-import { injectFault, type SoakContext } from './soakFaults.js'
+import {
+  checkSoak,
+  type DrainPeriod,
+  type KeyProbe,
+  type RevokedKey,
+  type SoakCall,
+} from './soakCheck.js'
+import { FAULT_NAMES, injectFault, type SoakContext } from './soakFaults.js'
 import { SoakGateway } from './soakGateway.js'
 
 export interface SoakOptions {
@@ -19,6 +25,12 @@
   readonly gateways: number
   /** Duration of the fault injection, in milliseconds. */
   readonly faultsMs: number
+  /**
+   * Names of the faults to inject.
+   *
+   * @default all
+   */
+  readonly faults?: readonly string[]
 }
 
 export interface SoakReport {
@@ -42,6 +54,12 @@
 /** Number of callers; each reuses its connection while its gateway runs. */
 const CALLER_COUNT = 8
 
+/** Pause between two requests with a revoked key, in milliseconds. */
+const PROBE_PAUSE_MS = 60
+
+/** Longest time from a restore until what was lost is written again, in milliseconds. */
+const MAX_REWRITE_DELAY_MS = 600
+
 /** Time without new faults before the final requests, in milliseconds. */
 const FINAL_PAUSE_MS = 4_000
 
@@ -63,9 +81,12 @@
     [...PLAIN_REPLICAS, ...MODEL_REPLICAS].map(createReplica),
   )
   const drainPeriods: DrainPeriod[] = []
+  const entries = new Map<string, unknown>()
   const writeEntry: SoakContext['writeEntry'] = (replica, state) => {
     const service = MODEL_REPLICAS.includes(replica.id) ? 'models' : 'plain'
-    store.put('servers', replica.id, replica.entry({ service, state }))
+    const entry = replica.entry({ service, state })
+    entries.set(replica.id, entry)
+    store.put('servers', replica.id, entry)
     const now = performance.now()
     const previous = drainPeriods.findLast((period) => period.replica === replica.id)
     if (previous) previous.untilMs = Math.min(previous.untilMs, now)
@@ -77,7 +98,27 @@
       })
     }
   }
-  store.put('config', 'main', fleetConfig({ version: 1 }))
+  const revokedKeys: RevokedKey[] = []
+  let configVersion = 0
+  const writeConfig = (): void => {
+    const keys = ['key-1', `key-of-${configVersion}`]
+    store.put('config', 'main', fleetConfig({ version: configVersion, keys }))
+  }
+  const changeConfig = (): void => {
+    revokedKeys.push({ key: `key-of-${configVersion}`, atMs: performance.now() })
+    configVersion += 1
+    writeConfig()
+  }
+  const restoreStore: SoakContext['restoreStore'] = (copy) => {
+    store.restore(copy)
+    setTimeout(writeConfig, MAX_REWRITE_DELAY_MS * random())
+    for (const { id } of replicas) {
+      setTimeout(() => {
+        store.put('servers', id, entries.get(id))
+      }, MAX_REWRITE_DELAY_MS * random())
+    }
+  }
+  changeConfig()
   for (const replica of replicas) writeEntry(replica, 'ready')
   const gateways = await startGateways(opts.gateways, store.port)
   let storeDisturbedUntilMs = 0
@@ -88,11 +129,14 @@
     gateways,
     replicas,
     writeEntry,
+    revokeKey: changeConfig,
+    restoreStore,
     markStoreDisturbed: (ms) => {
       storeDisturbedUntilMs = Math.max(storeDisturbedUntilMs, performance.now() + ms)
     },
   }
   const calls: SoakCall[] = []
+  const keyProbes: KeyProbe[] = []
   const faults: string[] = []
   const stop = { isRequested: false }
   try {
@@ -100,10 +144,11 @@
     const callers = Array.from({ length: CALLER_COUNT }, (_, i) =>
       runCaller(i, gateways, calls, stop),
     )
+    callers.push(probeRevokedKeys(gateways, revokedKeys, keyProbes, stop))
     const faultsEndMs = performance.now() + opts.faultsMs
     while (performance.now() < faultsEndMs) {
       await sleep(MEAN_FAULT_PAUSE_MS * (0.3 + 1.4 * random()))
-      faults.push(injectFault(context))
+      faults.push(injectFault(context, opts.faults ?? FAULT_NAMES))
       const latestUntilMs = Math.max(
         storeDisturbedUntilMs,
         ...gateways.map(({ disturbedUntilMs }) => disturbedUntilMs),
@@ -120,7 +165,7 @@
       !disturbances.some((d) => d.fromMs <= untilMs && d.untilMs >= fromMs)
     return {
       findings: [
-        ...checkSoak({ calls, runs, drainPeriods, isUndisturbed }),
+        ...checkSoak({ calls, runs, drainPeriods, keyProbes, isUndisturbed }),
         ...finalFindings,
       ],
       faults,
@@ -187,6 +232,30 @@
   agent.destroy()
 }
 
+/** Sends requests with the key that was revoked last, to one gateway after the other. */
+async function probeRevokedKeys(
+  gateways: readonly SoakGateway[],
+  revokedKeys: readonly RevokedKey[],
+  probes: KeyProbe[],
+  stop: { readonly isRequested: boolean },
+): Promise<void> {
+  for (let i = 0; !stop.isRequested; i += 1) {
+    const revoked = revokedKeys.at(-1)
+    const gateway = gateways[i % gateways.length]
+    if (!revoked || !gateway) break
+    const sentAtMs = performance.now()
+    const { status } = await sendToFleet({
+      server: gateway.opts.host,
+      port: gateway.opts.ports.callers,
+      path: `/plain/probe-${i}`,
+      headers: callerHeaders({ requestId: `probe-${i}`, key: revoked.key }),
+      timeoutMs: REQUEST_TIMEOUT_MS,
+    })
+    probes.push({ revoked, sentAtMs, status })
+    await sleep(PROBE_PAUSE_MS)
+  }
+}
+
 /** Checks that each gateway serves plain requests again after the faults. */
 async function checkServing(gateways: readonly SoakGateway[]): Promise<string[]> {
   const findings = await Promise.all(
--- a/packages/scenario/src/soak/soakCheck.ts
+++ b/packages/scenario/src/soak/soakCheck.ts
@@ -20,11 +20,26 @@
   untilMs: number
 }
 
+/** A key that a newer configuration lacks. */
+export interface RevokedKey {
+  readonly key: string
+  /** When that configuration was stored, in milliseconds of `performance.now()`. */
+  readonly atMs: number
+}
+
+/** A request with a revoked key. */
+export interface KeyProbe {
+  readonly revoked: RevokedKey
+  readonly sentAtMs: number
+  readonly status: number
+}
+
 export interface SoakRecord {
   readonly calls: readonly SoakCall[]
   /** Runs of each replica, by the replica's id. */
   readonly runs: ReadonlyMap<string, readonly ReplicaRun[]>
   readonly drainPeriods: readonly DrainPeriod[]
+  readonly keyProbes: readonly KeyProbe[]
   /**
    * Whether no fault disturbed the store or a gateway during a period. Only then do the
    * bounds on following the store apply.
@@ -40,6 +55,9 @@
  */
 const DRAIN_BOUND_MS = 2_000
 
+/** Time within which all gateways must refuse a revoked key, in milliseconds. */
+const REVOKE_BOUND_MS = 2_000
+
 /**
  * Checks the promised properties of a run; returns each violation.
  *
@@ -54,7 +72,7 @@
   const findings = record.calls.flatMap((call) =>
     checkCall(call, runCounts.get(call.id) ?? 0).map((text) => `${call.id}: ${text}`),
   )
-  return [...findings, ...checkDrains(record)]
+  return [...findings, ...checkDrains(record), ...checkRevokedKeys(record)]
 }
 
 function checkCall({ kind, path, response }: SoakCall, runs: number): string[] {
@@ -91,3 +109,14 @@
       .map(({ requestId }) => `${requestId}: reached ${replica} while it was draining`),
   )
 }
+
+function checkRevokedKeys({ keyProbes, isUndisturbed }: SoakRecord): string[] {
+  return keyProbes
+    .filter(({ status }) => status === 200)
+    .filter(({ revoked, sentAtMs }) => sentAtMs > revoked.atMs + REVOKE_BOUND_MS)
+    .filter(({ revoked, sentAtMs }) => isUndisturbed(revoked.atMs, sentAtMs))
+    .map(({ revoked, sentAtMs }) => {
+      const lateMs = Math.round(sentAtMs - revoked.atMs)
+      return `${revoked.key} was accepted ${lateMs} ms after it was revoked`
+    })
+}
--- a/packages/scenario/src/soak/soakFaults.ts
+++ b/packages/scenario/src/soak/soakFaults.ts
@@ -1,6 +1,11 @@
 /** Random faults of the soak; faults may overlap. */
 import type { Random } from '@wagtailway/core'
-import type { ReplicaBehaviour, ReplicaStandin, StoreStandin } from '@wagtailway/standins'
+import type {
+  ReplicaBehaviour,
+  ReplicaStandin,
+  StoreCopy,
+  StoreStandin,
+} from '@wagtailway/standins'
 import { PASS, type RelayState } from '../relay/index.js'
 import type { SoakGateway } from './soakGateway.js'
 
@@ -11,6 +16,13 @@
   readonly replicas: readonly ReplicaStandin[]
   /** Writes the replica's entry with a state to the store. */
   readonly writeEntry: (replica: ReplicaStandin, state: 'ready' | 'draining') => void
+  /** Stores a configuration without the key that the one before added. */
+  readonly revokeKey: () => void
+  /**
+   * Restores the store from a copy; the replicas and the operator write again a little
+   * later.
+   */
+  readonly restoreStore: (copy: StoreCopy) => void
   /** Marks the store as disturbed for the next `ms` milliseconds. */
   readonly markStoreDisturbed: (ms: number) => void
 }
@@ -124,6 +136,24 @@
       return undefined
     },
   },
+  {
+    name: 'store restored',
+    ms: 1_200,
+    inject: ({ store, restoreStore }) => {
+      const copy = store.copy()
+      return () => {
+        restoreStore(copy)
+      }
+    },
+  },
+  {
+    name: 'key revoked',
+    ms: 0,
+    inject: ({ revokeKey }) => {
+      revokeKey()
+      return undefined
+    },
+  },
   {
     name: 'answers of the store lost',
     ms: 0,
@@ -159,14 +189,18 @@
   },
 ]
 
+/** Names of all faults. */
+export const FAULT_NAMES: readonly string[] = FAULTS.map(({ name }) => name)
+
 /**
- * Injects a random fault and schedules its end; returns the name of the fault.
+ * Injects a random fault of those named and schedules its end; returns the name of the fault.
  *
  * @example
- * log.push(injectFault(context))
+ * log.push(injectFault(context, FAULT_NAMES))
  */
-export function injectFault(context: SoakContext): string {
-  const fault = selectRandom(context.random, FAULTS)
+export function injectFault(context: SoakContext, names: readonly string[]): string {
+  const eligible = FAULTS.filter(({ name }) => names.includes(name))
+  const fault = selectRandom(context.random, eligible)
   if (!fault) return 'none'
   const undo = fault.inject(context)
   if (undo) setTimeout(undo, fault.ms)
