Operators' commands tell the instances of a stored revision

Cause: the revision existed only in the platform. Instances that have not heard of a revision claim an outage and go on with the one before, as they should.

Change: `apply` and `withdraw` read the list of instances before they write, and after the platform's confirmation tell each listed instance the revision directly. It counts like the revision that a peer reports: who lacks it claims no outage and refuses once its proof is too old. With 40 % told there are never the 60 % of claims that going on takes.

--- a/packages/ctl/src/__tests__/commands.spec.ts
+++ b/packages/ctl/src/__tests__/commands.spec.ts
@@ -214,6 +214,39 @@
     assert.equal((await configInForce(store)).withdrawals.length, 1)
   })
 
+  it('announces the revision after the platform has confirmed it', async () => {
+    const store = await createSeededStore()
+    const before = (await store.get('config', CONFIG_OBJECT)).unwrap()?.revision ?? 0
+    const announced: number[] = []
+    const report = await withdraw(store, bad, {
+      prepareAnnouncement: () =>
+        Promise.resolve((revision) => {
+          announced.push(revision)
+          return Promise.resolve({ told: 3, listed: 4 })
+        }),
+    })
+    assert.match(report.lines.join('\n'), /told 3 of 4 entry instances/)
+    assert.deepEqual(announced, [report.data['revision']])
+    assert.ok(announced.every((revision) => revision > before))
+  })
+
+  it('announces nothing that the platform has not confirmed', async () => {
+    let isDown = false
+    const store = await createSeededStore(() => (isDown ? 'lost' : 'none'))
+    const announced: number[] = []
+    const report = await withdraw(store, bad, {
+      prepareAnnouncement: () => {
+        isDown = true
+        return Promise.resolve((revision) => {
+          announced.push(revision)
+          return Promise.resolve({ told: 0, listed: 0 })
+        })
+      },
+    })
+    assert.equal(report.code, EXIT.unavailable)
+    assert.deepEqual(announced, [])
+  })
+
   it('is not undone by a file that lacks it', async () => {
     const store = await createSeededStore()
     await withdraw(store, bad)
--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -5,6 +5,7 @@
 import { monotonicClock } from '@wagtailway/core'
 import { PlatformClient } from '@wagtailway/platform'
 import { awaitAcceptance, createHolderCounter } from './commands/acceptance.js'
+import { createAnnouncements } from './commands/announce.js'
 import { applyFiles } from './commands/apply.js'
 import { check } from './commands/check.js'
 import { explain } from './commands/explain.js'
@@ -95,7 +96,11 @@
           ...(changeId !== undefined && { changeId }),
         }
         await withClient(args, async (client) => {
-          const report = await applyFiles(client, args.files, opts)
+          const prepareAnnouncement = createAnnouncements(client)
+          const report = await applyFiles(client, args.files, {
+            ...opts,
+            prepareAnnouncement,
+          })
           return waitForAcceptance(client, report, args.waitMs)
         })
       },
@@ -140,7 +145,8 @@
       async ({ model, modelVersion, reason, ...args }) => {
         const withdrawal = { model, version: modelVersion, reason }
         await withClient(args, async (client) => {
-          const report = await withdraw(client, withdrawal)
+          const prepareAnnouncement = createAnnouncements(client)
+          const report = await withdraw(client, withdrawal, { prepareAnnouncement })
           return waitForAcceptance(client, report, args.waitMs)
         })
       },
--- a/packages/ctl/src/commands/acceptance.ts
+++ b/packages/ctl/src/commands/acceptance.ts
@@ -6,7 +6,7 @@
 import { ACCEPTED_SHARE, type Clock } from '@wagtailway/core'
 import type { PlatformClient } from '@wagtailway/platform'
 import { z } from 'zod'
-import { queryEntryInstances } from '../entryInstances.js'
+import { callEntryInstances } from '../entryInstances.js'
 import { EXIT } from '../exitCodes.js'
 import type { Report } from '../report.js'
 
@@ -58,7 +58,7 @@
   return async (revision) => {
     const instances = await client.instances()
     if (instances.err) return undefined
-    const responses = await queryEntryInstances(instances.val, '/operator/status')
+    const responses = await callEntryInstances(instances.val, 'GET', '/operator/status')
     const held = responses.filter(({ res }) => {
       const status = statusSchema.safeParse(res?.body)
       return status.success && status.data.revision >= revision
--- a/packages/ctl/src/commands/apply.ts
+++ b/packages/ctl/src/commands/apply.ts
@@ -11,6 +11,7 @@
 import { EXIT, type ExitCode } from '../exitCodes.js'
 import { readDocuments } from '../readDocuments.js'
 import { unavailableReport, type Report } from '../report.js'
+import { announceRevision, type PrepareAnnouncement } from './announce.js'
 import {
   describeError,
   describeMoves,
@@ -28,6 +29,8 @@
   readonly base?: number
   /** Id of this change; to retry a command, pass the id that it printed. */
   readonly changeId?: string
+  /** Tells the entry instances of the change once it is stored. */
+  readonly prepareAnnouncement?: PrepareAnnouncement
   /** Stores documents even if they have errors; their withdrawals come into force nevertheless. */
   readonly acceptErrors?: boolean
 }
@@ -74,9 +77,11 @@
   const refusal = refusePlan(plan, opts)
   if (refusal) return refusal
   const changeId = opts.changeId ?? randomUUID()
+  const announce = await opts.prepareAnnouncement?.()
   const failure = await storeAll(store, documents, plan, changeId)
   if (failure) return failure
-  return publishAll(store, plan, changeId)
+  const report = await publishAll(store, plan, changeId)
+  return announce ? announceRevision(report, announce) : report
 }
 
 function refusePlan(plan: OwnersPlan, opts: ApplyOptions): Report | undefined {
--- a/packages/ctl/src/commands/explain.ts
+++ b/packages/ctl/src/commands/explain.ts
@@ -1,7 +1,7 @@
 /** `wagtailwayctl explain`: shows how a request was routed and why. */
 import type { PlatformClient } from '@wagtailway/platform'
 import { z } from 'zod'
-import { queryEntryInstances } from '../entryInstances.js'
+import { callEntryInstances } from '../entryInstances.js'
 import { EXIT } from '../exitCodes.js'
 import { unavailableReport, type Report } from '../report.js'
 
@@ -29,7 +29,7 @@
   const instances = await client.instances()
   if (instances.err) return unavailableReport('not explained', instances.val.message)
   const path = `/operator/decisions/${encodeURIComponent(requestId)}`
-  const responses = await queryEntryInstances(instances.val, path)
+  const responses = await callEntryInstances(instances.val, 'GET', path)
   for (const { res } of responses) {
     const decision = decisionSchema.safeParse(res?.body)
     if (res?.status === HTTP_OK && decision.success)
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -2,7 +2,7 @@
 import { CONFIG_OBJECT, ownerStatusSchema, type OwnerStatus } from '@wagtailway/core'
 import type { PlatformClient } from '@wagtailway/platform'
 import { z } from 'zod'
-import { queryEntryInstances, type InstanceResponse } from '../entryInstances.js'
+import { callEntryInstances, type InstanceResponse } from '../entryInstances.js'
 import { EXIT } from '../exitCodes.js'
 import { unavailableReport, type Report } from '../report.js'
 
@@ -35,7 +35,7 @@
   const owners = listed.val.objects.flatMap(
     ({ value }) => ownerStatusSchema.safeParse(value).data ?? [],
   )
-  const responses = await queryEntryInstances(instances.val, '/operator/status')
+  const responses = await callEntryInstances(instances.val, 'GET', '/operator/status')
   const states = responses.map((response) => stateOf(response, revision))
   const missing = states.filter(({ state }) => state !== 'in_force')
   return {
--- a/packages/ctl/src/commands/withdraw.ts
+++ b/packages/ctl/src/commands/withdraw.ts
@@ -10,7 +10,7 @@
 } from '@wagtailway/core'
 import { EXIT } from '../exitCodes.js'
 import { unavailableReport, type Report } from '../report.js'
-import { applyDocuments } from './apply.js'
+import { applyDocuments, type ApplyOptions } from './apply.js'
 import { describeError } from './plan.js'
 
 /** Maximum number of attempts while other changes of the same owner interfere. */
@@ -25,6 +25,7 @@
 export async function withdraw(
   store: ObjectStore,
   withdrawal: WithdrawalDeclaration,
+  opts: Pick<ApplyOptions, 'prepareAnnouncement'> = {},
 ): Promise<Report> {
   const changeId = randomUUID()
   let report = unavailableReport('not withdrawn', 'no attempt was made')
@@ -34,6 +35,7 @@
     const changed = addWithdrawal(state.val, withdrawal)
     if (!changed) return unknownVersion(state.val, withdrawal)
     report = await applyDocuments(store, [changed], {
+      ...opts,
       changeId,
       acceptMoves: true,
       acceptErrors: true,
--- a/packages/ctl/src/entryInstances.ts
+++ b/packages/ctl/src/entryInstances.ts
@@ -1,7 +1,7 @@
-/** Queries entry instances over their operator interface. */
+/** Calls entry instances over their operator interface. */
 import { requestJson, type Instance, type JsonResponse } from '@wagtailway/platform'
 
-/** Number of entry instances queried at the same time. */
+/** Number of entry instances called at the same time. */
 const CONCURRENCY = 32
 
 /** Maximum wait for the response of one entry instance, in milliseconds. */
@@ -14,13 +14,14 @@
 }
 
 /**
- * Sends a GET request to every entry instance of the list, in batches.
+ * Sends a request to every entry instance of the list, in batches.
  *
  * @example
- * const responses = await queryEntryInstances(instances, '/operator/status')
+ * const responses = await callEntryInstances(instances, 'GET', '/operator/status')
  */
-export async function queryEntryInstances(
+export async function callEntryInstances(
   instances: readonly Instance[],
+  method: 'GET' | 'POST',
   path: string,
 ): Promise<InstanceResponse[]> {
   const entries = instances.filter(({ role }) => role === 'entry')
@@ -28,19 +29,22 @@
   for (let i = 0; i < entries.length; i += CONCURRENCY) {
     const batch = entries.slice(i, i + CONCURRENCY)
     responses.push(
-      ...(await Promise.all(batch.map((instance) => queryInstance(instance, path)))),
+      ...(await Promise.all(
+        batch.map((instance) => callInstance(instance, method, path)),
+      )),
     )
   }
   return responses
 }
 
-async function queryInstance(
+async function callInstance(
   instance: Instance,
+  method: 'GET' | 'POST',
   path: string,
 ): Promise<InstanceResponse> {
   const url = `http://${instance.address}${path}`
   try {
-    const res = await requestJson({ method: 'GET', url, timeoutMs: TIMEOUT_MS })
+    const res = await requestJson({ method, url, timeoutMs: TIMEOUT_MS })
     return { instance, res }
   } catch {
     return { instance, res: undefined }
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,5 +1,6 @@
 /** The operators' command line as a library. */
 export { run } from './cli.js'
+export * from './commands/announce.js'
 export * from './commands/apply.js'
 export * from './commands/check.js'
 export * from './commands/explain.js'
--- a/packages/router/src/operators/operatorRoutes.ts
+++ b/packages/router/src/operators/operatorRoutes.ts
@@ -6,6 +6,8 @@
 import { sendJson } from '../http/sendResponse.js'
 import type { RouterNode } from '../routerNode.js'
 
+const KNOWN_REVISION_PATH = '/operator/known-revision'
+
 const DECISION_PATH = /^\/operator\/decisions\/([0-9a-f-]{1,64})$/
 
 /**
@@ -28,9 +30,15 @@
   }
 
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
-    const path = (req.url ?? '/').split('?')[0] ?? '/'
+    const [path = '/', query] = (req.url ?? '/').split('?')
     const decision = DECISION_PATH.exec(path)
     if (!this.#node) sendError(res, 503, 'the instance is starting')
+    else if (req.method === 'POST' && path === KNOWN_REVISION_PATH)
+      recordKnownRevision(
+        res,
+        this.#node,
+        Number(new URLSearchParams(query).get('revision')),
+      )
     else if (req.method !== 'GET') sendError(res, 405, 'use GET')
     else if (decision) sendDecision(res, this.#node, decision[1] ?? '')
     else if (path === '/operator/status') sendJson(res, 200, statusOf(this.#node))
@@ -49,6 +57,22 @@
   }
 }
 
+/** Records that a revision exists, as reported by the operator who stored it. */
+function recordKnownRevision(
+  res: ServerResponse,
+  { config, log }: RouterNode,
+  revision: number,
+): void {
+  if (!Number.isSafeInteger(revision) || revision <= 0) {
+    sendError(res, 400, 'revision must be a positive integer')
+    return
+  }
+  const { revision: ownRevision } = config
+  config.recordKnownRevision(revision)
+  log.info('revision announced by an operator', { revision, ownRevision })
+  sendJson(res, 200, { revision: ownRevision })
+}
+
 function sendDecision(res: ServerResponse, node: RouterNode, requestId: string): void {
   const decision = node.decisions.find(requestId)
   if (decision) sendJson(res, 200, decision)
--- a/packages/scenario/src/load/__tests__/operators.spec.ts
+++ b/packages/scenario/src/load/__tests__/operators.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
-import { EXIT, explain, status, withdraw } from '@wagtailway/ctl'
+import { EXIT, createAnnouncements, explain, status, withdraw } from '@wagtailway/ctl'
 import { PlatformClient } from '@wagtailway/platform'
 import { DEMO_DEPLOYMENTS } from '../../demo/deployments.js'
 import { Deployment, RELAXED_TARGETS } from '../../harness/deployment.js'
@@ -72,13 +72,23 @@
     }
   })
 
+  it('can announce no revision that is not a positive integer', async () => {
+    const instances = await client.instances()
+    const address = instances.unwrap().find(({ role }) => role === 'entry')?.address ?? ''
+    for (const revision of ['', '0', '-1', '1.5', 'new']) {
+      const url = `http://${address}/operator/known-revision?revision=${revision}`
+      assert.equal((await fetch(url, { method: 'POST' })).status, 400, revision)
+    }
+  })
+
   it('withdraw a version, and see which instances do not respond', async () => {
-    const report = await withdraw(client, {
-      model: 'summariser',
-      version: 'small',
-      reason: 'ranks a household twice',
-    })
+    const report = await withdraw(
+      client,
+      { model: 'summariser', version: 'small', reason: 'ranks a household twice' },
+      { prepareAnnouncement: createAnnouncements(client) },
+    )
     assert.equal(report.code, EXIT.ok, report.lines.join('\n'))
+    assert.match(report.lines.join('\n'), /told 2 of 2 entry instances/)
     let refusal = ''
     while (refusal === '') {
       refusal = (await sendRequest()).refusal
--- a/packages/scenario/src/scenario/checkReferences.ts
+++ b/packages/scenario/src/scenario/checkReferences.ts
@@ -46,13 +46,18 @@
   if (action === undefined || actions.length > 1) {
     return [{ path, message: 'a fault has exactly one action' }]
   }
-  const triggers = [fault.at, fault.afterAnswers, fault.afterStarts].filter(
-    (trigger) => trigger !== undefined,
-  )
+  const triggers = [
+    fault.at,
+    fault.afterAnswers,
+    fault.afterStarts,
+    fault.afterChanges,
+  ].filter((trigger) => trigger !== undefined)
   return [
     ...(triggers.length === 1
       ? []
-      : [{ path, message: 'give one of at, afterAnswers and afterStarts' }]),
+      : [
+          { path, message: 'give one of at, afterAnswers, afterStarts and afterChanges' },
+        ]),
     ...(fault.for !== undefined && !UNDOABLE_ACTIONS.includes(action)
       ? [{ path: [...path, 'for'], message: `${action} can't be undone` }]
       : []),
--- a/packages/scenario/src/scenario/faults.ts
+++ b/packages/scenario/src/scenario/faults.ts
@@ -42,6 +42,8 @@
   if (fault.afterAnswers !== undefined)
     await log.waitForCount('answers', fault.afterAnswers)
   if (fault.afterStarts !== undefined) await log.waitForCount('starts', fault.afterStarts)
+  if (fault.afterChanges !== undefined)
+    await log.waitForCount('changes', fault.afterChanges)
 }
 
 const INJECTORS: Readonly<Record<Action, Injector>> = {
--- a/packages/scenario/src/scenario/operators.ts
+++ b/packages/scenario/src/scenario/operators.ts
@@ -7,7 +7,7 @@
   documentSchema,
   type DeclarationDocument,
 } from '@wagtailway/core'
-import { apply } from '@wagtailway/ctl'
+import { apply, createAnnouncements } from '@wagtailway/ctl'
 import { PlatformClient } from '@wagtailway/platform'
 import { stringify } from 'yaml'
 import type { Deployment } from '../harness/deployment.js'
@@ -26,7 +26,7 @@
   await Promise.all(
     documents.map(async (document) => {
       const { owner } = documentSchema.parse(document)
-      const code = await applyDocument(deployment.platformUrl, document)
+      const code = await applyDocument(deployment.platformUrl, log, document)
       log.changes.push({ owner, document, accepted: code === 0 })
     }),
   )
@@ -62,13 +62,26 @@
 }
 
 /** Runs `wagtailwayctl apply` on one document; resolves to its exit code. */
-async function applyDocument(platformUrl: string, document: unknown): Promise<number> {
+async function applyDocument(
+  platformUrl: string,
+  log: RunLog,
+  document: unknown,
+): Promise<number> {
   const folder = await mkdtemp(join(tmpdir(), 'wagtailway-scenario-'))
   const client = PlatformClient.create({ url: platformUrl })
   try {
     const file = join(folder, 'document.yaml')
     await writeFile(file, stringify(document))
-    return await apply(client, [file], () => undefined, { acceptMoves: true })
+    return await apply(client, [file], () => undefined, {
+      acceptMoves: true,
+      prepareAnnouncement: async () => {
+        const announce = await createAnnouncements(client)()
+        return (revision) => {
+          log.addStoredChange()
+          return announce(revision)
+        }
+      },
+    })
   } finally {
     client.close()
     await rm(folder, { recursive: true })
--- a/packages/scenario/src/scenario/runLog.ts
+++ b/packages/scenario/src/scenario/runLog.ts
@@ -12,7 +12,7 @@
 } from '../check/evidence.js'
 
 /** Counters that a fault can wait for. */
-export type Milestone = 'answers' | 'starts'
+export type Milestone = 'answers' | 'starts' | 'changes'
 
 /**
  * Evidence collected so far; callers can wait until a counter reaches a value.
@@ -37,6 +37,7 @@
   #startMs = Date.now()
   #answers = 0
   #starts = 0
+  #storedChanges = 0
 
   static create(): RunLog {
     return new RunLog()
@@ -67,6 +68,12 @@
     this.#wake()
   }
 
+  /** Records that the platform has confirmed a change of an operator. */
+  addStoredChange(): void {
+    this.#storedChanges += 1
+    this.#wake()
+  }
+
   /** Resolves once the milestone's counter has reached `count`. */
   waitForCount(milestone: Milestone, count: number): Promise<void> {
     return new Promise((wake) => {
@@ -80,7 +87,11 @@
   }
 
   #wake(): void {
-    const counts = { answers: this.#answers, starts: this.#starts }
+    const counts = {
+      answers: this.#answers,
+      starts: this.#starts,
+      changes: this.#storedChanges,
+    }
     for (const waiter of this.#waiters) {
       if (counts[waiter.milestone] >= waiter.count) waiter.wake()
     }
--- a/packages/scenario/src/scenario/schema.ts
+++ b/packages/scenario/src/scenario/schema.ts
@@ -157,6 +157,8 @@
   afterAnswers: z.number().int().positive().optional(),
   /** Fires once this many runs have started at backend servers. */
   afterStarts: z.number().int().positive().optional(),
+  /** Number of operators' changes that the platform has confirmed. */
+  afterChanges: z.number().int().positive().optional(),
   /** Duration after which the fault is undone. */
   for: durationSchema.optional(),
   ...actionShape,
