Lists after a lost history are read at once again

An instance that polls only when its state is stale loses the history at each of these polls, so its pauses grew to 0.8 s, on top of the 2.25 s after which it polls: past the bound of 3 s.

Change: the pause comes after the list, before the next watch, and after the others have been told of the change. A list of a newer era tells them at once, too, although its revision is lower.

--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -117,6 +117,19 @@
     assert.equal(calls[1]?.type, 'list')
     assert.ok(calls[1].atMs >= 1_500 && calls[1].atMs <= 2_000, `${calls[1].atMs} ms`)
   })
+
+  it('reads the list at once each time the store has lost its history', async () => {
+    const calls = await follow({
+      forMs: 30_000,
+      instanceCount: LARGE_FLEET,
+      respond: ({ type }, index) => (type === 'list' ? update(10 + index) : HISTORY_GONE),
+    })
+    const lists = calls.flatMap(({ type, atMs }, i) =>
+      type === 'list' && i > 0 ? [atMs - (calls[i - 1]?.atMs ?? 0)] : [],
+    )
+    assert.ok(lists.length >= 10)
+    assert.ok(Math.max(...lists) <= 2 * CALL_MS, lists.join(' '))
+  })
 })
 
 describe('FeedFollower of an instance that watches', () => {
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -111,9 +111,7 @@
       this.#needsList ||= !feed.hasList || poll.reason === 'pull_failed'
       if (this.#needsList) await this.#list(poll.reason)
       else await this.#watch(poll.waitMs)
-      // The first list after a lost history is read at once.
-      const attempts = Math.max(this.#failures, this.#lostHistories - 1)
-      if (attempts > 0) await this.#backOff(attempts)
+      if (this.#failures > 0) await this.#backOff(this.#failures)
     }
   }
 
@@ -127,10 +125,14 @@
     }
     this.#recordSuccess()
     this.#needsList = false
+    const { era } = feed
     const { changedAt } = feed.mark
     const isApplied = feed.applyList(listed.val.events, listed.val, sentAtMs, 'store')
-    if (!isApplied) await this.opts.sleep(OLD_LIST_PAUSE_MS)
-    if (reason === 'watch' && feed.mark.changedAt > changedAt) onStoreChanges()
+    const isChanged = feed.era > era || feed.mark.changedAt > changedAt
+    if (reason === 'watch' && isChanged) onStoreChanges()
+    // Pauses only after a list: until one has been read, the state is not confirmed.
+    if (this.#lostHistories > 1) await this.#backOff(this.#lostHistories - 1)
+    else if (!isApplied) await this.opts.sleep(OLD_LIST_PAUSE_MS)
   }
 
   async #watch(waitMs: number): Promise<void> {
