--- a/packages/gateway/src/feed/pollSchedule.ts
+++ b/packages/gateway/src/feed/pollSchedule.ts
@@ -19,15 +19,9 @@
 
 /**
  * Longest wait of a watch in a large fleet, as a share of `maxPropagationMs`. A watch that
- * completes confirms the state as of its start, with or without changes.
+ * completes confirms the state, with or without changes.
  */
-const MAX_WATCH_RATIO = 0.33
-
-/** Shortest wait of such a watch, as a share of `maxPropagationMs`. */
-const MIN_WATCH_RATIO = 0.1
-
-/** Time for the calls and datagrams that pass a confirmation on, in milliseconds. */
-const TRANSIT_MS = 100
+const WATCH_RATIO = 0.33
 
 /**
  * Time without a confirmation after which an instance polls the store itself, as a share
@@ -72,8 +66,6 @@
   readonly isDiscovering: boolean
   /** Number of live entry instances, including this one. */
   readonly instanceCount: number
-  /** Interval between two reports of an instance to those of its zone, in milliseconds. */
-  readonly reportIntervalMs: number
   /** Rank among the live instances of the own zone, starting at zero. */
   readonly zoneRank: number
   /** Whether a complete list has been received. */
@@ -116,9 +108,8 @@
   if (!inputs.isDiscovering && instanceCount <= SMALL_FLEET_SIZE) {
     return { reason: 'watch', waitMs: SMALL_FLEET_WATCH_MS }
   }
-  if (!inputs.isDiscovering && zoneRank === 0) {
-    return { reason: 'watch', waitMs: watchWaitMs(inputs) }
-  }
+  const waitMs = Math.round(inputs.maxPropagationMs * WATCH_RATIO)
+  if (!inputs.isDiscovering && zoneRank === 0) return { reason: 'watch', waitMs }
   const rankDelayMs = Math.min(MAX_RANK_DELAY_MS, zoneRank * RANK_DELAY_MS)
   const isDue =
     inputs.pullingForMs === undefined
@@ -134,14 +125,3 @@
     waitMs: 0,
   }
 }
-
-/**
- * Wait of a watch from which the confirmations reach the other instances of the zone before
- * they count as stale: at most two waits and a report interval after the start of the watch.
- */
-function watchWaitMs({ maxPropagationMs, reportIntervalMs }: PollInputs): number {
-  const waitMs = (maxPropagationMs * STALE_RATIO - reportIntervalMs - TRANSIT_MS) / 2
-  const minMs = maxPropagationMs * MIN_WATCH_RATIO
-  const maxMs = maxPropagationMs * MAX_WATCH_RATIO
-  return Math.round(Math.min(maxMs, Math.max(minMs, waitMs)))
-}
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -47,12 +47,7 @@
   /** Returns the current inputs of the schedule that describe the fleet. */
   readonly fleet: () => Pick<
     PollInputs,
-    | 'isDiscovering'
-    | 'instanceCount'
-    | 'reportIntervalMs'
-    | 'zoneRank'
-    | 'maxPropagationMs'
-    | 'pullingForMs'
+    'isDiscovering' | 'instanceCount' | 'zoneRank' | 'maxPropagationMs' | 'pullingForMs'
   >
   /** Called after changes from the store itself, not from another entry instance. */
   readonly onStoreChanges: () => void
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -11,7 +11,6 @@
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
-import { reportIntervalMs } from '../peers/reportSchedule.js'
 import { ROLLOUT_POLL_MS, RolloutController } from '../rollout/rolloutController.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
 import { createNode } from './createNode.js'
@@ -143,7 +142,6 @@
       sleep,
       fleet: () => ({
         instanceCount: peers.aliveCount,
-        reportIntervalMs: reportIntervalMs(peers.addresses().length),
         zoneRank: peers.zoneRank(),
         isDiscovering: clock() - startedAtMs < DISCOVERY_MS,
         maxPropagationMs: settings.maxPropagationMs,
