Positions are compared by one function, servers removed by one

Read after the change: the order of (era, revision) stood in FeedState and again in FeedPuller, the removal of a server with its memory twice in ServerTable, and three tests of the follower differed only in the store's responses. One piece each now; the assertions and their bounds are the same.

--- a/packages/gateway/src/feed/feedPuller.ts
+++ b/packages/gateway/src/feed/feedPuller.ts
@@ -1,6 +1,12 @@
 /** Decides from which entry instance an update is pulled, and when. */
 import type { Clock, Random } from '@wagtailway/core'
-import type { FeedMark, FeedState, FeedUpdate, StorePosition } from './feedState.js'
+import {
+  isBefore,
+  type FeedMark,
+  type FeedState,
+  type FeedUpdate,
+  type StorePosition,
+} from './feedState.js'
 
 /**
  * Time for which an instance of the own zone is waited for before an update is pulled
@@ -151,7 +157,7 @@
   #nextSource({ feed, sources }: PulledFeed): Source | undefined {
     const { clock, random, zone } = this.opts
     for (const [host, { changedAt }] of sources) {
-      if (hasReached(feed, changedAt)) sources.delete(host)
+      if (feed.hasList && !isBefore(feed.position, changedAt)) sources.delete(host)
     }
     const all = [...sources.values()]
     const nowMs = clock()
@@ -193,11 +199,3 @@
     }
   }
 }
-
-function hasReached(
-  { hasList, era, asOf }: FeedState<unknown>,
-  position: StorePosition,
-): boolean {
-  if (!hasList) return false
-  return position.era === era ? position.revision <= asOf : position.era < era
-}
--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -188,8 +188,8 @@
     sentAtMs: number,
     source: FeedSource,
   ): boolean {
+    if (isBefore(position, this.position)) return false
     const { era, revision } = position
-    if (era < this.#era || (era === this.#era && revision < this.#asOf)) return false
     if (!this.hasList) {
       this.#confirm(sentAtMs)
       this.#startHistory(events, position)
@@ -338,3 +338,13 @@
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, newConfirmedAtMs)
   }
 }
+
+/**
+ * Whether a position precedes another one.
+ *
+ * @example
+ * isBefore({ era: 1, revision: 530 }, { era: 2, revision: 12 }) // true
+ */
+export function isBefore(a: StorePosition, b: StorePosition): boolean {
+  return a.era === b.era ? a.revision < b.revision : a.era < b.era
+}
--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -21,13 +21,15 @@
 
 const UNAVAILABLE: Response = Err({ type: 'unavailable', detail: 'no data' })
 
-/** Runs a follower for some seconds in virtual time and returns its calls. */
-async function follow(opts: {
+interface FollowOptions {
   readonly forMs: number
   readonly instanceCount: number
   readonly pullingForMs?: (nowMs: number) => number | undefined
   readonly respond: (call: Call, index: number) => Response
-}): Promise<Call[]> {
+}
+
+/** Runs a follower for some seconds in virtual time and returns its calls. */
+async function follow(opts: FollowOptions): Promise<Call[]> {
   const clock = VirtualClock.create()
   const feed = createTestFeed<number>(clock.now)
   const calls: Call[] = []
@@ -166,31 +168,25 @@
     )
   })
 
-  it('pauses between calls to a store with lower revisions and without its history', async () => {
-    const calls = await follow({
-      forMs: 10_000,
-      instanceCount: SMALL_FLEET,
+  const unusable: readonly { store: string; respond: FollowOptions['respond'] }[] = [
+    {
+      store: 'with lower revisions and without its history',
       respond: ({ type }, index) =>
         index === 0 ? update(10) : type === 'list' ? update(5) : HISTORY_GONE,
-    })
-    assert.ok(calls.length < 60, `${calls.length} calls`)
-  })
-
-  it('pauses between calls to a store that keeps no history', async () => {
-    const calls = await follow({
-      forMs: 10_000,
-      instanceCount: SMALL_FLEET,
+    },
+    {
+      store: 'that keeps no history',
       respond: ({ type }, index) => (type === 'list' ? update(10 + index) : HISTORY_GONE),
-    })
-    assert.ok(calls.length < 60, `${calls.length} calls`)
-  })
-
-  it('pauses between calls to a store whose responses differ in the era', async () => {
-    const calls = await follow({
-      forMs: 10_000,
-      instanceCount: SMALL_FLEET,
+    },
+    {
+      store: 'whose responses differ in the era',
       respond: ({ type }, index) => update(10 + index, 1, type === 'list' ? 1 : 2),
+    },
+  ]
+  for (const { store, respond } of unusable) {
+    it(`pauses between calls to a store ${store}`, async () => {
+      const calls = await follow({ forMs: 10_000, instanceCount: SMALL_FLEET, respond })
+      assert.ok(calls.length < 60, `${calls.length} calls`)
     })
-    assert.ok(calls.length < 60, `${calls.length} calls`)
-  })
+  }
 })
--- a/packages/gateway/src/servers/serverTable.ts
+++ b/packages/gateway/src/servers/serverTable.ts
@@ -116,11 +116,9 @@
   ready(service: string, version?: string): BackendServer[] {
     const nowMs = this.clock()
     const matching: BackendServer[] = []
-    for (const [id, { server, usableFromMs = 0, usableUntilMs }] of this.#known) {
+    for (const { server, usableFromMs = 0, usableUntilMs } of this.#known.values()) {
       if (usableUntilMs !== undefined && nowMs >= usableUntilMs) {
-        this.#known.delete(id)
-        this.#rememberRemoved(server)
-        this.onRemoved(server)
+        this.#forget(server)
         continue
       }
       if (server.service !== service || server.isDraining) continue
@@ -156,12 +154,14 @@
       this.#known.set(id, { ...known, usableUntilMs: this.#graceUntilMs })
       return
     }
-    this.#known.delete(id)
-    this.#rememberRemoved(known.server)
-    this.onRemoved(known.server)
+    this.#forget(known.server)
   }
 
-  #rememberRemoved({ id, startedAtMs }: BackendServer): void {
+  /** Removes a server and remembers its entry for a while. */
+  #forget(server: BackendServer): void {
+    const { id, startedAtMs } = server
+    this.#known.delete(id)
+    this.onRemoved(server)
     const removedAtMs = this.clock()
     this.#removed.delete(id)
     this.#removed.set(id, { startedAtMs, removedAtMs })
