--- a/packages/gateway/src/rollout/rolloutController.ts
+++ b/packages/gateway/src/rollout/rolloutController.ts
@@ -4,10 +4,14 @@
 import type { Log } from '../observe/log.js'
 import type { LoadTable } from '../placement/serverLoad.js'
 import type { ServerTable } from '../servers/serverTable.js'
-import { judgeVersion } from './judgeVersion.js'
+import { judgeVersion, type VersionVerdict } from './judgeVersion.js'
 import { planRollout, type RolloutStep } from './planRollout.js'
 import type { KnownRollout, Rollout, RolloutTable } from './rolloutTable.js'
-import type { ServerEvidence } from './serverEvidence.js'
+import {
+  NO_RESPONSES,
+  type ResponseCounts,
+  type ServerEvidence,
+} from './serverEvidence.js'
 
 /** Interval between two checks of the running rollouts, in milliseconds. */
 export const ROLLOUT_POLL_MS = 250
@@ -44,6 +48,8 @@
 export class RolloutController {
   /** When the current step of each service became due, on the monotonic clock. */
   readonly #dueSinceMs = new Map<string, number>()
+  /** The last logged judgement of each service, as verdict and step. */
+  readonly #lastJudged = new Map<string, string>()
   #isAdvancing = false
 
   private constructor(private readonly opts: RolloutControllerOptions) {}
@@ -88,14 +94,19 @@
     const { service, target } = rollout
     const { before, after, counts } = this.#serversByVersion(rollout)
     const wasWithdrawn = rollouts.isWithdrawn(service, target)
+    const verdict = wasWithdrawn ? 'bad' : judgeVersion(counts(before), counts(after))
     const step = planRollout({
       elapsedMs: this.elapsedMs(rollout),
       durationMs: rollout.durationMs,
       share: rollout.share,
       exposureShare,
-      verdict: wasWithdrawn ? 'bad' : judgeVersion(counts(before), counts(after)),
+      verdict,
       runningOnOldVersion: this.#runningRequests(before),
     })
+    this.#logJudgement(rollout, verdict, step, {
+      before: sumCounts(counts(before)),
+      after: sumCounts(counts(after)),
+    })
     if (step.type === 'wait') {
       this.#dueSinceMs.delete(service)
       return
@@ -121,6 +132,22 @@
     await write(next)
   }
 
+  /** Logs a verdict, and the responses that it is based on, if it or the step changed. */
+  #logJudgement(
+    rollout: KnownRollout,
+    verdict: VersionVerdict,
+    step: RolloutStep,
+    counts: Readonly<Record<'before' | 'after', ResponseCounts>>,
+  ): void {
+    const { service, target, share, revision } = rollout
+    const judged = `${target} ${verdict} ${step.type}`
+    if (this.#lastJudged.get(service) === judged) return
+    this.#lastJudged.set(service, judged)
+    const elapsedMs = Math.round(this.elapsedMs(rollout))
+    const inputs = { service, target, share, revision, elapsedMs }
+    this.opts.log('rollout_judged', { ...inputs, verdict, step: step.type, ...counts })
+  }
+
   #serversByVersion({ service, target }: KnownRollout) {
     const { servers, evidence } = this.opts
     const serviceServers = servers.all().filter((server) => server.service === service)
@@ -137,6 +164,18 @@
   }
 }
 
+function sumCounts(counts: readonly ResponseCounts[]): ResponseCounts {
+  return counts.reduce(
+    (sum, { good, slow, bad, unmeasured }) => ({
+      good: sum.good + good,
+      slow: sum.slow + slow,
+      bad: sum.bad + bad,
+      unmeasured: sum.unmeasured + unmeasured,
+    }),
+    NO_RESPONSES,
+  )
+}
+
 function rolloutAfter(rollout: KnownRollout, step: RolloutStep): Rollout {
   switch (step.type) {
     case 'roll_back':
