--- a/packages/standins/src/fleet/replicaStandin.ts
+++ b/packages/standins/src/fleet/replicaStandin.ts
@@ -49,6 +49,8 @@
   readonly events?: number
   /** Time between events, in milliseconds. */
   readonly eventMs?: number
+  /** Returns the time until the response of a request that is no stream, in milliseconds. */
+  readonly responseMs?: () => number
   /** Returns how to treat a request. */
   readonly behaviour?: (req: IncomingMessage) => ReplicaBehaviour
   /** Called when the replica has crashed. */
@@ -180,7 +182,15 @@
     if (behaviour === 'lose') req.socket.resetAndDestroy()
     else if (headers['accept'] === 'text/event-stream') {
       await this.#stream(req, res, firstEvent, behaviour)
-    } else this.#respond(req, res, behaviour)
+    } else {
+      await this.#delayResponse()
+      this.#respond(req, res, behaviour)
+    }
+  }
+
+  async #delayResponse(): Promise<void> {
+    const delayMs = this.opts.responseMs?.() ?? 0
+    if (delayMs > 0) await new Promise((resolve) => setTimeout(resolve, delayMs))
   }
 
   #respond(req: IncomingMessage, res: ServerResponse, behaviour: ReplicaBehaviour): void {
