--- a/packages/gateway/src/rollout/planRollout.ts
+++ b/packages/gateway/src/rollout/planRollout.ts
@@ -20,7 +20,7 @@
 const EXPOSURE_FRACTION = 0.9
 
 /** Fraction of the planned exposure that the canary uses to tell a bad version early. */
-const CANARY_FRACTION = 0.5
+const CANARY_FRACTION = 0.4
 
 /** Smallest share of the sessions in the canary, as a fraction of the exposure share. */
 const MIN_CANARY_FRACTION = 0.25
