--- a/packages/gateway/src/peers/__tests__/peers.spec.ts
+++ b/packages/gateway/src/peers/__tests__/peers.spec.ts
@@ -49,7 +49,9 @@
         ],
       },
     ],
-    rollouts: [{ service: 'summariser', target: 'v2', elapsedMs: 1_200 }],
+    rollouts: [
+      { service: 'summariser', target: 'v2', elapsedMs: 1_200, isWithdrawn: true },
+    ],
     sessionHashes: [17, 4_294_967_295],
     unreachableServers: ['s9'],
     prefillSpeeds: new Map([['large', [0.05, undefined, 0.0712]]]),
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -5,11 +5,13 @@
 import type { CrashReport } from '../quarantine/crashQuarantine.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
 
-/** Time since the start of a rollout, as known to one entry instance. */
-export interface RolloutAge {
+/** A running rollout as one entry instance knows it. */
+export interface ReportedRollout {
   readonly service: string
   readonly target: string
   readonly elapsedMs: number
+  /** Whether that instance has stopped using the target for good. */
+  readonly isWithdrawn: boolean
 }
 
 /** A report of one entry instance about itself. */
@@ -28,7 +30,7 @@
   readonly loads: ReadonlyMap<string, ServerLoad>
   /** What this instance observed of the responses in each running rollout. */
   readonly evidence: readonly RolloutObservations[]
-  readonly rollouts: readonly RolloutAge[]
+  readonly rollouts: readonly ReportedRollout[]
   /** Hashes of recently used sessions on versions that are being replaced. */
   readonly sessionHashes: readonly number[]
   /** Ids of backend servers that were recently unreachable. */
@@ -51,7 +53,8 @@
   loads: [string, number, number][],
   /** Counts by server in reports of earlier builds, which later ones leave empty. */
   countsByServer: unknown[],
-  rollouts: [string, string, number][],
+  /** The withdrawal is absent in reports of earlier builds. */
+  rollouts: [string, string, elapsedMs: number, isWithdrawn?: 0 | 1][],
   sessionHashes: number[],
   zone: string,
   /** The era is absent in reports of earlier builds. */
@@ -116,10 +119,11 @@
       Math.round(waitingMs),
     ]),
     [],
-    report.rollouts.map(({ service, target, elapsedMs }) => [
+    report.rollouts.map(({ service, target, elapsedMs, isWithdrawn }) => [
       service,
       target,
       Math.round(elapsedMs),
+      isWithdrawn ? 1 : 0,
     ]),
     [...report.sessionHashes],
     report.zone,
@@ -165,10 +169,11 @@
         loads.map(([id, running, waitingMs]) => [id, { running, waitingMs }]),
       ),
       evidence: evidence.map(decodeEvidence),
-      rollouts: rollouts.map(([service, target, elapsedMs]) => ({
+      rollouts: rollouts.map(([service, target, elapsedMs, isWithdrawn]) => ({
         service,
         target,
         elapsedMs,
+        isWithdrawn: isWithdrawn === 1,
       })),
       sessionHashes,
       zone,
--- a/packages/gateway/src/peers/peerTable.ts
+++ b/packages/gateway/src/peers/peerTable.ts
@@ -1,6 +1,6 @@
 /** Other entry instances: their addresses and the time of the last report from each. */
 import { hash32, type Clock } from '@wagtailway/core'
-import type { PeerReport, RolloutAge } from './peerReport.js'
+import type { PeerReport, ReportedRollout } from './peerReport.js'
 
 /**
  * Time without a report after which an entry instance no longer counts as alive, in
@@ -44,7 +44,7 @@
   lastReportAtMs: number
   sequence: number
   isDraining: boolean
-  rollouts: readonly RolloutAge[]
+  rollouts: readonly ReportedRollout[]
 }
 
 /**
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -52,6 +52,7 @@
         service: rollout.service,
         target: rollout.target,
         elapsedMs: rolloutController.elapsedMs(rollout),
+        isWithdrawn: rollouts.isWithdrawn(rollout.service, rollout.target),
       })),
       sessionHashes: reportedSessionHashes(node, clock()),
       zone: settings.zone,
@@ -73,6 +74,9 @@
       load.applyReport(report.name, report.loads)
       for (const id of report.unreachableServers) health.recordPeerUnreachable(id)
       evidence.applyReport(report.name, report.evidence)
+      for (const { service, target, isWithdrawn } of report.rollouts)
+        if (isWithdrawn)
+          rolloutController.applyPeerWithdrawal(service, target, report.name)
       if (report.prefillSpeeds.size > 0)
         prefillSpeeds.applyReport(report.name, report.prefillSpeeds)
       quarantine.applyReport(report.name, report.crashReport)
--- a/packages/gateway/src/rollout/rolloutController.ts
+++ b/packages/gateway/src/rollout/rolloutController.ts
@@ -70,6 +70,19 @@
     return Math.max(clock() - firstSeenAtMs, peerElapsedMs(service, target))
   }
 
+  /**
+   * Stops using a version that another instance has withdrawn: what it saw may be lost with
+   * the instances that saw it, and the store may be unreachable.
+   */
+  applyPeerWithdrawal(service: string, target: string, peer: string): void {
+    const { rollouts, log } = this.opts
+    const rollout = rollouts.get(service)
+    if (rollout?.target !== target || rollout.state !== 'running') return
+    if (rollouts.isWithdrawn(service, target)) return
+    rollouts.withdraw(service, target)
+    log('version_withdrawn', { service, target, by: peer })
+  }
+
   /**
    * Advances each running rollout, and stores again what a restored store has lost; does
    * nothing while another call is in progress.
