--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -9,9 +9,10 @@
   relayResponse,
   type UnservedReason,
 } from './requestOutcomes.js'
-import type { RequestContext, TrackedAttempt } from './requestContext.js'
+import type { RequestContext } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import { startTimer } from './timer.js'
+import { startAttempt, type TrackedAttempt } from './startAttempt.js'
 
 /** Maximum size of a buffered response, in bytes. */
 const MAX_RESPONSE_BYTES = 16_777_216
@@ -54,16 +55,17 @@
     const quarantinedPart = ctx.findQuarantinedPart()
     if (quarantinedPart !== undefined)
       return { ...endUnserved(ctx, 'part_quarantined'), part: quarantinedPart }
-    const placement = ctx.selectPlacement(undefined)
+    const placement = ctx.placement.select(undefined)
     if (!placement)
       return endUnserved(ctx, ctx.attemptLog.length > 0 ? 'server_refused' : 'no_server')
-    const tracked = ctx.startAttempt(placement, undefined, undefined)
+    const tracked = startAttempt(ctx, placement, undefined, undefined)
     const result = await runAttempt(ctx, tracked)
     if (result.type === 'done') return result.outcome
     if (result.type === 'give_up') return endUnserved(ctx, result.reason)
-    ctx.exclude(placement.server)
-    const isRetryAllowed = result.isCharged === true || ctx.mayRetryAfter(result.reason)
-    if (!ctx.hasAttemptsLeft || !isRetryAllowed || ctx.mayCrashServers)
+    ctx.placement.exclude(placement.server)
+    const isRetryAllowed =
+      result.isCharged === true || ctx.retries.mayRetryAfter(result.reason)
+    if (!ctx.retries.hasAttemptsLeft || !isRetryAllowed || ctx.recorder.mayCrashServers)
       return endUnserved(ctx, 'server_refused')
   }
 }
@@ -81,7 +83,7 @@
   const { caller, route } = ctx.opts
   const { server } = tracked.placement
   const isIdempotent = route.kind === 'idempotent'
-  const canRetry = isIdempotent && ctx.hasAttemptsLeftAfter(server)
+  const canRetry = isIdempotent && ctx.retries.hasAttemptsLeftAfter(server)
   const timeoutMs = canRetry
     ? Math.min(
         ctx.timeToDeadlineMs * MAX_WAIT_SHARE,
@@ -95,7 +97,7 @@
     tracked.attempt.cancel()
   }
   const timer = startTimer(timeoutMs, () => {
-    isCharged = canRetry && ctx.tryAcquireRetry('silent')
+    isCharged = canRetry && ctx.retries.tryAcquire('silent')
     if (isCharged || ctx.timeToDeadlineMs <= 0) abandon()
     else timer.restart(ctx.timeToDeadlineMs)
   })
@@ -109,16 +111,16 @@
     if (head.type === 'answered') return await handleResponse(ctx, tracked, head)
     tracked.complete(hasTimedOut ? 'silent' : head.reason)
     if (head.runState === 'not_run') {
-      ctx.recordNotSent(tracked, head)
+      ctx.recorder.recordNotSent(tracked, head)
       return hasTimedOut && !canRetry
         ? { type: 'give_up', reason: 'timeout' }
         : { type: 'retry', reason: head.reason }
     }
-    ctx.recordMayHaveRun(server)
-    if (hasTimedOut) ctx.recordUnreachable(server)
+    ctx.retries.recordMayHaveRun(server)
+    if (hasTimedOut) ctx.recorder.recordUnreachable(server)
     else {
-      ctx.recordResult(server, 'failed')
-      await ctx.recordBroken(tracked)
+      ctx.recorder.recordResult(server, 'failed')
+      await ctx.recorder.recordBroken(tracked)
     }
     if (isIdempotent && ctx.timeToDeadlineMs > 0) {
       return { type: 'retry', reason: hasTimedOut ? 'silent' : head.reason, isCharged }
@@ -139,7 +141,7 @@
   if (isRefusedByServer(ctx, tracked, head)) {
     return { type: 'retry', reason: 'server_refused' }
   }
-  ctx.recordMayHaveRun(server)
+  ctx.retries.recordMayHaveRun(server)
   const bodyResult = await readFullBody(tracked.attempt, head, {
     maxBytes: MAX_RESPONSE_BYTES,
     budget: ctx.opts.node.bodyBuffers,
@@ -149,15 +151,15 @@
   const isUsableResponse = isUsable(head, bodyResult)
   await recordPromptResult(ctx, tracked, isUsableResponse, head.status)
   const isServerFault = !isUsableResponse || head.status >= 500
-  if (bodyResult.type === 'too_long') ctx.recordUnreachable(server)
-  else ctx.recordResult(server, isServerFault ? 'failed' : 'ok')
+  if (bodyResult.type === 'too_long') ctx.recorder.recordUnreachable(server)
+  else ctx.recorder.recordResult(server, isServerFault ? 'failed' : 'ok')
   if (!isServerFault)
-    ctx.recordSpeed(server, route.name, elapsedSinceSentMs(ctx, tracked))
+    ctx.recorder.recordSpeed(server, route.name, elapsedSinceSentMs(ctx, tracked))
   tracked.complete(isUsableResponse ? `status_${head.status}` : 'broken_answer')
   const mayRetry =
-    route.kind === 'idempotent' && ctx.hasAttemptsLeft && ctx.timeToDeadlineMs > 0
+    route.kind === 'idempotent' && ctx.retries.hasAttemptsLeft && ctx.timeToDeadlineMs > 0
   const reason = isUsableResponse ? 'server_error' : 'broken_answer'
-  if (isServerFault && mayRetry && ctx.tryAcquireRetry(reason)) {
+  if (isServerFault && mayRetry && ctx.retries.tryAcquire(reason)) {
     return { type: 'retry', reason, isCharged: true }
   }
   if (!isUsable(head, bodyResult)) return { type: 'give_up', reason: 'server_failed' }
@@ -171,7 +173,7 @@
   isUsableResponse: boolean,
   status: number,
 ): Promise<void> {
-  if (!isUsableResponse) await ctx.recordBroken(tracked)
+  if (!isUsableResponse) await ctx.recorder.recordBroken(tracked)
   else if (status < 300) tracked.prompt.recordSound(tracked.sentAtMs)
 }
 
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -14,10 +14,11 @@
   type UnservedReason,
 } from './requestOutcomes.js'
 import { relayEvents, type RelayResult } from './relayEvents.js'
-import type { RequestContext, TrackedAttempt } from './requestContext.js'
+import type { RequestContext } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import { monitorInactivity } from './inactivityMonitor.js'
 import { startTimer } from './timer.js'
+import { startAttempt, type TrackedAttempt } from './startAttempt.js'
 
 /** Maximum size of a response that is not a stream, such as an error, in bytes. */
 const MAX_NON_STREAM_BYTES = 1_048_576
@@ -87,7 +88,7 @@
       return { ...outcome, part: quarantinedPart }
     }
     const model = ctx.models[state.modelIndex]
-    const placement = ctx.selectPlacement(model)
+    const placement = ctx.placement.select(model)
     if (!placement) return endUnserved(ctx, state, 'no_server')
     if (!state.hasBegun && placement.expectedFirstByteMs > ctx.timeToDeadlineMs) {
       return endUnserved(
@@ -97,12 +98,13 @@
         placement.expectedFirstByteMs - ctx.timeToDeadlineMs,
       )
     }
-    const tracked = ctx.startAttempt(placement, model, state.lastEventId)
+    const tracked = startAttempt(ctx, placement, model, state.lastEventId)
     const result = await runAttempt(ctx, state, tracked)
     if (result.type === 'done') return result.outcome
     if (result.type === 'give_up') return endUnserved(ctx, state, result.reason)
-    const isRetryAllowed = result.isCharged === true || ctx.mayRetryAfter(result.reason)
-    if (!ctx.hasAttemptsLeft || !isRetryAllowed || ctx.mayCrashServers) {
+    const isRetryAllowed =
+      result.isCharged === true || ctx.retries.mayRetryAfter(result.reason)
+    if (!ctx.retries.hasAttemptsLeft || !isRetryAllowed || ctx.recorder.mayCrashServers) {
       return endUnserved(ctx, state, 'server_refused')
     }
   }
@@ -137,7 +139,7 @@
 ): Promise<StreamAttemptResult> {
   const { caller, route } = ctx.opts
   const { server } = tracked.placement
-  const canRetry = route.isResumable && ctx.hasAttemptsLeftAfter(server)
+  const canRetry = route.isResumable && ctx.retries.hasAttemptsLeftAfter(server)
   const maxPrefillMs = caller.metadata.promptTokens * MAX_PREFILL_MS_PER_TOKEN
   const inactivityMs = Math.max(
     route.targetMs * MIN_INACTIVITY_TARGET_SHARE,
@@ -148,7 +150,7 @@
   const monitor = monitorInactivity({
     server,
     inactivityMs: Math.min(ctx.timeToDeadlineMs * MAX_WAIT_SHARE, inactivityMs),
-    mayAbandon: () => canRetry && ctx.tryAcquireRetry('silent'),
+    mayAbandon: () => canRetry && ctx.retries.tryAcquire('silent'),
     onInactive: () => {
       isCharged = true
       hasTimedOut = true
@@ -169,16 +171,16 @@
       return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
     if (head.type === 'answered') return await handleResponse(ctx, state, tracked, head)
     tracked.complete(hasTimedOut ? 'silent' : head.reason)
-    ctx.exclude(server)
+    ctx.placement.exclude(server)
     if (head.runState === 'not_run') {
-      ctx.recordNotSent(tracked, head)
+      ctx.recorder.recordNotSent(tracked, head)
       return { type: 'retry', reason: head.reason }
     }
-    ctx.recordMayHaveRun(server)
-    if (hasTimedOut) ctx.recordUnreachable(server)
+    ctx.retries.recordMayHaveRun(server)
+    if (hasTimedOut) ctx.recorder.recordUnreachable(server)
     else {
-      ctx.recordResult(server, 'failed')
-      await ctx.recordBroken(tracked)
+      ctx.recorder.recordResult(server, 'failed')
+      await ctx.recorder.recordBroken(tracked)
     }
     if (canRetry && ctx.timeToDeadlineMs > 0) {
       return { type: 'retry', reason: hasTimedOut ? 'silent' : head.reason, isCharged }
@@ -201,13 +203,13 @@
   if (isRefusedByServer(ctx, tracked, head)) {
     return { type: 'retry', reason: 'server_refused' }
   }
-  ctx.recordMayHaveRun(server)
+  ctx.retries.recordMayHaveRun(server)
   if (head.status !== 200) return await handleNonStreamResponse(ctx, state, tracked, head)
   if (!head.metadata.isSigned || head.metadata.isEncoded) {
     tracked.attempt.cancel()
     tracked.complete('broken_answer')
-    ctx.exclude(server)
-    ctx.recordResult(server, 'failed')
+    ctx.placement.exclude(server)
+    ctx.recorder.recordResult(server, 'failed')
     if (route.isResumable) return { type: 'retry', reason: 'broken_answer' }
     return { type: 'give_up', reason: 'server_failed' }
   }
@@ -228,7 +230,7 @@
   // Waiting for the end of a slow stream would take long.
   const relayResult = await relayEvents(ctx, state, tracked, head, recordSpeedOnce)
   recordSpeedOnce()
-  if (relayResult === 'broken') await ctx.recordBroken(tracked)
+  if (relayResult === 'broken') await ctx.recorder.recordBroken(tracked)
   return concludeStream(ctx, tracked, relayResult)
 }
 
@@ -242,7 +244,7 @@
   tracked.complete(relayResult)
   switch (relayResult) {
     case 'complete':
-      ctx.recordResult(server, 'ok')
+      ctx.recorder.recordResult(server, 'ok')
       return { type: 'done', outcome: { outcome: 'answered', status: 200 } }
     case 'caller_left':
       return { type: 'done', outcome: { outcome: 'caller_left', status: 0 } }
@@ -252,10 +254,10 @@
     case 'broken':
     case 'endless':
     case 'silent':
-      ctx.exclude(server)
+      ctx.placement.exclude(server)
       if (relayResult === 'silent' || relayResult === 'endless')
-        ctx.recordUnreachable(server)
-      else ctx.recordResult(server, 'failed')
+        ctx.recorder.recordUnreachable(server)
+      else ctx.recorder.recordResult(server, 'failed')
       if (route.isResumable && relayResult !== 'gap') {
         return { type: 'retry', reason: relayResult, isCharged: relayResult === 'silent' }
       }
@@ -268,7 +270,7 @@
   const { quickPauseMs, model } = tracked.logEntry
   if (quickPauseMs === undefined) return false
   const { server } = tracked.placement
-  ctx.recordSpeed(server, `pauses of ${model ?? 'any model'}`, quickPauseMs)
+  ctx.recorder.recordSpeed(server, `pauses of ${model ?? 'any model'}`, quickPauseMs)
   return true
 }
 
@@ -288,12 +290,12 @@
   if (caller.hasDisconnected)
     return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
   tracked.complete(`status_${head.status}`)
-  ctx.exclude(server)
+  ctx.placement.exclude(server)
   const isServerFault = head.status >= 500 || bodyResult.type !== 'complete'
-  if (bodyResult.type === 'too_long') ctx.recordUnreachable(server)
-  else ctx.recordResult(server, isServerFault ? 'failed' : 'ok')
-  const mayRetry = route.isResumable && ctx.hasAttemptsLeft
-  if (isServerFault && mayRetry && ctx.tryAcquireRetry('server_error')) {
+  if (bodyResult.type === 'too_long') ctx.recorder.recordUnreachable(server)
+  else ctx.recorder.recordResult(server, isServerFault ? 'failed' : 'ok')
+  const mayRetry = route.isResumable && ctx.retries.hasAttemptsLeft
+  if (isServerFault && mayRetry && ctx.retries.tryAcquire('server_error')) {
     return { type: 'retry', reason: 'server_error', isCharged: true }
   }
   if (head.status < 300 || bodyResult.type !== 'complete' || state.hasBegun)
@@ -328,13 +330,13 @@
       priority: route.priority,
       confidence: head.metadata.confidence,
       nextExpectedFirstByteMs:
-        next === undefined ? 0 : (ctx.selectPlacement(next)?.expectedFirstByteMs ?? 0),
+        next === undefined ? 0 : (ctx.placement.select(next)?.expectedFirstByteMs ?? 0),
       timeToTargetMs: ctx.timeToTargetMs,
-      hasAttemptsLeft: ctx.hasAttemptsLeft,
+      hasAttemptsLeft: ctx.retries.hasAttemptsLeft,
       retryBudgetLeft: node.retryBudget(service.name).remainingFraction,
     },
     node.opts.cascade,
   )
   tracked.logEntry.judged = acceptance
-  return acceptance === 'ask_next' && ctx.tryAcquireRetry('larger_model')
+  return acceptance === 'ask_next' && ctx.retries.tryAcquire('larger_model')
 }
--- a/packages/gateway/src/forward/relayEvents.ts
+++ b/packages/gateway/src/forward/relayEvents.ts
@@ -2,9 +2,10 @@
 import { isFramed, type AttemptResponse } from './attempt.js'
 import { EventSplitter, type CompleteEvent } from './eventSplitter.js'
 import { EventIntervals } from './eventIntervals.js'
-import type { RequestContext, TrackedAttempt } from './requestContext.js'
+import type { RequestContext } from './requestContext.js'
 import { monitorInactivity } from './inactivityMonitor.js'
 import { startTimer } from './timer.js'
+import type { TrackedAttempt } from './startAttempt.js'
 
 /**
  * Inactivity timeout of a stream as a multiple of the route's target for event
@@ -77,7 +78,7 @@
       if (result !== 'complete') tracked.attempt.cancel()
       resolve(result)
     }
-    const canRetry = route.isResumable && ctx.hasAttemptsLeft
+    const canRetry = route.isResumable && ctx.retries.hasAttemptsLeft
     const inactivityMs = Math.max(
       MIN_INACTIVITY_MS,
       route.targetEventGapMs * INACTIVITY_FACTOR,
@@ -85,7 +86,7 @@
     const monitor = monitorInactivity({
       server: tracked.placement.server,
       inactivityMs,
-      mayAbandon: () => canRetry && ctx.tryAcquireRetry('silent'),
+      mayAbandon: () => canRetry && ctx.retries.tryAcquire('silent'),
       onInactive: () => {
         finish('silent')
       },
--- a/packages/gateway/src/forward/requestOutcomes.ts
+++ b/packages/gateway/src/forward/requestOutcomes.ts
@@ -2,8 +2,9 @@
 import { discardBody } from '@wagtailway/core'
 import type { AttemptResponse } from './attempt.js'
 import { NO_SERVER_RETRY_AFTER_MS, type RefusalReason } from './caller.js'
-import type { RequestContext, TrackedAttempt } from './requestContext.js'
+import type { RequestContext } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
+import type { TrackedAttempt } from './startAttempt.js'
 
 /** Status of a server that is not the one to which the request was addressed. */
 const MISDIRECTED_REQUEST = 421
@@ -39,7 +40,7 @@
 ): RequestOutcome {
   tracked.complete('caller_left')
   if (tracked.attempt.runState === 'may_have_run')
-    ctx.recordMayHaveRun(tracked.placement.server)
+    ctx.retries.recordMayHaveRun(tracked.placement.server)
   return { outcome: 'caller_left', status: 0 }
 }
 
@@ -59,7 +60,7 @@
   discardBody(res)
   tracked.complete(`refused_${status}`)
   tracked.prompt.discard()
-  ctx.exclude(server)
+  ctx.placement.exclude(server)
   if (isMisdirected) {
     ctx.opts.node.opts.servers.apply([{ id: server.id, server: undefined }])
   }
@@ -80,7 +81,7 @@
 ): RequestOutcome {
   const { caller, node } = ctx.opts
   if (caller.hasDisconnected) return { outcome: 'caller_left', status: 0 }
-  if (ctx.mayHaveRun) {
+  if (ctx.retries.mayHaveRun) {
     const reportedReason = reason === 'timeout' ? 'timeout' : 'server_failed'
     return {
       outcome: 'failed',
--- /dev/null
+++ b/packages/gateway/src/forward/startAttempt.ts
@@ -0,0 +1,160 @@
+/** Starts the attempts of requests. */
+import type { BackendServer } from '../model/backendServer.js'
+import type { PromptInFlight } from '../quarantine/promptsInFlight.js'
+import type { Placement } from '../placement/selectPlacement.js'
+import { Attempt } from './attempt.js'
+import type { RequestContext, RequestContextOptions } from './requestContext.js'
+import type { AttemptLogEntry } from './requestLog.js'
+import { affinityKey, sharedParts } from './requestPlacement.js'
+
+/** Prompts with a shorter prefill time count as short, in milliseconds: a few engine steps. */
+const SHORT_PREFILL_MS = 40
+
+/** Urgency levels between adjacent workspace priorities: more than route priorities span. */
+const WORKSPACE_URGENCY_STEP = 3
+
+/** Least urgent level that engines support. */
+const LOWEST_URGENCY = 9
+
+/** An attempt in progress, with what is recorded about it. */
+export interface TrackedAttempt {
+  readonly attempt: Attempt
+  readonly placement: Placement
+  readonly logEntry: AttemptLogEntry
+  readonly prompt: PromptInFlight
+  /** When it was sent, on the monotonic clock. */
+  readonly sentAtMs: number
+  /** Expected prefill time of the prompts queued ahead of this one, in milliseconds. */
+  readonly queuedPrefillMs: number
+  /** Records that the server has prefilled the prompt; only the first call counts. */
+  recordPrefillDone(): void
+  /** Records the attempt's result and releases its load; only the first call counts. */
+  complete(result: string): void
+}
+
+/**
+ * Sends the request to a server.
+ *
+ * @param lastEventId Last event that the caller has; the server continues after it.
+ *
+ * @example
+ * const tracked = startAttempt(ctx, placement, 'large', undefined)
+ * const head = await tracked.attempt.head
+ */
+export function startAttempt(
+  ctx: RequestContext,
+  placement: Placement,
+  model: string | undefined,
+  lastEventId: number | undefined,
+): TrackedAttempt {
+  const { node, caller, service } = ctx.opts
+  const { clock, load, metrics, rollouts, quarantine, cachedPrefixes } = node.opts
+  const { server, prefillMs } = placement
+  const sentAtMs = clock()
+  const queuedPrefillMs = load.total(server.id).waitingMs
+  const attempt = sendAttempt(ctx, placement, model, lastEventId)
+  const logEntry: AttemptLogEntry = {
+    server: server.id,
+    version: server.version,
+    model,
+    sentAtMs: Math.round(sentAtMs - caller.arrivedAtMs),
+    expectedMs: Math.round(placement.expectedFirstByteMs),
+    result: 'in_progress',
+    tookMs: 0,
+  }
+  ctx.attemptLog.push(logEntry)
+  const parts = sharedParts(ctx.opts)
+  const prompt = quarantine.begin(server, parts)
+  load.begin(server.id, prefillMs)
+  let isPrefillDone = false
+  const recordPrefillDone = (): void => {
+    if (isPrefillDone) return
+    isPrefillDone = true
+    const key = affinityKey(parts, model)
+    if (key !== undefined) cachedPrefixes.record(server.id, key)
+    load.prefillDone(server.id, prefillMs)
+  }
+  let isComplete = false
+  const complete = (result: string): void => {
+    if (isComplete) return
+    isComplete = true
+    if (!isPrefillDone) load.prefillDone(server.id, prefillMs)
+    isPrefillDone = true
+    load.end(server.id)
+    prompt.end()
+    logEntry.result = result
+    logEntry.tookMs = Math.round(clock() - sentAtMs)
+    metrics.attempts.inc({ result })
+  }
+  const { sessionKey } = caller.metadata
+  if (sessionKey !== undefined && isOldVersion(ctx.opts, server))
+    rollouts.recentSessions.recordUse(service.name, sessionKey)
+  if (ctx.attemptLog.length === 1) node.retryBudget(service.name).recordRequest()
+  return {
+    attempt,
+    placement,
+    logEntry,
+    prompt,
+    sentAtMs,
+    queuedPrefillMs,
+    recordPrefillDone,
+    complete,
+  }
+}
+
+function sendAttempt(
+  ctx: RequestContext,
+  { server, prefillMs }: Placement,
+  model: string | undefined,
+  lastEventId: number | undefined,
+): Attempt {
+  const { node, caller, workspace, body, route } = ctx.opts
+  const { dialect, connections } = node.opts
+  // A request that must not run twice gets a connection that was never used before.
+  const keepAlive = route.kind !== 'once'
+  return Attempt.start({
+    host: server.host,
+    port: server.port,
+    agent: keepAlive ? connections.agentFor(server) : undefined,
+    method: caller.req.method ?? 'GET',
+    path: caller.req.url ?? '/',
+    headers: dialect.backendRequestHeaders(caller.req.rawHeaders, {
+      serverId: server.id,
+      remainingMs: Math.max(1, Math.floor(ctx.timeToDeadlineMs)),
+      workspace: workspace?.name,
+      model,
+      urgency: urgency(ctx.opts, prefillMs),
+      lastEventId,
+      bodyBytes: body.length,
+      keepAlive,
+    }),
+    body,
+    requestId: caller.metadata.requestId,
+    readResponseMetadata: dialect.readResponse,
+  })
+}
+
+/**
+ * Urgency that the engine is given, zero being the most urgent. Short prompts go first:
+ * they delay a long one only slightly, but would miss their target behind several long
+ * ones. `undefined` for services without models.
+ */
+function urgency(
+  { route, workspace, service }: RequestContextOptions,
+  expectedPrefillMs: number,
+): number | undefined {
+  if (service.models.length === 0) return undefined
+  const routeUrgency = expectedPrefillMs < SHORT_PREFILL_MS ? 0 : 1 + route.priority
+  return Math.min(
+    LOWEST_URGENCY,
+    (workspace?.priority ?? 0) * WORKSPACE_URGENCY_STEP + routeUrgency,
+  )
+}
+
+function isOldVersion(
+  { node, service }: RequestContextOptions,
+  { version }: BackendServer,
+): boolean {
+  const rollout = node.opts.rollouts.get(service.name)
+  return rollout?.state !== 'running' || rollout.target !== version
+}
