--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -185,6 +185,7 @@
     servers,
     load,
     exposure: bounds.exposure,
+    instanceCount: () => peers.aliveCount,
     rank: () => peers.rank(),
     peerElapsedMs: (service, target) => peers.rolloutElapsedMs(service, target),
     write: (rollout) => writeRollout(store, log, rollout),
--- a/packages/gateway/src/rollout/__tests__/rolloutController.spec.ts
+++ b/packages/gateway/src/rollout/__tests__/rolloutController.spec.ts
@@ -30,6 +30,7 @@
     servers: ServerTable.create(clock.now, () => undefined),
     load: LoadTable.create(clock.now),
     exposure: { share: 0.15, slack: 30 },
+    instanceCount: () => 1,
     rank: () => 0,
     peerElapsedMs: () => 0,
     write: (rollout) => {
--- a/packages/gateway/src/rollout/observation.ts
+++ b/packages/gateway/src/rollout/observation.ts
@@ -20,6 +20,12 @@
   readonly count: number
 }
 
+/** Lower bounds of the ages that are told apart, in milliseconds. */
+export const AGE_BOUNDS_MS = [0, 2_000, 6_000, 20_000, 60_000]
+
+/** How long an observation counts, in milliseconds: a service may get few requests. */
+export const MAX_AGE_MS = 600_000
+
 /** Observations of one rollout. */
 export interface RolloutObservations {
   readonly service: string
@@ -47,6 +53,25 @@
   return Math.round(Math.log2(factor) * CLASSES_PER_DOUBLING)
 }
 
+/** Lower bound of an age, in milliseconds. */
+export function ageBound(ageMs: number): number {
+  return AGE_BOUNDS_MS.findLast((boundMs) => ageMs >= boundMs) ?? 0
+}
+
+/** Adds the counts of observations that differ only in an age within the same bounds. */
+export function mergeObservations(observations: Iterable<Observation>): Observation[] {
+  const merged = new Map<string, { -readonly [K in keyof Observation]: Observation[K] }>()
+  for (const observation of observations) {
+    const { group, server = '', outcome, count } = observation
+    const ageMs = ageBound(observation.ageMs)
+    const key = `${ageMs} ${outcome} ${server} ${group}`
+    const known = merged.get(key)
+    if (known) known.count += count
+    else merged.set(key, { ...observation, ageMs })
+  }
+  return [...merged.values()]
+}
+
 /** Periods over which the rate of requests is measured, in milliseconds. */
 const RATE_PERIODS_MS = [6_000, 20_000]
 
--- a/packages/gateway/src/rollout/rolloutController.ts
+++ b/packages/gateway/src/rollout/rolloutController.ts
@@ -19,6 +19,13 @@
  */
 const RANK_DELAY_MS = 700
 
+/**
+ * Interval between two evaluations of a version for each instance whose observations are
+ * evaluated, and its maximum, in milliseconds; limits their cost in a large fleet.
+ */
+const JUDGE_INTERVAL_MS_PER_INSTANCE = 8
+const MAX_JUDGE_INTERVAL_MS = 1_500
+
 export interface RolloutControllerOptions {
   readonly clock: Clock
   readonly log: Log
@@ -27,6 +34,8 @@
   readonly servers: ServerTable
   readonly load: LoadTable
   readonly exposure: ExposureLimit
+  /** Number of entry instances that are alive. */
+  readonly instanceCount: () => number
   /** Rank of this entry instance among those that are alive, zero for the first. */
   readonly rank: () => number
   /** Longest time since the order that another entry instance reports, in milliseconds. */
@@ -37,6 +46,7 @@
 
 interface LastJudgement {
   readonly target: string
+  readonly evaluation: Evaluation
   readonly verdict: VersionVerdict
   readonly step: RolloutStep['type']
   /** Since when the version is suspect, on the monotonic clock. */
@@ -45,6 +55,14 @@
   readonly fullShareSinceMs: number | undefined
 }
 
+/** Evaluation of a version's observations. */
+interface Evaluation {
+  /** On the monotonic clock. */
+  readonly atMs: number
+  readonly judgement: Judgement
+  readonly requestsPerSecond: number | undefined
+}
+
 /**
  * Controls rollouts; call `advance` regularly.
  *
@@ -112,11 +130,11 @@
   }
 
   async #advanceRollout(rollout: KnownRollout): Promise<void> {
-    const { rollouts, evidence, exposure, clock, log } = this.opts
+    const { rollouts, exposure, clock, log } = this.opts
     const { service, target } = rollout
     const { before, after } = this.#serversByVersion(rollout)
-    const observations = evidence.observations(service, target)
-    const judgement = judgeVersion(observations, after.length)
+    const evaluation = this.#evaluate(rollout, after.length)
+    const { judgement } = evaluation
     const wasWithdrawn = rollouts.isWithdrawn(service, target)
     const verdict = wasWithdrawn ? 'bad' : judgement.verdict
     const { suspectSinceMs, fullShareSinceMs } = this.#timesOf(rollout, verdict)
@@ -125,7 +143,7 @@
       durationMs: rollout.durationMs,
       share: rollout.share,
       exposure,
-      requestsPerSecond: requestsPerSecond(observations, evidence.observedForMs),
+      requestsPerSecond: evaluation.requestsPerSecond,
       verdict,
       hasBaseline: judgement.hasBaseline || before.length === 0,
       suspectForMs: suspectSinceMs === undefined ? 0 : clock() - suspectSinceMs,
@@ -135,6 +153,7 @@
     this.#logJudgement(rollout, verdict, step, judgement)
     this.#lastJudged.set(service, {
       target,
+      evaluation,
       verdict,
       step: step.type,
       suspectSinceMs,
@@ -160,6 +179,24 @@
     await write(next)
   }
 
+  /** Evaluates a version, or returns the last evaluation if it is recent. */
+  #evaluate({ service, target }: KnownRollout, newServerCount: number): Evaluation {
+    const { clock, evidence, instanceCount } = this.opts
+    const last = this.#lastJudged.get(service)
+    const intervalMs = Math.min(
+      MAX_JUDGE_INTERVAL_MS,
+      instanceCount() * JUDGE_INTERVAL_MS_PER_INSTANCE,
+    )
+    if (last?.target === target && clock() - last.evaluation.atMs < intervalMs)
+      return last.evaluation
+    const observations = evidence.observations(service, target)
+    return {
+      atMs: clock(),
+      judgement: judgeVersion(observations, newServerCount),
+      requestsPerSecond: requestsPerSecond(observations, evidence.observedForMs),
+    }
+  }
+
   /** Since when the version has its verdict and its share, on the monotonic clock. */
   #timesOf(
     { service, target, share }: KnownRollout,
--- a/packages/gateway/src/rollout/symptoms.ts
+++ b/packages/gateway/src/rollout/symptoms.ts
@@ -58,31 +58,56 @@
 
 export const SYMPTOMS = [FAILURES, SLOWNESS, STALLS]
 
-/** Splits the observations up to an age by whether they have a symptom, for each group. */
+/** Observations up to an age, by group. */
+export interface WindowSplit {
+  readonly maxAgeMs: number
+  readonly groups: ReadonlyMap<string, GroupSplit>
+}
+
+type MutableCounts = [affected: number, other: number]
+
+interface MutableGroup {
+  readonly old: MutableCounts
+  readonly newByServer: Map<string, MutableCounts>
+}
+
+/** Splits the observations by whether they have a symptom, for each age limit and group. */
 export function splitByGroup(
   observations: readonly Observation[],
   hasSymptom: HasSymptom,
-  maxAgeMs: number,
-): Map<string, GroupSplit> {
-  const groups = new Map<
-    string,
-    { old: SplitCounts; newByServer: Map<string, SplitCounts> }
-  >()
+  maxAgesMs: readonly number[],
+): WindowSplit[] {
+  const windows = maxAgesMs.map((maxAgeMs) => ({
+    maxAgeMs,
+    groups: new Map<string, MutableGroup>(),
+  }))
   for (const observation of observations) {
-    const { group, server, ageMs, count } = observation
-    if (ageMs >= maxAgeMs) continue
     const isAffected = hasSymptom(observation)
     if (isAffected === undefined) continue
-    const split: SplitCounts = isAffected ? [count, 0] : [0, count]
-    const known = groups.get(group) ?? { old: [0, 0], newByServer: new Map() }
-    groups.set(group, known)
-    if (server === undefined) known.old = sumSplits([known.old, split])
-    else {
-      const ofServer = known.newByServer.get(server) ?? [0, 0]
-      known.newByServer.set(server, sumSplits([ofServer, split]))
+    const { ageMs, count } = observation
+    for (const { maxAgeMs, groups } of windows) {
+      if (ageMs < maxAgeMs) countsOf(groups, observation)[isAffected ? 0 : 1] += count
     }
   }
-  return groups
+  return windows
+}
+
+function countsOf(
+  groups: Map<string, MutableGroup>,
+  { group, server }: Observation,
+): MutableCounts {
+  let known = groups.get(group)
+  if (!known) {
+    known = { old: [0, 0], newByServer: new Map() }
+    groups.set(group, known)
+  }
+  if (server === undefined) return known.old
+  let counts = known.newByServer.get(server)
+  if (!counts) {
+    counts = [0, 0]
+    known.newByServer.set(server, counts)
+  }
+  return counts
 }
 
 export function sumSplits(splits: readonly SplitCounts[]): SplitCounts {
--- a/packages/gateway/src/rollout/versionEvidence.ts
+++ b/packages/gateway/src/rollout/versionEvidence.ts
@@ -2,21 +2,17 @@
 import type { Clock } from '@wagtailway/core'
 import type { BackendServer } from '../model/backendServer.js'
 import {
+  MAX_AGE_MS,
   durationClass,
+  mergeObservations,
   type Observation,
   type Outcome,
   type RolloutObservations,
 } from './observation.js'
 
-/** How long an observation counts, in milliseconds: a service may get few requests. */
-const MAX_AGE_MS = 600_000
-
 /** Maximum number of observations that are kept; the oldest are dropped first. */
 const MAX_ENTRIES = 4_096
 
-/** Lower bounds of the ages that reports tell apart, in milliseconds. */
-const REPORTED_AGES_MS = [60_000, 20_000, 6_000, 2_000, 0]
-
 /**
  * Maximum number of rows on either version in one report to other instances, which must fit
  * into one datagram; the oldest are left out.
@@ -75,29 +71,19 @@
     this.#record(server, group, durationClass(ms))
   }
 
-  /** Observations of this instance, as its reports to other instances hold them. */
+  /** Observations of this instance. */
   localObservations(service: string, target: string): Observation[] {
     const now = this.clock()
-    const counts = new Map<string, { observation: Observation; count: number }>()
-    for (const entry of this.#entries) {
-      if (entry.service !== service) continue
-      const age = now - entry.atMs
-      const ageMs = REPORTED_AGES_MS.find((minMs) => age >= minMs) ?? 0
-      const server = entry.version === target ? entry.server : undefined
-      const { group, outcome } = entry
-      const key = `${server ?? ''} ${outcome} ${ageMs} ${group}`
-      const known = counts.get(key)
-      if (known) known.count += 1
-      else
-        counts.set(key, {
-          observation: { group, server, outcome, ageMs, count: 1 },
-          count: 1,
-        })
-    }
-    return [...counts.values()].map(({ observation, count }) => ({
-      ...observation,
-      count,
-    }))
+    const observations = this.#entries
+      .filter((entry) => entry.service === service)
+      .map(({ group, version, server, outcome, atMs }) => ({
+        group,
+        server: version === target ? server : undefined,
+        outcome,
+        ageMs: now - atMs,
+        count: 1,
+      }))
+    return mergeObservations(observations)
   }
 
   /** Observations for a report to other instances, the newest ones if there are many. */
@@ -130,7 +116,7 @@
         }
       }
     }
-    return all
+    return mergeObservations(all)
   }
 
   /** Removes observations that no longer count, and those of instances that have ended. */
--- a/packages/scenario/src/versionTrial/versionTrial.ts
+++ b/packages/scenario/src/versionTrial/versionTrial.ts
@@ -208,6 +208,7 @@
       servers: this.#servers,
       load: LoadTable.create(this.#clock.now),
       exposure: EXPOSURE,
+      instanceCount: () => 1,
       rank: () => 0,
       peerElapsedMs: () => 0,
       write: (rollout) => {
