--- a/packages/gateway/src/rollout/likelihoodRatio.ts
+++ b/packages/gateway/src/rollout/likelihoodRatio.ts
@@ -27,6 +27,15 @@
 /** Log-likelihood ratio from which the servers beside the worst one support a suspicion. */
 const SUPPORT_THRESHOLD = Math.log(5)
 
+/** Share of a server's responses from which on it may have crashed. */
+const CRASHED_SERVER_SHARE = 0.8
+
+/**
+ * What the other servers must show in addition, as a log-likelihood ratio, if the worst one
+ * is left out to accept a version.
+ */
+const LEFT_OUT_PENALTY = Math.log(20)
+
 /** Share with a symptom among all; a prior share counts where there are few. */
 export function affectedShare([affected, other]: SplitCounts, priorShare = 0): number {
   return (affected + priorShare * PRIOR_WEIGHT) / (affected + other + PRIOR_WEIGHT)
@@ -74,15 +83,6 @@
   )
 }
 
-/** Share of a server's responses from which on it may have crashed. */
-const CRASHED_SERVER_SHARE = 0.8
-
-/**
- * What the other servers must show in addition, as a log-likelihood ratio, if the worst one
- * is left out to accept a version.
- */
-const LEFT_OUT_PENALTY = Math.log(20)
-
 /** Adds the ratios of several groups by server. */
 export function sumRatios(groups: readonly RatioByServer[]): RatioByServer {
   const sums = new Map<string, ServerRatio>()
--- a/packages/gateway/src/rollout/observation.ts
+++ b/packages/gateway/src/rollout/observation.ts
@@ -36,6 +36,11 @@
 /** Classes of durations in each doubling of the duration. */
 const CLASSES_PER_DOUBLING = 2
 
+/** Periods over which the rate of requests is measured, in milliseconds. */
+const RATE_PERIODS_MS = [6_000, 20_000]
+
+const MS_PER_SECOND = 1_000
+
 /**
  * Class of a duration in milliseconds. Each class is wider than the one below by a factor of
  * the square root of two; all durations below a millisecond are in the first one.
@@ -53,7 +58,7 @@
   return Math.round(Math.log2(factor) * CLASSES_PER_DOUBLING)
 }
 
-/** Lower bound of an age, in milliseconds. */
+/** The lower bound of an age, of those that are told apart; both in milliseconds. */
 export function ageBound(ageMs: number): number {
   return AGE_BOUNDS_MS.findLast((boundMs) => ageMs >= boundMs) ?? 0
 }
@@ -72,11 +77,6 @@
   return [...merged.values()]
 }
 
-/** Periods over which the rate of requests is measured, in milliseconds. */
-const RATE_PERIODS_MS = [6_000, 20_000]
-
-const MS_PER_SECOND = 1_000
-
 /**
  * Rate of requests that all entry instances observed, the highest of some recent periods;
  * `undefined` if there were none, or not enough time to tell.
@@ -96,6 +96,7 @@
   return highest > 0 ? highest : undefined
 }
 
+/** Number of observations in rows that hold several each. */
 export function sumCounts(observations: readonly Observation[]): number {
   return observations.reduce((sum, { count }) => sum + count, 0)
 }
--- a/packages/gateway/src/rollout/planRollout.ts
+++ b/packages/gateway/src/rollout/planRollout.ts
@@ -28,11 +28,11 @@
 /** Largest share of the sessions in the canary; in it no active session changes its version. */
 const MAX_CANARY_SHARE = 0.25
 
-const MS_PER_SECOND = 1_000
-
 /** Factor by which the canary's share must be too small to be changed again. */
 const CANARY_GROWTH_FACTOR = 1.5
 
+const MS_PER_SECOND = 1_000
+
 /** Earliest time at which all sessions may move, as a fraction of the rollout's duration. */
 const EARLIEST_FULL_SHIFT_FRACTION = 0.52
 
