One suspicion threshold serves the verdict and the check of the other servers

The same figure stood in judgeVersion and likelihoodRatio, and joinServers caps at the one that the verdict compares with. No behaviour changes; ageBound is no longer exported.

--- a/packages/gateway/src/rollout/judgeVersion.ts
+++ b/packages/gateway/src/rollout/judgeVersion.ts
@@ -9,6 +9,7 @@
  */
 import { AGE_BOUNDS_MS, MAX_AGE_MS, sumCounts, type Observation } from './observation.js'
 import {
+  SUSPICION_THRESHOLD,
   affectedShare,
   joinForAcceptance,
   joinServers,
@@ -37,9 +38,6 @@
 /** Log-likelihood ratio from which a version is rejected. */
 const REJECTION_THRESHOLD = Math.log(100)
 
-/** Log-likelihood ratio from which a version must not be completed. */
-const SUSPICION_THRESHOLD = Math.log(5)
-
 /** Negated log-likelihood ratio from which a version is shown to be good. */
 const ACCEPTANCE_THRESHOLD = Math.log(200)
 
--- a/packages/gateway/src/rollout/likelihoodRatio.ts
+++ b/packages/gateway/src/rollout/likelihoodRatio.ts
@@ -24,8 +24,11 @@
 /** Minimum observations on the other servers that say whether one server stands alone. */
 const MIN_ON_OTHERS = 3
 
-/** Log-likelihood ratio from which the servers beside the worst one support a suspicion. */
-const SUPPORT_THRESHOLD = Math.log(5)
+/**
+ * Log-likelihood ratio from which a version must not be completed, and from which the other
+ * servers support what the worst one shows.
+ */
+export const SUSPICION_THRESHOLD = Math.log(5)
 
 /** Share of a server's responses from which on it may have crashed. */
 const CRASHED_SERVER_SHARE = 0.8
@@ -119,10 +122,10 @@
   if (Math.max(serverCount, ratios.length) < MIN_SERVERS) return total
   const others = ratios.slice(1)
   const ratioOfOthers = others.reduce((sum, { ratio }) => sum + ratio, 0)
-  if (ratioOfOthers >= SUPPORT_THRESHOLD) return total
+  if (ratioOfOthers >= SUSPICION_THRESHOLD) return total
   const countOfOthers = others.reduce((sum, { count }) => sum + count, 0)
   const isSuspicion = ifOthersUnknown === 'suspicion' && countOfOthers < MIN_ON_OTHERS
-  return Math.min(total, isSuspicion ? SUPPORT_THRESHOLD : ratioOfOthers)
+  return Math.min(total, isSuspicion ? SUSPICION_THRESHOLD : ratioOfOthers)
 }
 
 /**
--- a/packages/gateway/src/rollout/observation.ts
+++ b/packages/gateway/src/rollout/observation.ts
@@ -59,7 +59,7 @@
 }
 
 /** The lower bound of an age, of those that are told apart; both in milliseconds. */
-export function ageBound(ageMs: number): number {
+function ageBound(ageMs: number): number {
   return AGE_BOUNDS_MS.findLast((boundMs) => ageMs >= boundMs) ?? 0
 }
 
