--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -11,6 +11,7 @@
   retryAfterMsOf,
   type UnservedReason,
 } from './requestOutcomes.js'
+import { REFUSED_ABANDON_INTERVAL_MS } from './inactivityMonitor.js'
 import type { RequestContext } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import { startTimer } from './timer.js'
@@ -113,7 +114,7 @@
   const timer = startTimer(timeoutMs, () => {
     isCharged = canRetry && ctx.retries.tryAcquire('silent')
     if (isCharged || ctx.timeToDeadlineMs <= 0) abandon()
-    else timer.restart(ctx.timeToDeadlineMs)
+    else timer.restart(timeToNextAskMs(ctx, canRetry))
   })
   caller.onDisconnect(() => {
     tracked.attempt.cancel()
@@ -145,6 +146,14 @@
   }
 }
 
+/** Time until a retry is asked for again, or to the deadline if none is possible. */
+function timeToNextAskMs(ctx: RequestContext, canRetry: boolean): number {
+  const { timeToDeadlineMs } = ctx
+  return canRetry
+    ? Math.min(timeToDeadlineMs, REFUSED_ABANDON_INTERVAL_MS)
+    : timeToDeadlineMs
+}
+
 async function handleResponse(
   ctx: RequestContext,
   tracked: TrackedAttempt,
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -179,7 +179,10 @@
   const monitor = monitorInactivity({
     server,
     inactivityMs: Math.min(ctx.timeToDeadlineMs * MAX_WAIT_SHARE, inactivityMs),
-    mayAbandon: () => canRetry && ctx.retries.tryAcquire('silent'),
+    mayAbandon: () =>
+      canRetry &&
+      ctx.canBeginInTime(tracked.logEntry.model) &&
+      ctx.retries.tryAcquire('silent'),
     onInactive: () => {
       isCharged = true
       hasTimedOut = true
--- a/packages/gateway/src/forward/inactivityMonitor.ts
+++ b/packages/gateway/src/forward/inactivityMonitor.ts
@@ -15,13 +15,20 @@
  */
 const BUSY_WAIT_FACTOR = 1.5
 
+/**
+ * Interval at which a silent server is offered for abandoning again after a refusal, in
+ * milliseconds: the retry budget may have room a moment later.
+ */
+export const REFUSED_ABANDON_INTERVAL_MS = 250
+
 export interface InactivityOptions {
-  readonly server: BackendServer
+  readonly server: Pick<BackendServer, 'host' | 'port'>
   /** Inactivity after which the server's reachability is checked, in milliseconds. */
   readonly inactivityMs: number
   /**
    * Called before the server is abandoned. If it returns false, `onInactive` is not
-   * called and monitoring stops until the next activity.
+   * called, and it is called again every `REFUSED_ABANDON_INTERVAL_MS` until it returns
+   * true, the server sends data or monitoring is cancelled.
    */
   readonly mayAbandon: () => boolean
   readonly onInactive: () => void
@@ -38,7 +45,7 @@
  *
  * @example
  * const monitor = monitorInactivity({ server, inactivityMs, mayAbandon, onInactive })
- * monitor.noteActivity()
+ * monitor.recordActivity()
  * monitor.cancel()
  */
 export function monitorInactivity(opts: InactivityOptions): InactivityMonitor {
@@ -46,9 +53,14 @@
   let activityCount = 0
   let isStopped = false
   const abandon = (): void => {
-    if (isStopped || !mayAbandon()) return
-    isStopped = true
-    onInactive()
+    if (isStopped) return
+    const countAtStart = activityCount
+    if (mayAbandon()) {
+      isStopped = true
+      onInactive()
+    } else if (countAtStart === activityCount) {
+      timer = startTimer(REFUSED_ABANDON_INTERVAL_MS, abandon)
+    }
   }
   const checkServer = async (): Promise<void> => {
     const countAtStart = activityCount
--- a/packages/gateway/src/forward/relayEvents.ts
+++ b/packages/gateway/src/forward/relayEvents.ts
@@ -86,7 +86,10 @@
     const monitor = monitorInactivity({
       server: tracked.placement.server,
       inactivityMs,
-      mayAbandon: () => canRetry && ctx.retries.tryAcquire('silent'),
+      mayAbandon: () =>
+        canRetry &&
+        ctx.canBeginInTime(tracked.logEntry.model) &&
+        ctx.retries.tryAcquire('silent'),
       onInactive: () => {
         finish('silent')
       },
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -58,6 +58,14 @@
     return cascadeModels(this.opts.route.models, this.opts.node.opts.cascade)
   }
 
+  /** Whether a further attempt is expected to get its first byte before the deadline. */
+  canBeginInTime(model: string | undefined): boolean {
+    const placement = this.placement.preview(model)
+    return (
+      placement !== undefined && placement.expectedFirstByteMs < this.timeToDeadlineMs
+    )
+  }
+
   /** Time until the deadline, in milliseconds. */
   get timeToDeadlineMs(): number {
     return this.deadlineMs - this.opts.node.opts.clock()
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -1,5 +1,10 @@
 /** Runs a gateway inside the test process, with a stand-in for the users' store. */
-import { createMetrics, runGateway, type Log } from '@wagtailway/gateway'
+import {
+  createMetrics,
+  runGateway,
+  type GatewayBounds,
+  type Log,
+} from '@wagtailway/gateway'
 import { PlatformStore, StoreClient, platformHeaders } from '@wagtailway/platform'
 import { sendToFleet } from './fleetClient.js'
 import { findFreePorts } from './freePorts.js'
@@ -25,6 +30,8 @@
 /**
  * Starts a gateway.
  *
+ * @param bounds Limits that differ from the usual ones.
+ *
  * @example
  * const gateway = await startGateway('n1', store.port)
  * await waitUntil(() => gateway.isReady())
@@ -32,6 +39,7 @@
 export async function startGateway(
   name: string,
   storePort: number,
+  bounds: Partial<GatewayBounds> = {},
 ): Promise<TestGateway> {
   const [callers, readiness, metrics, peerPort, feeds] = await findFreePorts(5)
   const lines: LogLine[] = []
@@ -57,6 +65,7 @@
         retrySlack: 60,
         exposure: { share: 0.15, slack: 30 },
         sessionGapMs: 1_000,
+        ...bounds,
       },
     },
     cascade: { path: 'ends' },
