--- /dev/null
+++ b/packages/gateway/src/loads/loadMessage.ts
@@ -0,0 +1,157 @@
+/** Messages in which entry instances tell each other the loads of backend servers. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { LoadReportSchema, LoadReport_Scope } from '@wagtailway/protocol'
+import type { ServerLoad } from '../placement/serverLoad.js'
+import type { LoadsByHash, SharedSpeed, SharedSpeeds } from './loadSums.js'
+
+/**
+ * Whose loads a report holds: those of its sender alone, of all instances of the sender's
+ * availability zone or of all instances.
+ */
+export type LoadScope = 'instance' | 'zone' | 'fleet'
+
+/** One datagram of a report. */
+export interface LoadMessage {
+  readonly scope: LoadScope
+  readonly sender: string
+  readonly zone: string
+  /** Time until the sender's next report, in milliseconds. */
+  readonly intervalMs: number
+  /** Whether the sender asks for the loads of the fleet. */
+  readonly wantsFleet: boolean
+  /** Number of instances whose loads are added up. */
+  readonly instances: number
+  /** Range of hashes that the datagram covers; a server without a row has no load. */
+  readonly firstHash: number
+  readonly lastHash: number
+  readonly loads: LoadsByHash
+  /** In the first datagram of a report only. */
+  readonly speeds: SharedSpeeds
+}
+
+export type LoadReport = Omit<LoadMessage, 'firstHash' | 'lastHash'>
+
+/** First byte of all datagrams; JSON, in which other messages are encoded, has another. */
+const FIRST_BYTE = 0x4c
+
+/** Rows of one datagram, which must fit a packet of 1,400 bytes. */
+export const ROWS_PER_DATAGRAM = 150
+
+const MAX_HASH = 0xffffffff
+
+const SCOPES: Readonly<Record<LoadScope, LoadReport_Scope>> = {
+  instance: LoadReport_Scope.INSTANCE,
+  zone: LoadReport_Scope.ZONE,
+  fleet: LoadReport_Scope.FLEET,
+}
+
+/**
+ * Splits a report into as many messages as it has datagrams, at least one.
+ *
+ * @example
+ * for (const message of splitReport(report)) send(encodeLoadMessage(message))
+ */
+export function splitReport(report: LoadReport): LoadMessage[] {
+  const rows = [...report.loads].toSorted(([a], [b]) => a - b)
+  const messages: LoadMessage[] = []
+  let firstHash = 0
+  for (let start = 0; start === 0 || start < rows.length; start += ROWS_PER_DATAGRAM) {
+    const nextStart = start + ROWS_PER_DATAGRAM
+    const [nextHash] = rows[nextStart] ?? [MAX_HASH + 1]
+    messages.push({
+      ...report,
+      firstHash,
+      lastHash: nextHash - 1,
+      loads: new Map(rows.slice(start, nextStart)),
+      speeds: start === 0 ? report.speeds : new Map(),
+    })
+    firstHash = nextHash
+  }
+  return messages
+}
+
+/**
+ * Encodes a message for one datagram.
+ *
+ * @example
+ * socket.send(encodeLoadMessage(message), port, host)
+ */
+export function encodeLoadMessage(message: LoadMessage): Buffer {
+  const encoded = toBinary(
+    LoadReportSchema,
+    create(LoadReportSchema, {
+      scope: SCOPES[message.scope],
+      sender: message.sender,
+      zone: message.zone,
+      intervalMs: Math.round(message.intervalMs),
+      wantsFleet: message.wantsFleet,
+      instances: message.instances,
+      firstHash: message.firstHash,
+      lastHash: message.lastHash,
+      servers: [...message.loads.keys()],
+      running: [...message.loads.values()].map(({ running }) => Math.max(0, running)),
+      waitingMs: [...message.loads.values()].map(({ waitingMs }) =>
+        Math.max(0, Math.round(waitingMs)),
+      ),
+      speeds: [...message.speeds].map(([model, byLength]) => ({
+        model,
+        msPerToken: byLength.map((speed) => speed?.msPerToken ?? 0),
+        instances: byLength.map((speed) => speed?.instances ?? 0),
+      })),
+    }),
+  )
+  return Buffer.concat([Buffer.of(FIRST_BYTE), encoded])
+}
+
+/**
+ * Decodes a datagram; `undefined` if it is another message or can't be read.
+ *
+ * @example
+ * const message = decodeLoadMessage(datagram)
+ */
+export function decodeLoadMessage(datagram: Buffer): LoadMessage | undefined {
+  if (datagram[0] !== FIRST_BYTE) return undefined
+  try {
+    const decoded = fromBinary(LoadReportSchema, datagram.subarray(1))
+    const scope = scopeOf(decoded.scope)
+    if (!scope || decoded.sender === '') return undefined
+    const { sender, zone, intervalMs, wantsFleet, instances, firstHash, lastHash } =
+      decoded
+    const loads = new Map<number, ServerLoad>(
+      decoded.servers.map((hash, i) => [
+        hash,
+        { running: decoded.running[i] ?? 0, waitingMs: decoded.waitingMs[i] ?? 0 },
+      ]),
+    )
+    const speeds = new Map(
+      decoded.speeds.map(({ model, msPerToken, instances: counts }) => [
+        model,
+        msPerToken.map((ms, i): SharedSpeed | undefined =>
+          ms > 0 && Number.isFinite(ms)
+            ? { msPerToken: ms, instances: counts[i] ?? 0 }
+            : undefined,
+        ),
+      ]),
+    )
+    return {
+      scope,
+      sender,
+      zone,
+      intervalMs,
+      wantsFleet,
+      instances,
+      firstHash,
+      lastHash,
+      loads,
+      speeds,
+    }
+  } catch {
+    // Any data may arrive on an open port; the calling code counts undecodable datagrams.
+    return undefined
+  }
+}
+
+function scopeOf(wire: LoadReport_Scope): LoadScope | undefined {
+  const scopes: readonly LoadScope[] = ['instance', 'zone', 'fleet']
+  return scopes.find((scope) => SCOPES[scope] === wire)
+}
--- a/packages/gateway/src/peers/peerLink.ts
+++ b/packages/gateway/src/peers/peerLink.ts
@@ -5,6 +5,8 @@
   encodePermitMessage,
   type PermitMessage,
 } from './permitMessage.js'
+import { decodeLoadMessage, encodeLoadMessage } from '../loads/loadMessage.js'
+import type { LoadMessage } from '../loads/loadMessage.js'
 import { decodeReport, encodeReport, type PeerReport } from './peerReport.js'
 import type { ListenAddress } from '../http/callerServer.js'
 import type { PeerTable } from './peerTable.js'
@@ -17,6 +19,7 @@
   readonly createReport: () => PeerReport
   readonly onReport: (report: PeerReport, from: ListenAddress) => void
   readonly onPermitMessage: (message: PermitMessage, from: ListenAddress) => void
+  readonly onLoadMessage: (message: LoadMessage, from: ListenAddress) => void
   /**
    * Called for each datagram that can't be read, each failed send and each socket
    * error.
@@ -41,6 +44,11 @@
   ) {
     socket.on('message', (datagram, { address, port }) => {
       const from = { host: address, port }
+      const loadMessage = decodeLoadMessage(datagram)
+      if (loadMessage) {
+        opts.onLoadMessage(loadMessage, from)
+        return
+      }
       const permitMessage = decodePermitMessage(datagram)
       if (permitMessage) {
         opts.onPermitMessage(permitMessage, from)
@@ -86,6 +94,11 @@
     this.#sendDatagram(encodePermitMessage(message), address)
   }
 
+  sendLoadMessage(message: LoadMessage, addresses: readonly ListenAddress[]): void {
+    const datagram = encodeLoadMessage(message)
+    for (const address of addresses) this.#sendDatagram(datagram, address)
+  }
+
   close(): void {
     clearTimeout(this.#timer)
     this.socket.close()
--- a/packages/gateway/src/peers/peerTable.ts
+++ b/packages/gateway/src/peers/peerTable.ts
@@ -48,6 +48,12 @@
   readonly port: number
 }
 
+/** A live instance; `address` is undefined for this instance itself. */
+export interface LiveInstance {
+  readonly name: string
+  readonly address: PeerAddress | undefined
+}
+
 interface Peer {
   readonly address: PeerAddress
   readonly sortKey: string
@@ -134,6 +140,11 @@
     return true
   }
 
+  /** Number of known instances, alive or not, without this one. */
+  get size(): number {
+    return this.#peers.size
+  }
+
   isAlive(name: string): boolean {
     return this.aliveNames.has(name)
   }
@@ -206,6 +217,25 @@
     return new Set(this.#alive().map(({ address }) => address.name))
   }
 
+  /**
+   * Live instances by availability zone, in the order of all instances. This one is among
+   * them, without an address, unless it is draining.
+   */
+  instancesByZone(isDraining: boolean): Map<string, LiveInstance[]> {
+    const self = { name: this.self.name, address: undefined }
+    const live: (LiveInstance & Pick<Peer, 'sortKey' | 'zone'>)[] = this.#alive().map(
+      ({ address, sortKey, zone }) => ({ name: address.name, address, sortKey, zone }),
+    )
+    if (!isDraining) live.push({ ...self, sortKey: this.#sortKey, zone: this.self.zone })
+    const byZone = new Map<string, LiveInstance[]>()
+    for (const { name, address, zone = '' } of live.toSorted(bySortKey)) {
+      const instances = byZone.get(zone) ?? []
+      instances.push({ name, address })
+      byZone.set(zone, instances)
+    }
+    return byZone
+  }
+
   /** Number of live instances that come before this one in the order of all instances. */
   rank(): number {
     return this.#alive().filter(({ sortKey }) => sortKey < this.#sortKey).length
@@ -259,6 +289,11 @@
   }
 }
 
+function bySortKey(a: Pick<Peer, 'sortKey'>, b: Pick<Peer, 'sortKey'>): number {
+  if (a.sortKey === b.sortKey) return 0
+  return a.sortKey < b.sortKey ? -1 : 1
+}
+
 /**
  * Sort key that gives the same order on every instance: the widest link first, because the
  * first instances pass changes on to the others. Then by a hash, so that the order doesn't
--- a/packages/gateway/src/placement/prefillSpeeds.ts
+++ b/packages/gateway/src/placement/prefillSpeeds.ts
@@ -1,5 +1,6 @@
 /** Prefill speed of each model, learned from the time to the first event of streams. */
 import type { Clock } from '@wagtailway/core'
+import type { SharedSpeeds } from '../loads/loadSums.js'
 
 /** Prefill time per token before any observation, in milliseconds: 64 tokens per millisecond. */
 const DEFAULT_MS_PER_TOKEN = 1 / 64
@@ -28,6 +29,9 @@
 /** Minimum interval between combining the speeds of all instances, in milliseconds. */
 const COMBINE_INTERVAL_MS = 500
 
+/** Age at which the speeds of the fleet expire, in milliseconds. */
+const FLEET_TTL_MS = 20_000
+
 /** Milliseconds per token by context length bucket; `undefined` without observations. */
 export type SpeedsByContextLength = readonly (number | undefined)[]
 
@@ -45,6 +49,8 @@
   readonly #localSpeeds = new Map<string, (number | undefined)[]>()
   readonly #peerSpeeds = new Map<string, ReadonlyMap<string, SpeedsByContextLength>>()
   #combined = new Map<string, SpeedsByContextLength>()
+  #fleetSpeeds: SharedSpeeds = new Map()
+  #fleetSpeedsAtMs = Number.NEGATIVE_INFINITY
   #combinedAtMs = Number.NEGATIVE_INFINITY
 
   private constructor(private readonly clock: Clock) {}
@@ -63,6 +69,12 @@
     this.#peerSpeeds.set(peer, speeds)
   }
 
+  /** Replaces the speeds that all instances agree on. */
+  applyFleet(speeds: SharedSpeeds): void {
+    this.#fleetSpeeds = speeds
+    this.#fleetSpeedsAtMs = this.clock()
+  }
+
   /** Removes the speeds of all instances that are not alive. */
   retainPeers(alive: ReadonlySet<string>): void {
     for (const peer of this.#peerSpeeds.keys())
@@ -110,12 +122,19 @@
     if (now - this.#combinedAtMs < COMBINE_INTERVAL_MS) return
     this.#combinedAtMs = now
     const allSpeeds = [this.#localSpeeds, ...this.#peerSpeeds.values()]
-    const models = new Set(allSpeeds.flatMap((speeds) => [...speeds.keys()]))
+    const isFleetRecent = now - this.#fleetSpeedsAtMs < FLEET_TTL_MS
+    const fleetSpeeds: SharedSpeeds = isFleetRecent ? this.#fleetSpeeds : new Map()
+    const models = new Set(
+      [...allSpeeds, fleetSpeeds].flatMap((speeds) => [...speeds.keys()]),
+    )
     this.#combined = new Map(
       [...models].map((model) => [
         model,
-        Array.from({ length: BUCKET_COUNT }, (_, bucket) =>
-          lowerQuartile(allSpeeds.map((speeds) => speeds.get(model)?.[bucket])),
+        Array.from(
+          { length: BUCKET_COUNT },
+          (_, bucket) =>
+            fleetSpeeds.get(model)?.[bucket]?.msPerToken ??
+            lowerQuartile(allSpeeds.map((speeds) => speeds.get(model)?.[bucket])),
         ),
       ]),
     )
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -1,8 +1,12 @@
 /** Load of each backend server, as far as this process knows. */
-import type { Clock } from '@wagtailway/core'
+import { hash32, type Clock } from '@wagtailway/core'
+import type { LoadsByHash } from '../loads/loadSums.js'
 
-/** Age at which load reports of other entry instances expire, in milliseconds. */
-const REPORT_TTL_MS = 4_000
+/** Least age at which load reports of other entry instances expire, in milliseconds. */
+const MIN_REPORT_TTL_MS = 4_000
+
+/** Interval of looking for expired reports, in milliseconds. */
+const EXPIRY_CHECK_MS = 250
 
 /** Load of one backend server. */
 export interface ServerLoad {
@@ -20,8 +24,18 @@
 
 const NO_LOAD: ServerLoad = { running: 0, waitingMs: 0 }
 
+/** Loads of all entry instances, this one included. */
+interface FleetLoads {
+  readonly receivedAtMs: number
+  readonly ttlMs: number
+  readonly loads: LoadsByHash
+  /** The part of them that is this instance's. */
+  readonly ownLoads: LoadsByHash
+}
+
 /**
- * Load from this process, together with the loads that other entry instances report.
+ * Load from this process, together with the loads of the other entry instances: those that
+ * each of them reports or, in a large fleet, the sum of all.
  *
  * @example
  * const loads = LoadTable.create(clock)
@@ -31,11 +45,20 @@
 export class LoadTable {
   readonly #localLoads = new Map<string, ServerLoad>()
   readonly #peerLoads = new Map<string, ReceivedLoads>()
+  /** Sums of the unexpired reports of single instances. */
+  readonly #reportedSums = new Map<string, ServerLoad>()
+  readonly #hashes = new Map<string, number>()
+  #fleet: FleetLoads | undefined
+  #expiryCheckedAtMs = Number.NEGATIVE_INFINITY
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(
+    private readonly clock: Clock,
+    private readonly reportIntervalMs: () => number,
+  ) {}
 
-  static create(clock: Clock): LoadTable {
-    return new LoadTable(clock)
+  /** @param reportIntervalMs Longest interval of the reports of one instance. */
+  static create(clock: Clock, reportIntervalMs: () => number = () => 0): LoadTable {
+    return new LoadTable(clock, reportIntervalMs)
   }
 
   /** Records that a request was sent, with its expected prefill time. */
@@ -61,7 +84,32 @@
 
   /** Replaces the load that another entry instance reported before. */
   applyReport(peer: string, loads: ReadonlyMap<string, ServerLoad>): void {
+    this.#removeReport(peer)
+    if (loads.size === 0) return
     this.#peerLoads.set(peer, { receivedAtMs: this.clock(), loads })
+    for (const [id, { running, waitingMs }] of loads) {
+      const sum = this.#reportedSums.get(id) ?? { running: 0, waitingMs: 0 }
+      sum.running += running
+      sum.waitingMs += waitingMs
+      this.#reportedSums.set(id, sum)
+    }
+  }
+
+  /**
+   * Replaces the loads of all entry instances.
+   *
+   * @param ownLoads The part of them that is this instance's.
+   * @param ttlMs Age at which they expire, in milliseconds.
+   */
+  applyFleet(loads: LoadsByHash, ownLoads: LoadsByHash, ttlMs: number): void {
+    this.#fleet = { receivedAtMs: this.clock(), ttlMs, loads, ownLoads }
+  }
+
+  /** Whether the loads of all entry instances are known and have not expired. */
+  get hasFleetLoads(): boolean {
+    if (this.#fleet && this.clock() - this.#fleet.receivedAtMs >= this.#fleet.ttlMs)
+      this.#fleet = undefined
+    return this.#fleet !== undefined
   }
 
   /** Load from this process, for its reports to peers. */
@@ -69,21 +117,71 @@
     return this.#localLoads
   }
 
-  /** Load of one server from all entry instances with a report that has not expired. */
+  /** The same by hash of the server's id, as a copy. */
+  get localLoadsByHash(): LoadsByHash {
+    return new Map(
+      [...this.#localLoads].map(([id, load]) => [this.#hashOf(id), { ...load }]),
+    )
+  }
+
+  /** Drops what is kept for a server that has left. */
+  forget(serverId: string): void {
+    this.#hashes.delete(serverId)
+  }
+
+  /** Load of one server from all entry instances whose loads have not expired. */
   total(serverId: string): ServerLoad {
-    const localLoad = this.#localLoads.get(serverId) ?? NO_LOAD
-    const total = { ...localLoad }
-    const oldestMs = this.clock() - REPORT_TTL_MS
-    for (const [peer, { receivedAtMs, loads }] of this.#peerLoads) {
-      if (receivedAtMs < oldestMs) {
-        this.#peerLoads.delete(peer)
-        continue
-      }
-      const load = loads.get(serverId)
-      if (!load) continue
-      total.running += load.running
-      total.waitingMs += load.waitingMs
+    this.#removeExpired()
+    const local = this.#localLoads.get(serverId) ?? NO_LOAD
+    const reported = this.#reportedSums.get(serverId) ?? NO_LOAD
+    const others = this.#fleetLoad(serverId)
+    return {
+      running: local.running + reported.running + others.running,
+      waitingMs: local.waitingMs + reported.waitingMs + others.waitingMs,
+    }
+  }
+
+  /** Load of one server from the fleet, without this instance. */
+  #fleetLoad(serverId: string): ServerLoad {
+    if (!this.hasFleetLoads || !this.#fleet) return NO_LOAD
+    const hash = this.#hashOf(serverId)
+    const fleet = this.#fleet.loads.get(hash)
+    if (!fleet) return NO_LOAD
+    const own = this.#fleet.ownLoads.get(hash) ?? NO_LOAD
+    return {
+      running: Math.max(0, fleet.running - own.running),
+      waitingMs: Math.max(0, fleet.waitingMs - own.waitingMs),
+    }
+  }
+
+  #removeExpired(): void {
+    const nowMs = this.clock()
+    if (nowMs - this.#expiryCheckedAtMs < EXPIRY_CHECK_MS) return
+    this.#expiryCheckedAtMs = nowMs
+    const oldestMs = nowMs - Math.max(MIN_REPORT_TTL_MS, 2 * this.reportIntervalMs())
+    for (const [peer, { receivedAtMs }] of this.#peerLoads)
+      if (receivedAtMs < oldestMs) this.#removeReport(peer)
+  }
+
+  #removeReport(peer: string): void {
+    const previous = this.#peerLoads.get(peer)
+    if (!previous) return
+    this.#peerLoads.delete(peer)
+    for (const [id, { running, waitingMs }] of previous.loads) {
+      const sum = this.#reportedSums.get(id)
+      if (!sum) continue
+      sum.running -= running
+      sum.waitingMs -= waitingMs
+      if (sum.running <= 0) this.#reportedSums.delete(id)
+    }
+  }
+
+  #hashOf(serverId: string): number {
+    let hash = this.#hashes.get(serverId)
+    if (hash === undefined) {
+      hash = hash32(serverId)
+      this.#hashes.set(serverId, hash)
     }
-    return total
+    return hash
   }
 }
--- a/packages/gateway/src/process/createNode.ts
+++ b/packages/gateway/src/process/createNode.ts
@@ -9,6 +9,7 @@
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
 import { PeerTable } from '../peers/peerTable.js'
+import { longestReportIntervalMs } from '../peers/reportSchedule.js'
 import { PrefillSpeeds } from '../placement/prefillSpeeds.js'
 import { CachedPrefixes } from '../placement/cachedPrefixes.js'
 import { ServerHealth } from '../placement/serverHealth.js'
@@ -43,12 +44,13 @@
   const sessions = RecentSessions.create(clock, settings.bounds.sessionGapMs)
   const rollouts = RolloutTable.create(clock, sessions)
   const evidence = VersionEvidence.create(clock)
-  const load = LoadTable.create(clock)
   const peers = PeerTable.create(settings, clock)
+  const load = LoadTable.create(clock, () => longestReportIntervalMs(peers.size))
   const servers: ServerTable = ServerTable.create(clock, (server, replacement) => {
     const { id } = server
     health.forget(id)
     connections.drop(id)
+    load.forget(id)
     if (replacement) quarantine.recordRestart(server)
     quarantine.forget(server)
     limiter.forget(server)
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -1,6 +1,8 @@
 /** Creates the reports of this instance and applies those of the others. */
 import type { FeedExchange } from '../feed/feedExchange.js'
+import { SMALL_FLEET_SIZE } from '../feed/pollSchedule.js'
 import type { GatewayNode } from '../gatewayNode.js'
+import { LoadExchange, REPORT_INTERVAL_MS } from '../loads/loadExchange.js'
 import { PeerLink } from '../peers/peerLink.js'
 import type { PeerReport } from '../peers/peerReport.js'
 import type { RolloutController } from '../rollout/rolloutController.js'
@@ -24,13 +26,20 @@
 /** Least interval between two reports sent out of turn, in milliseconds. */
 const MIN_NEWS_INTERVAL_MS = 50
 
+/** The link to the other entry instances, and what runs on it. */
+export interface LinkedPeers {
+  /** Sends a report now. */
+  send(): void
+  close(): void
+}
+
 /** Starts the exchange of reports with the other entry instances. */
 export async function linkPeers(
   node: GatewayNode,
   settings: GatewaySettings,
   rolloutController: RolloutController,
   exchange: FeedExchange,
-): Promise<PeerLink> {
+): Promise<LinkedPeers> {
   const { peers, load, prefillSpeeds, health, evidence, rollouts, metrics, clock } =
     node.opts
   const { quarantine, limiter } = node.opts
@@ -42,7 +51,8 @@
       name: settings.name,
       sequence,
       isDraining: node.isDraining,
-      loads: load.localLoads,
+      // The gatherers of a large fleet know them already.
+      loads: load.hasFleetLoads ? new Map() : load.localLoads,
       evidence: running.map(({ service, target }) => ({
         service,
         target,
@@ -60,11 +70,27 @@
       feedMarks: exchange.marks,
       unreachableServers: health.locallyUnreachable,
       prefillSpeeds:
-        sequence % SPEEDS_EVERY === 0 ? prefillSpeeds.localSpeeds : new Map(),
+        sequence % SPEEDS_EVERY === 0 && !load.hasFleetLoads
+          ? prefillSpeeds.localSpeeds
+          : new Map(),
       crashReport: quarantine.report,
       limits: limiter.reported,
     }
   }
+  const loadExchange = LoadExchange.create({
+    name: settings.name,
+    zone: settings.zone,
+    clock,
+    load,
+    prefillSpeeds,
+    instancesByZone: () => peers.instancesByZone(node.isDraining),
+    send: (message, addresses) => {
+      link.sendLoadMessage(message, addresses)
+    },
+    onChange: (state) => {
+      node.opts.log('fleet_loads', { ...state })
+    },
+  })
   const link = await PeerLink.create({
     host: settings.host,
     port: settings.peerPort,
@@ -93,6 +119,9 @@
       const grant = limiter.answer(asker, ask)
       link.sendPermitMessage({ type: 'grant', id: ask.id, grant }, from)
     },
+    onLoadMessage: (message, { host, port }) => {
+      loadExchange.receive(message, { name: message.sender, host, port })
+    },
     onFault: (detail) => {
       metrics.peerFaults.inc({ detail })
     },
@@ -107,7 +136,19 @@
     if (address)
       link.sendPermitMessage({ type: 'ask', asker: settings.name, ask }, address)
   }
-  return link
+  const loadTimer = setInterval(() => {
+    // In a small fleet each instance reports to each other one.
+    if (peers.aliveCount > SMALL_FLEET_SIZE) loadExchange.advance()
+  }, REPORT_INTERVAL_MS)
+  return {
+    send: () => {
+      link.send()
+    },
+    close: () => {
+      clearInterval(loadTimer)
+      link.close()
+    },
+  }
 }
 
 /** Calls the action at most once in each interval, at once or at its end. */
--- a/packages/scenario/src/promptLoad/engineModel.ts
+++ b/packages/scenario/src/promptLoad/engineModel.ts
@@ -84,10 +84,16 @@
   private constructor(
     private readonly time: VirtualTime,
     private readonly spec: EngineSpec,
+    private readonly slowdownAt: (atMs: number) => number,
   ) {}
 
-  static create(time: VirtualTime, spec: EngineSpec): EngineModel {
-    return new EngineModel(time, spec)
+  /** @param slowdownAt Factor of the time of a step that begins then. */
+  static create(
+    time: VirtualTime,
+    spec: EngineSpec,
+    slowdownAt: (atMs: number) => number = () => 1,
+  ): EngineModel {
+    return new EngineModel(time, spec, slowdownAt)
   }
 
   submit(job: EngineJob): JobHandle {
@@ -120,7 +126,8 @@
     this.#isStepping = true
     const prefillMs = this.#prefillChunk()
     this.prefillMs += prefillMs
-    this.time.after(this.spec.stepMs + prefillMs, () => {
+    const stepMs = this.spec.stepMs + prefillMs
+    this.time.after(stepMs * this.slowdownAt(this.time.now()), () => {
       this.#decode()
       this.#step()
     })
--- a/packages/scenario/src/promptLoad/promptRun.ts
+++ b/packages/scenario/src/promptLoad/promptRun.ts
@@ -6,9 +6,6 @@
 import { seededRandom } from '@wagtailway/core'
 import {
   selectPlacement,
-  LoadTable,
-  PrefillSpeeds,
-  CachedPrefixes,
   type Acceptance,
   type AcceptanceInputs,
   type BackendServer,
@@ -17,6 +14,12 @@
 } from '@wagtailway/gateway'
 import { VirtualTime } from '../loadModel/virtualTime.js'
 import { EngineModel, type EngineSpec } from './engineModel.js'
+import {
+  createNodes,
+  reportToEach,
+  type LoadSharing,
+  type PromptNode,
+} from './loadSharing.js'
 import { generateRequests, type ModelSpec } from './promptWorkload.js'
 import type { PromptClass, PromptRequest } from './promptWorkload.js'
 
@@ -36,6 +39,20 @@
   readonly rateAt: (atMs: number) => number
   readonly policy: PromptPolicy
   readonly seed: number
+  /**
+   * How nodes tell each other their loads.
+   *
+   * @default reportToEach
+   */
+  readonly shareLoads?: LoadSharing
+  /** Number of availability zones of the nodes; one by default. */
+  readonly zones?: number
+  /** Share of the datagrams between nodes that are lost; none by default. */
+  readonly lossShare?: number
+  /** Whether the node with this index has ended; no requests reach it then. */
+  readonly isNodeDown?: (index: number, atMs: number) => boolean
+  /** Factor of the duration of an engine's steps, such as 3.5 while it is slow. */
+  readonly slowdownAt?: (engine: number, atMs: number) => number
 }
 
 /** Counts and credit of one class of requests. */
@@ -59,6 +76,9 @@
   readonly prefillFraction: number
   readonly prefilledTokens: number
   readonly cacheHitTokens: number
+  /** Bytes a second that a node sends and receives to share loads. */
+  readonly meanBytesPerS: number
+  readonly maxBytesPerS: number
 }
 
 /** Credit of an output from too small a model, as a fraction of a good output's. */
@@ -72,22 +92,8 @@
 /** Time after the last arrival in which responses still count, in milliseconds. */
 const DRAIN_MS = 20_000
 
-/**
- * Interval of a node's reports, which grows with the number of nodes, and the delay of a
- * report, in milliseconds.
- */
-const MIN_REPORT_INTERVAL_MS = 300
-const REPORT_INTERVAL_MS_PER_NODE = 8
-const REPORT_LAG_MS = 5
-
 const ZONE = 'z1'
 
-interface Node {
-  readonly load: LoadTable
-  readonly speeds: PrefillSpeeds
-  readonly cachedPrefixes: CachedPrefixes
-}
-
 /**
  * Runs one simulation.
  *
@@ -100,7 +106,8 @@
   const engines = new Map<string, EngineModel>()
   const servers = Array.from({ length: opts.engines }, (_, i): BackendServer => {
     const id = `e${i}`
-    engines.set(id, EngineModel.create(time, opts.engine))
+    const slowdownAt = (atMs: number): number => opts.slowdownAt?.(i, atMs) ?? 1
+    engines.set(id, EngineModel.create(time, opts.engine, slowdownAt))
     return {
       id,
       startedAtMs: 0,
@@ -113,12 +120,28 @@
       version: 'v1',
     }
   })
-  const nodes = Array.from({ length: opts.nodes }, (): Node => ({
-    load: LoadTable.create(time.now),
-    speeds: PrefillSpeeds.create(time.now),
-    cachedPrefixes: CachedPrefixes.create(time.now),
-  }))
-  scheduleReports(time, nodes)
+  const nodes = createNodes(time, opts.nodes, opts.zones ?? 1)
+  const isDown = ({ name }: PromptNode, atMs: number): boolean =>
+    opts.isNodeDown?.(
+      nodes.findIndex((node) => node.name === name),
+      atMs,
+    ) ?? false
+  const bytes = new Map<string, number>()
+  const countBytes = ({ name }: PromptNode, count: number): void => {
+    bytes.set(name, (bytes.get(name) ?? 0) + count)
+  }
+  const shareLoads = opts.shareLoads ?? reportToEach
+  shareLoads({
+    time,
+    nodes,
+    random: seededRandom(opts.seed + 1),
+    lossShare: opts.lossShare ?? 0,
+    isDown,
+    onDatagram: (from, to, count) => {
+      countBytes(from, count)
+      countBytes(to, count)
+    },
+  })
   const outcomes = new Map(
     opts.classes.map(({ name }): [string, PromptOutcome] => [
       name,
@@ -139,7 +162,8 @@
     opts.rateAt,
     random,
   )) {
-    const node = nodes[Math.floor(random() * nodes.length)]
+    const live = nodes.filter((node) => !isDown(node, req.atMs))
+    const node = live[Math.floor(random() * live.length)]
     const outcome = outcomes.get(req.cls.name)
     if (!node || !outcome) continue
     time.after(req.atMs, () => {
@@ -158,30 +182,19 @@
     prefillFraction: sum(({ prefillMs }) => prefillMs) / (engines.size * opts.durationMs),
     prefilledTokens: sum(({ prefilledTokens }) => prefilledTokens),
     cacheHitTokens: sum(({ cacheHitTokens }) => cacheHitTokens),
+    ...bytesPerS([...bytes.values()], opts),
   }
 }
 
-/** Sends each node's load and model speeds to the other nodes at staggered intervals. */
-function scheduleReports(time: VirtualTime, nodes: readonly Node[]): void {
-  const intervalMs = Math.max(
-    MIN_REPORT_INTERVAL_MS,
-    nodes.length * REPORT_INTERVAL_MS_PER_NODE,
-  )
-  for (const [i, node] of nodes.entries()) {
-    time.after((intervalMs * i) / nodes.length, () => {
-      time.every(intervalMs, () => {
-        const loads = new Map(
-          [...node.load.localLoads].map(([id, load]) => [id, { ...load }] as const),
-        )
-        time.after(REPORT_LAG_MS, () => {
-          for (const other of nodes) {
-            if (other === node) continue
-            other.load.applyReport(`n${i}`, loads)
-            other.speeds.applyReport(`n${i}`, node.speeds.localSpeeds)
-          }
-        })
-      })
-    })
+function bytesPerS(
+  bytes: readonly number[],
+  { nodes, durationMs }: PromptRunOptions,
+): Pick<PromptRunResult, 'meanBytesPerS' | 'maxBytesPerS'> {
+  const seconds = (durationMs + DRAIN_MS) / 1_000
+  const total = bytes.reduce((sum, count) => sum + count, 0)
+  return {
+    meanBytesPerS: total / nodes / seconds,
+    maxBytesPerS: Math.max(0, ...bytes) / seconds,
   }
 }
 
@@ -192,7 +205,7 @@
   readonly random: () => number
   readonly engines: ReadonlyMap<string, EngineModel>
   readonly servers: readonly BackendServer[]
-  readonly node: Node
+  readonly node: PromptNode
   readonly req: PromptRequest
   readonly outcome: PromptOutcome
 }
--- a/packages/scenario/src/promptLoad/promptWorkload.ts
+++ b/packages/scenario/src/promptLoad/promptWorkload.ts
@@ -99,6 +99,19 @@
   },
 ]
 
+/** Rates and prefixes of Gebeta's classes in the fleet of hundreds, for 55 engines. */
+const LARGE_SIZES = [
+  { requestsPerSecond: 54.3, sharedPrefixes: 833 },
+  { requestsPerSecond: 46, sharedPrefixes: 705 },
+  { requestsPerSecond: 119, sharedPrefixes: 812 },
+]
+
+/** Gebeta's request classes in the fleet of hundreds, for 55 engines. */
+export const GEBETA_LARGE: readonly PromptClass[] = GEBETA_GROWN.map((cls, i) => ({
+  ...cls,
+  ...LARGE_SIZES[i],
+}))
+
 /** Standard deviation of the logarithm of a token count's random factor. */
 const LOG_STANDARD_DEVIATION = 0.8
 
