--- a/packages/wagtailway/src/claim/claimEntries.ts
+++ b/packages/wagtailway/src/claim/claimEntries.ts
@@ -1,6 +1,6 @@
 /** Entries of one range of claims, as stored in its platform object. */
 import { createHash } from 'node:crypto'
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const claimEntrySchema = z.object({
   holder: z.string(),
--- a/packages/wagtailway/src/config/declarations.ts
+++ b/packages/wagtailway/src/config/declarations.ts
@@ -6,7 +6,7 @@
  * the revision has changed, another change came first, and the write is rejected, so
  * that no writer overwrites a change it hasn't seen.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ObjectStore, StoredObject, Unavailable } from '../platform/objectStore.js'
 import { Err, Ok, type Result } from '../result.js'
 import type { Finding } from './findings.js'
--- a/packages/wagtailway/src/config/effective.ts
+++ b/packages/wagtailway/src/config/effective.ts
@@ -1,5 +1,5 @@
 /** The configuration in force, as it results from reconciling all declarations. */
-import { z } from 'zod'
+import * as z from 'zod'
 import {
   classSchema,
   grantSchema,
--- a/packages/wagtailway/src/config/schema.ts
+++ b/packages/wagtailway/src/config/schema.ts
@@ -4,7 +4,7 @@
  * A document belongs to one owner and holds any number of declarations.
  * Declarations state targets and allowances, never weights or addresses.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const name = z
   .string()
--- a/packages/wagtailway/src/config/status.ts
+++ b/packages/wagtailway/src/config/status.ts
@@ -1,5 +1,5 @@
 /** Reports the outcome of a publication to each owner, as `status` objects. */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ObjectStore } from '../platform/objectStore.js'
 import type { Finding } from './findings.js'
 import type { Move } from './moves.js'
--- a/packages/wagtailway/src/lease/fencedObject.ts
+++ b/packages/wagtailway/src/lease/fencedObject.ts
@@ -14,7 +14,7 @@
   Unavailable,
 } from '../platform/objectStore.js'
 import type { Lease } from './lease.js'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const fencedSchema = z.object({ fence: z.number().int(), value: z.unknown() })
 
--- a/packages/wagtailway/src/lease/lease.ts
+++ b/packages/wagtailway/src/lease/lease.ts
@@ -8,7 +8,7 @@
  */
 import type { Clock } from '../clock.js'
 import type { ObjectStore } from '../platform/objectStore.js'
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const leaseSchema = z.object({
   /** Empty after the lease was released. */
--- a/packages/wagtailway/src/ledger/billingRecord.ts
+++ b/packages/wagtailway/src/ledger/billingRecord.ts
@@ -1,5 +1,5 @@
 /** Billing records and the slots that hold them. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const backendCallSchema = z.object({
   versionKey: z.string(),
--- a/packages/wagtailway/src/rollout/rolloutState.ts
+++ b/packages/wagtailway/src/rollout/rolloutState.ts
@@ -1,5 +1,5 @@
 /** State of a rollout as stored in the platform. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { versionKey } from '../config/effective.js'
 
 /**
--- a/packages/wagtailway/src/session/sessionToken.ts
+++ b/packages/wagtailway/src/session/sessionToken.ts
@@ -5,7 +5,7 @@
  * keys can verify it without contacting the platform or another node.
  */
 import { createHmac, timingSafeEqual } from 'node:crypto'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const claimsSchema = z.object({
   workspace: z.string(),
--- a/packages/wagtailway/src/settings/settings.ts
+++ b/packages/wagtailway/src/settings/settings.ts
@@ -2,7 +2,7 @@
  * Flags and environment variables of a binary, derived from its settings schema,
  * which is the single source for their names, types and descriptions.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export type SettingType = 'string' | 'number' | 'boolean' | 'list'
 
--- a/packages/wagtailway/src/spread/configItems.ts
+++ b/packages/wagtailway/src/spread/configItems.ts
@@ -1,5 +1,5 @@
 /** Splits the configuration into items, so that only changed items are sent. */
-import { z } from 'zod'
+import * as z from 'zod'
 import {
   effectiveConfigSchema,
   versionKey,
