--- a/packages/gateway/src/forward/requestPlacement.ts
+++ b/packages/gateway/src/forward/requestPlacement.ts
@@ -5,7 +5,11 @@
 import { selectPlacement, type Placement } from '../placement/selectPlacement.js'
 import { sessionPosition } from '../rollout/rolloutTable.js'
 import type { RequestContextOptions } from './requestOptions.js'
-import { LOWEST_URGENCY, WORKSPACE_URGENCY_STEP } from '../model/urgency.js'
+import {
+  LOWEST_URGENCY,
+  WORKSPACE_URGENCY_STEP,
+  engineUrgency,
+} from '../model/urgency.js'
 
 /**
  * Share of a server's connection limit, divided equally among the entry instances, that
@@ -114,7 +118,7 @@
     model: string | undefined,
     isAvailable: (server: BackendServer) => boolean,
   ): Placement | undefined {
-    const { node, caller } = this.opts
+    const { node, caller, workspace, route } = this.opts
     const { health, prefillSpeeds, load, random, zone, cachedPrefixes } = node.opts
     const parts = sharedParts(this.opts)
     const sharedTokens = parts.reduce((sum, { tokens }) => sum + tokens, 0)
@@ -131,6 +135,11 @@
         uniqueTokens: Math.max(0, caller.metadata.promptTokens - sharedTokens),
         prefillMsPerToken: (precedingTokens) =>
           prefillSpeeds.msPerToken(model ?? '', precedingTokens),
+        urgencyOf: (prefillMs) =>
+          engineUrgency(
+            { workspace: workspace?.priority ?? 0, route: route.priority },
+            prefillMs,
+          ),
         zone,
       },
       (id) => load.total(id),
--- a/packages/gateway/src/forward/startAttempt.ts
+++ b/packages/gateway/src/forward/startAttempt.ts
@@ -3,15 +3,12 @@
 import type { ServerLimit } from '../limits/serverLimits.js'
 import type { RequestInFlight } from '../quarantine/requestsInFlight.js'
 import type { Placement } from '../placement/selectPlacement.js'
+import { waitingMsAhead } from '../placement/serverLoad.js'
 import { Attempt } from './attempt.js'
 import type { RequestContext } from './requestContext.js'
 import type { AttemptLogEntry } from './requestLog.js'
 import type { RequestContextOptions } from './requestOptions.js'
 import { affinityKey, sharedParts } from './requestPlacement.js'
-import { LOWEST_URGENCY, WORKSPACE_URGENCY_STEP } from '../model/urgency.js'
-
-/** Prompts with a shorter prefill time count as short, in milliseconds: a few engine steps. */
-const SHORT_PREFILL_MS = 40
 
 /** An attempt in progress, with what is recorded about it. */
 export interface TrackedAttempt {
@@ -47,9 +44,9 @@
   const { node, caller, service } = ctx.opts
   const { clock, load, metrics, rollouts, quarantine, cachedPrefixes, limiter } =
     node.opts
-  const { server, prefillMs } = placement
+  const { server, prefillMs, urgency } = placement
   const sentAtMs = clock()
-  const queuedPrefillMs = load.total(server.id).waitingMs
+  const queuedPrefillMs = waitingMsAhead(load.total(server.id), urgency)
   const attempt = sendAttempt(ctx, placement, model, lastEventId)
   const logEntry: AttemptLogEntry = {
     server: server.id,
@@ -64,20 +61,20 @@
   ctx.attemptLog.push(logEntry)
   const parts = sharedParts(ctx.opts)
   const inFlight = quarantine.begin(server, ctx.traits)
-  load.begin(server.id, prefillMs)
+  load.begin(server.id, prefillMs, urgency)
   let isPrefillDone = false
   const recordPrefillDone = (): void => {
     if (isPrefillDone) return
     isPrefillDone = true
     const key = affinityKey(parts, model)
     if (key !== undefined) cachedPrefixes.record(server.id, key)
-    load.prefillDone(server.id, prefillMs)
+    load.prefillDone(server.id, prefillMs, urgency)
   }
   let isComplete = false
   const complete = (result: string): void => {
     if (isComplete) return
     isComplete = true
-    if (!isPrefillDone) load.prefillDone(server.id, prefillMs)
+    if (!isPrefillDone) load.prefillDone(server.id, prefillMs, urgency)
     isPrefillDone = true
     load.end(server.id)
     inFlight.end()
@@ -103,11 +100,11 @@
 
 function sendAttempt(
   ctx: RequestContext,
-  { server, prefillMs }: Placement,
+  { server, urgency }: Placement,
   model: string | undefined,
   lastEventId: number | undefined,
 ): Attempt {
-  const { node, caller, workspace, body, route } = ctx.opts
+  const { node, caller, workspace, body, route, service } = ctx.opts
   const { dialect, connections, limiter } = node.opts
   // A request that must not run twice gets a connection that was never used before.
   const keepAlive = route.kind !== 'once'
@@ -122,7 +119,7 @@
       remainingMs: Math.max(1, Math.floor(ctx.timeToDeadlineMs)),
       workspace: workspace?.name,
       model,
-      urgency: urgency(ctx.opts, prefillMs),
+      urgency: service.models.length === 0 ? undefined : urgency,
       lastEventId,
       bodyBytes: body.length,
       keepAlive,
@@ -136,23 +133,6 @@
   })
 }
 
-/**
- * Urgency that the engine is given, zero being the most urgent. Short prompts go first:
- * they delay a long one only slightly, but would miss their target behind several long
- * ones. `undefined` for services without models.
- */
-function urgency(
-  { route, workspace, service }: RequestContextOptions,
-  expectedPrefillMs: number,
-): number | undefined {
-  if (service.models.length === 0) return undefined
-  const routeUrgency = expectedPrefillMs < SHORT_PREFILL_MS ? 0 : 1 + route.priority
-  return Math.min(
-    LOWEST_URGENCY,
-    (workspace?.priority ?? 0) * WORKSPACE_URGENCY_STEP + routeUrgency,
-  )
-}
-
 /** The limit under which an attempt was sent, for the log. */
 function describeLimit(
   limit: ServerLimit | undefined,
--- a/packages/gateway/src/loads/loadExchange.ts
+++ b/packages/gateway/src/loads/loadExchange.ts
@@ -295,7 +295,11 @@
     a.size === b.size &&
     [...a].every(([hash, { running, waitingMs }]) => {
       const other = b.get(hash)
-      return other?.running === running && other.waitingMs === waitingMs
+      return (
+        other?.running === running &&
+        other.waitingMs.length === waitingMs.length &&
+        waitingMs.every((ms, level) => other.waitingMs[level] === ms)
+      )
     })
   )
 }
--- a/packages/gateway/src/loads/loadMessage.ts
+++ b/packages/gateway/src/loads/loadMessage.ts
@@ -1,6 +1,7 @@
 /** Messages in which entry instances tell each other the loads of backend servers. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { LoadReportSchema, LoadReport_Scope } from '@wagtailway/protocol'
+import { LOWEST_URGENCY } from '../model/urgency.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
 import type { LoadsByHash, SharedSpeed, SharedSpeeds } from './loadSums.js'
 
@@ -77,6 +78,8 @@
  * socket.send(encodeLoadMessage(message), port, host)
  */
 export function encodeLoadMessage(message: LoadMessage): Buffer {
+  const allLoads = [...message.loads.values()]
+  const levels = levelsOf(allLoads)
   const encoded = toBinary(
     LoadReportSchema,
     create(LoadReportSchema, {
@@ -89,9 +92,10 @@
       firstHash: message.firstHash,
       lastHash: message.lastHash,
       servers: [...message.loads.keys()],
-      running: [...message.loads.values()].map(({ running }) => Math.max(0, running)),
-      waitingMs: [...message.loads.values()].map(({ waitingMs }) =>
-        Math.max(0, Math.round(waitingMs)),
+      running: allLoads.map(({ running }) => Math.max(0, running)),
+      levels,
+      waitingMs: allLoads.flatMap(({ waitingMs }) =>
+        levels.map((level) => Math.max(0, Math.round(waitingMs[level] ?? 0))),
       ),
       speeds: [...message.speeds].map(([model, byLength]) => ({
         model,
@@ -117,11 +121,15 @@
     if (!scope || decoded.sender === '') return undefined
     const { sender, zone, intervalMs, wantsFleet, instances, firstHash, lastHash } =
       decoded
+    const { levels, running, waitingMs } = decoded
+    if (levels.some((level) => level > LOWEST_URGENCY)) return undefined
     const loads = new Map<number, ServerLoad>(
-      decoded.servers.map((hash, i) => [
-        hash,
-        { running: decoded.running[i] ?? 0, waitingMs: decoded.waitingMs[i] ?? 0 },
-      ]),
+      decoded.servers.map((hash, row) => {
+        const load: ServerLoad = { running: running[row] ?? 0, waitingMs: [] }
+        for (const [i, level] of levels.entries())
+          load.waitingMs[level] = waitingMs[row * levels.length + i] ?? 0
+        return [hash, { ...load, waitingMs: Array.from(load.waitingMs, (ms) => ms ?? 0) }]
+      }),
     )
     const speeds = new Map(
       decoded.speeds.map(({ model, msPerToken, instances: counts }) => [
@@ -151,6 +159,14 @@
   }
 }
 
+/** Urgency levels at which requests wait. */
+function levelsOf(loads: readonly ServerLoad[]): number[] {
+  const levels = new Set<number>()
+  for (const { waitingMs } of loads)
+    for (const [level, ms] of waitingMs.entries()) if (ms > 0) levels.add(level)
+  return [...levels]
+}
+
 function scopeOf(wire: LoadReport_Scope): LoadScope | undefined {
   const scopes: readonly LoadScope[] = ['instance', 'zone', 'fleet']
   return scopes.find((scope) => SCOPES[scope] === wire)
--- a/packages/gateway/src/loads/loadSums.ts
+++ b/packages/gateway/src/loads/loadSums.ts
@@ -1,6 +1,6 @@
 /** Sums of the loads and prefill speeds that several entry instances know of. */
 import type { SpeedsByContextLength } from '../placement/prefillSpeeds.js'
-import type { ServerLoad } from '../placement/serverLoad.js'
+import { addLoad, type ServerLoad } from '../placement/serverLoad.js'
 
 /** Loads by hash of the server's id. */
 export type LoadsByHash = ReadonlyMap<number, ServerLoad>
@@ -22,17 +22,15 @@
  * Adds up loads.
  *
  * @example
- * sumLoads([new Map([[7, { running: 1, waitingMs: 20 }]]), other]).get(7)?.running
+ * sumLoads([new Map([[7, { running: 1, waitingMs: [20] }]]), other]).get(7)?.running
  */
 export function sumLoads(all: Iterable<LoadsByHash>): Map<number, ServerLoad> {
   const sums = new Map<number, ServerLoad>()
   for (const loads of all) {
-    for (const [hash, { running, waitingMs }] of loads) {
-      const sum = sums.get(hash)
-      if (sum) {
-        sum.running += running
-        sum.waitingMs += waitingMs
-      } else sums.set(hash, { running, waitingMs })
+    for (const [hash, load] of loads) {
+      const sum = sums.get(hash) ?? { running: 0, waitingMs: [] }
+      addLoad(sum, load)
+      sums.set(hash, sum)
     }
   }
   return sums
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -53,7 +53,8 @@
   name: string,
   sequence: number,
   isDraining: 0 | 1,
-  loads: [string, number, number][],
+  /** The waiting time by urgency is absent in reports of earlier builds. */
+  loads: [id: string, running: number, waitingMs: number, byUrgency?: number[]][],
   /** Counts by server in reports of earlier builds, which later ones leave empty. */
   countsByServer: unknown[],
   /** The withdrawal is absent in reports of earlier builds. */
@@ -121,7 +122,8 @@
     [...report.loads].map(([id, { running, waitingMs }]) => [
       id,
       running,
-      Math.round(waitingMs),
+      Math.round(waitingMs.reduce((sum, ms) => sum + ms, 0)),
+      waitingMs.map(Math.round),
     ]),
     [],
     report.rollouts.map(({ service, target, elapsedMs, isWithdrawn }) => [
@@ -176,7 +178,10 @@
       sequence,
       isDraining: isDraining === 1,
       loads: new Map(
-        loads.map(([id, running, waitingMs]) => [id, { running, waitingMs }]),
+        loads.map(([id, running, waitingMs, byUrgency = [waitingMs]]) => [
+          id,
+          { running, waitingMs: byUrgency },
+        ]),
       ),
       evidence: evidence.map(decodeEvidence),
       rollouts: rollouts.map(([service, target, elapsedMs, isWithdrawn]) => ({
--- a/packages/gateway/src/placement/selectPlacement.ts
+++ b/packages/gateway/src/placement/selectPlacement.ts
@@ -9,7 +9,7 @@
  */
 import { hash32, type Random } from '@wagtailway/core'
 import type { BackendServer } from '../model/backendServer.js'
-import type { ServerLoad } from './serverLoad.js'
+import { waitingMsAhead, type ServerLoad } from './serverLoad.js'
 
 /** Delay that each request in progress on a server adds to a new one, in milliseconds. */
 const MS_PER_RUNNING_REQUEST = 3
@@ -51,6 +51,8 @@
   readonly uniqueTokens: number
   /** Prefill time of one token in milliseconds, given the number of tokens before it. */
   readonly prefillMsPerToken: (precedingTokens: number) => number
+  /** Urgency for the server, given the expected prefill time: 0 is served first. */
+  readonly urgencyOf: (prefillMs: number) => number
   readonly zone: string
   /** Whether this process recently had a server prefill the shared prefix. */
   readonly hasCachedPrefix: (serverId: string) => boolean
@@ -66,6 +68,8 @@
   readonly meanPrecedingTokens: number
   /** Expected time to prefill those tokens, in milliseconds. */
   readonly prefillMs: number
+  /** Urgency for the server, from 0, the most urgent. */
+  readonly urgency: number
 }
 
 /**
@@ -123,8 +127,9 @@
   const prefillTokens = req.uniqueTokens + missChance * req.sharedTokens
   const meanPrecedingTokens = req.sharedTokens + req.uniqueTokens - prefillTokens / 2
   const prefillMs = prefillTokens * req.prefillMsPerToken(meanPrecedingTokens)
+  const urgency = req.urgencyOf(prefillMs)
   const expectedFirstByteMs =
-    load.waitingMs +
+    waitingMsAhead(load, urgency) +
     prefillMs +
     load.running * MS_PER_RUNNING_REQUEST +
     (server.zone === req.zone ? 0 : CROSS_ZONE_MS)
@@ -134,6 +139,7 @@
     prefillTokens,
     meanPrecedingTokens,
     prefillMs,
+    urgency,
   }
 }
 
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -12,8 +12,41 @@
 export interface ServerLoad {
   /** Requests in progress. */
   running: number
-  /** Expected prefill time of requests that wait for their first event, in milliseconds. */
-  waitingMs: number
+  /**
+   * Expected prefill time of requests that wait for their first event, in milliseconds, by
+   * urgency from 0, the most urgent; absent levels have none.
+   */
+  waitingMs: number[]
+}
+
+/**
+ * Time for which requests wait that a server serves no later than one of this urgency.
+ *
+ * @example
+ * waitingMsAhead({ running: 2, waitingMs: [5, 100, 800] }, 1) // 105
+ */
+export function waitingMsAhead({ waitingMs }: ServerLoad, urgency: number): number {
+  let sum = 0
+  for (let level = 0; level <= urgency && level < waitingMs.length; level += 1)
+    sum += waitingMs[level] ?? 0
+  return sum
+}
+
+/** Adds one load to another. */
+export function addLoad(sum: ServerLoad, load: ServerLoad): void {
+  sum.running += load.running
+  for (const [level, ms] of load.waitingMs.entries())
+    sum.waitingMs[level] = (sum.waitingMs[level] ?? 0) + ms
+}
+
+function subtractLoad(sum: ServerLoad, load: ServerLoad): void {
+  sum.running = Math.max(0, sum.running - load.running)
+  for (const [level, ms] of load.waitingMs.entries())
+    sum.waitingMs[level] = Math.max(0, (sum.waitingMs[level] ?? 0) - ms)
+}
+
+function copyLoad({ running, waitingMs }: ServerLoad): ServerLoad {
+  return { running, waitingMs: [...waitingMs] }
 }
 
 /** Loads that another entry instance reported. */
@@ -22,8 +55,6 @@
   readonly loads: ReadonlyMap<string, ServerLoad>
 }
 
-const NO_LOAD: ServerLoad = { running: 0, waitingMs: 0 }
-
 /** Loads of all entry instances, this one included. */
 interface FleetLoads {
   readonly receivedAtMs: number
@@ -61,18 +92,20 @@
     return new LoadTable(clock, reportIntervalMs)
   }
 
-  /** Records that a request was sent, with its expected prefill time. */
-  begin(serverId: string, prefillMs: number): void {
-    const load = this.#localLoads.get(serverId) ?? { running: 0, waitingMs: 0 }
-    load.running += 1
-    load.waitingMs += prefillMs
+  /** Records that a request was sent, with its expected prefill time and its urgency. */
+  begin(serverId: string, prefillMs: number, urgency: number): void {
+    const load = this.#localLoads.get(serverId) ?? { running: 0, waitingMs: [] }
+    const waitingMs: number[] = []
+    waitingMs[urgency] = prefillMs
+    addLoad(load, { running: 1, waitingMs: Array.from(waitingMs, (ms) => ms ?? 0) })
     this.#localLoads.set(serverId, load)
   }
 
   /** Records that the prefill of a request is done, or no longer expected. */
-  prefillDone(serverId: string, prefillMs: number): void {
+  prefillDone(serverId: string, prefillMs: number, urgency: number): void {
     const load = this.#localLoads.get(serverId)
-    if (load) load.waitingMs = Math.max(0, load.waitingMs - prefillMs)
+    if (!load) return
+    load.waitingMs[urgency] = Math.max(0, (load.waitingMs[urgency] ?? 0) - prefillMs)
   }
 
   end(serverId: string): void {
@@ -87,10 +120,9 @@
     this.#removeReport(peer)
     if (loads.size === 0) return
     this.#peerLoads.set(peer, { receivedAtMs: this.clock(), loads })
-    for (const [id, { running, waitingMs }] of loads) {
-      const sum = this.#reportedSums.get(id) ?? { running: 0, waitingMs: 0 }
-      sum.running += running
-      sum.waitingMs += waitingMs
+    for (const [id, load] of loads) {
+      const sum = this.#reportedSums.get(id) ?? { running: 0, waitingMs: [] }
+      addLoad(sum, load)
       this.#reportedSums.set(id, sum)
     }
   }
@@ -120,7 +152,7 @@
   /** The same by hash of the server's id, as a copy. */
   get localLoadsByHash(): LoadsByHash {
     return new Map(
-      [...this.#localLoads].map(([id, load]) => [this.#hashOf(id), { ...load }]),
+      [...this.#localLoads].map(([id, load]) => [this.#hashOf(id), copyLoad(load)]),
     )
   }
 
@@ -132,26 +164,24 @@
   /** Load of one server from all entry instances whose loads have not expired. */
   total(serverId: string): ServerLoad {
     this.#removeExpired()
-    const local = this.#localLoads.get(serverId) ?? NO_LOAD
-    const reported = this.#reportedSums.get(serverId) ?? NO_LOAD
-    const others = this.#fleetLoad(serverId)
-    return {
-      running: local.running + reported.running + others.running,
-      waitingMs: local.waitingMs + reported.waitingMs + others.waitingMs,
+    const total: ServerLoad = { running: 0, waitingMs: [] }
+    this.#addFleetLoad(total, serverId)
+    for (const loads of [this.#localLoads, this.#reportedSums]) {
+      const load = loads.get(serverId)
+      if (load) addLoad(total, load)
     }
+    return total
   }
 
-  /** Load of one server from the fleet, without this instance. */
-  #fleetLoad(serverId: string): ServerLoad {
-    if (!this.hasFleetLoads || !this.#fleet) return NO_LOAD
+  /** Adds the load of one server from the fleet, without this instance. */
+  #addFleetLoad(total: ServerLoad, serverId: string): void {
+    if (!this.hasFleetLoads || !this.#fleet) return
     const hash = this.#hashOf(serverId)
     const fleet = this.#fleet.loads.get(hash)
-    if (!fleet) return NO_LOAD
-    const own = this.#fleet.ownLoads.get(hash) ?? NO_LOAD
-    return {
-      running: Math.max(0, fleet.running - own.running),
-      waitingMs: Math.max(0, fleet.waitingMs - own.waitingMs),
-    }
+    if (!fleet) return
+    addLoad(total, fleet)
+    const own = this.#fleet.ownLoads.get(hash)
+    if (own) subtractLoad(total, own)
   }
 
   #removeExpired(): void {
@@ -167,11 +197,10 @@
     const previous = this.#peerLoads.get(peer)
     if (!previous) return
     this.#peerLoads.delete(peer)
-    for (const [id, { running, waitingMs }] of previous.loads) {
+    for (const [id, load] of previous.loads) {
       const sum = this.#reportedSums.get(id)
       if (!sum) continue
-      sum.running -= running
-      sum.waitingMs -= waitingMs
+      subtractLoad(sum, load)
       if (sum.running <= 0) this.#reportedSums.delete(id)
     }
   }
--- a/packages/scenario/src/promptLoad/loadSharing.ts
+++ b/packages/scenario/src/promptLoad/loadSharing.ts
@@ -80,7 +80,10 @@
       time.every(intervalMs, () => {
         rounds += 1
         const loads = new Map(
-          [...node.load.localLoads].map(([id, load]) => [id, { ...load }] as const),
+          [...node.load.localLoads].map(([id, { running, waitingMs }]) => [
+            id,
+            { running, waitingMs: [...waitingMs] },
+          ]),
         )
         const hasSpeeds = rounds % SPEEDS_EVERY === 0
         const scope = reportScope(nodes.length, rounds)
