--- a/packages/gateway/src/forward/startAttempt.ts
+++ b/packages/gateway/src/forward/startAttempt.ts
@@ -3,7 +3,7 @@
 import type { ServerLimit } from '../limits/serverLimits.js'
 import type { RequestInFlight } from '../quarantine/requestsInFlight.js'
 import type { Placement } from '../placement/selectPlacement.js'
-import { waitingMsAhead } from '../placement/serverLoad.js'
+import { expectedWaitMs } from '../placement/serverLoad.js'
 import { Attempt } from './attempt.js'
 import type { RequestContext } from './requestContext.js'
 import type { AttemptLogEntry } from './requestLog.js'
@@ -46,7 +46,7 @@
     node.opts
   const { server, prefillMs, urgency } = placement
   const sentAtMs = clock()
-  const queuedPrefillMs = waitingMsAhead(load.total(server.id), urgency)
+  const queuedPrefillMs = expectedWaitMs(load.total(server.id), urgency)
   const attempt = sendAttempt(ctx, placement, model, lastEventId)
   const logEntry: AttemptLogEntry = {
     server: server.id,
--- a/packages/gateway/src/placement/selectPlacement.ts
+++ b/packages/gateway/src/placement/selectPlacement.ts
@@ -9,7 +9,7 @@
  */
 import { hash32, type Random } from '@wagtailway/core'
 import type { BackendServer } from '../model/backendServer.js'
-import { waitingMsAhead, type ServerLoad } from './serverLoad.js'
+import { expectedWaitMs, type ServerLoad } from './serverLoad.js'
 
 /** Delay that each request in progress on a server adds to a new one, in milliseconds. */
 const MS_PER_RUNNING_REQUEST = 3
@@ -129,7 +129,7 @@
   const prefillMs = prefillTokens * req.prefillMsPerToken(meanPrecedingTokens)
   const urgency = req.urgencyOf(prefillMs)
   const expectedFirstByteMs =
-    waitingMsAhead(load, urgency) +
+    expectedWaitMs(load, urgency) +
     prefillMs +
     load.running * MS_PER_RUNNING_REQUEST +
     (server.zone === req.zone ? 0 : CROSS_ZONE_MS)
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -20,15 +20,22 @@
 }
 
 /**
- * Time for which requests wait that a server serves no later than one of this urgency.
+ * Part of the waiting time of less urgent requests that counts: those that have begun hold
+ * slots and memory.
+ */
+const LESS_URGENT_SHARE = 0.1
+
+/**
+ * Expected wait of a new request behind those that a server serves no later, in
+ * milliseconds.
  *
  * @example
- * waitingMsAhead({ running: 2, waitingMs: [5, 100, 800] }, 1) // 105
+ * expectedWaitMs({ running: 2, waitingMs: [5, 100, 800] }, 1) // 185
  */
-export function waitingMsAhead({ waitingMs }: ServerLoad, urgency: number): number {
+export function expectedWaitMs({ waitingMs }: ServerLoad, urgency: number): number {
   let sum = 0
-  for (let level = 0; level <= urgency && level < waitingMs.length; level += 1)
-    sum += waitingMs[level] ?? 0
+  for (const [level, ms] of waitingMs.entries())
+    sum += level <= urgency ? ms : ms * LESS_URGENT_SHARE
   return sum
 }
 
--- a/packages/scenario/src/promptLoad/promptRun.ts
+++ b/packages/scenario/src/promptLoad/promptRun.ts
@@ -7,7 +7,7 @@
 import {
   engineUrgency,
   selectPlacement,
-  waitingMsAhead,
+  expectedWaitMs,
   type Acceptance,
   type AcceptanceInputs,
   type BackendServer,
@@ -295,7 +295,7 @@
   const engine = place && engines.get(place.server.id)
   if (!model || !place || !engine) return
   const { server, prefillMs, urgency } = place
-  const queuedMs = waitingMsAhead(node.load.total(server.id), urgency)
+  const queuedMs = expectedWaitMs(node.load.total(server.id), urgency)
   const sentAtMs = time.now()
   node.load.begin(server.id, prefillMs, urgency)
   let isPrefilled = false
