--- a/packages/gateway/src/forward/requestPlacement.ts
+++ b/packages/gateway/src/forward/requestPlacement.ts
@@ -140,6 +140,7 @@
             { workspace: workspace?.priority ?? 0, route: route.priority },
             prefillMs,
           ),
+        hasOldLoads: load.hasFleetLoads,
         zone,
       },
       (id) => load.total(id),
--- a/packages/gateway/src/placement/__tests__/selectPlacement.spec.ts
+++ b/packages/gateway/src/placement/__tests__/selectPlacement.spec.ts
@@ -31,6 +31,7 @@
     uniqueTokens: 3_720,
     prefillMsPerToken: () => 0.05,
     urgencyOf: () => 1,
+    hasOldLoads: false,
     zone: 'z1',
     hasCachedPrefix: () => false,
     ...overrides,
--- a/packages/gateway/src/placement/selectPlacement.ts
+++ b/packages/gateway/src/placement/selectPlacement.ts
@@ -9,6 +9,7 @@
  */
 import { hash32, type Random } from '@wagtailway/core'
 import type { BackendServer } from '../model/backendServer.js'
+import { selectEvenly } from './selectEvenly.js'
 import { expectedWaitMs, type ServerLoad } from './serverLoad.js'
 
 /** Delay that each request in progress on a server adds to a new one, in milliseconds. */
@@ -53,6 +54,8 @@
   readonly prefillMsPerToken: (precedingTokens: number) => number
   /** Urgency for the server, given the expected prefill time: 0 is served first. */
   readonly urgencyOf: (prefillMs: number) => number
+  /** Whether the known loads are older than short requests take. */
+  readonly hasOldLoads: boolean
   readonly zone: string
   /** Whether this process recently had a server prefill the shared prefix. */
   readonly hasCachedPrefix: (serverId: string) => boolean
@@ -74,7 +77,8 @@
 
 /**
  * Selects the server with the shortest expected time to first byte, in which prefill time
- * weighs more than time in the queue. Returns `undefined` if there are no servers.
+ * weighs more than time in the queue; requests without a prompt are spread evenly if the
+ * known loads are old. Returns `undefined` if there are no servers.
  *
  * @example
  * selectPlacement(servers, request, (id) => loads.total(id), random)?.server.id
@@ -86,6 +90,10 @@
   random: Random,
 ): Placement | undefined {
   const preferred = preferredServers(servers, req.affinityKey)
+  if (req.hasOldLoads && req.sharedTokens + req.uniqueTokens === 0) {
+    const server = selectEvenly(servers, (id) => loadOf(id).running, random)
+    return server && estimatePlacement(server, preferred, req, loadOf(server.id))
+  }
   let best: Placement | undefined
   let bestScore = Number.POSITIVE_INFINITY
   for (const server of candidateServers(servers, preferred, random)) {
--- a/packages/scenario/src/promptLoad/promptRun.ts
+++ b/packages/scenario/src/promptLoad/promptRun.ts
@@ -405,6 +405,7 @@
       uniqueTokens: req.parts.at(-1)?.tokens ?? 0,
       prefillMsPerToken: (before) => node.speeds.msPerToken(model.name, before),
       urgencyOf: (ms) => engineUrgency({ workspace: 0, route: req.cls.priority }, ms),
+      hasOldLoads: node.load.hasFleetLoads,
       zone: ZONE,
     },
     (id) => node.load.total(id),
