Sessions are reported until every instance has heard of them

Cause: reports held the sessions used within 1.5 s, but from 63 instances on they reach other zones less often (1.8 s at 75, 4.7 s at 195), so part of the sessions on a version that is being replaced was unknown there and could move back (PINNED). Change: reports repeat sessions for one and a half of the longest interval.

--- a/packages/gateway/src/peers/peerTable.ts
+++ b/packages/gateway/src/peers/peerTable.ts
@@ -146,7 +146,8 @@
   }
 
   isAlive(name: string): boolean {
-    return this.aliveNames.has(name)
+    const peer = this.#peers.get(name)
+    return peer !== undefined && isAliveSince(peer, this.#aliveSinceMs)
   }
 
   /**
@@ -280,15 +281,24 @@
     return Math.max(MIN_ALIVE_TIMEOUT_MS, REPORTS_UNTIL_DOWN * intervalMs)
   }
 
+  get #aliveSinceMs(): number {
+    return this.clock() - this.#aliveTimeoutMs
+  }
+
   #alive(): Peer[] {
-    const aliveSinceMs = this.clock() - this.#aliveTimeoutMs
-    return [...this.#peers.values()].filter(
-      ({ hasReported, lastReportAtMs, isDraining }) =>
-        hasReported && lastReportAtMs > aliveSinceMs && !isDraining,
-    )
+    const sinceMs = this.#aliveSinceMs
+    return [...this.#peers.values()].filter((peer) => isAliveSince(peer, sinceMs))
   }
 }
 
+/** Whether an instance has reported since a time and is not draining. */
+function isAliveSince(
+  { hasReported, lastReportAtMs, isDraining }: Peer,
+  sinceMs: number,
+): boolean {
+  return hasReported && lastReportAtMs > sinceMs && !isDraining
+}
+
 function bySortKey(a: Pick<Peer, 'sortKey'>, b: Pick<Peer, 'sortKey'>): number {
   if (a.sortKey === b.sortKey) return 0
   return a.sortKey < b.sortKey ? -1 : 1
--- a/packages/gateway/src/peers/reportSchedule.ts
+++ b/packages/gateway/src/peers/reportSchedule.ts
@@ -39,3 +39,21 @@
   const every = receiverCount <= SMALL_FLEET_SIZE ? 1 : OTHER_ZONES_EVERY
   return reportIntervalMs(receiverCount) * every
 }
+
+/** Least age up to which reports repeat news, in milliseconds. */
+const MIN_REPEATED_NEWS_MS = 1_500
+
+/** Share of the longest interval beyond it for which reports repeat news. */
+const REPEATED_NEWS_FACTOR = 1.5
+
+/**
+ * Age up to which each report repeats what happened, in milliseconds: every instance gets
+ * a report within that time, also one of another zone.
+ *
+ * @example
+ * repeatedNewsMs(7) // 1500
+ */
+export function repeatedNewsMs(receiverCount: number): number {
+  const intervalMs = longestReportIntervalMs(receiverCount)
+  return Math.max(MIN_REPEATED_NEWS_MS, intervalMs * REPEATED_NEWS_FACTOR)
+}
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -5,6 +5,7 @@
 import { LoadExchange, REPORT_INTERVAL_MS } from '../loads/loadExchange.js'
 import { PeerLink } from '../peers/peerLink.js'
 import type { PeerReport } from '../peers/peerReport.js'
+import { repeatedNewsMs } from '../peers/reportSchedule.js'
 import type { RolloutController } from '../rollout/rolloutController.js'
 import type { GatewaySettings } from './settings.js'
 
@@ -14,12 +15,6 @@
  */
 const NEW_ROLLOUT_AGE_MS = 2_500
 
-/**
- * Age up to which each report includes recently used sessions, in milliseconds; a session
- * still arrives if four reports in a row are lost at the shortest report interval.
- */
-const REPORTED_SESSION_AGE_MS = 1_500
-
 /** Only every fourth report includes prefill speeds, because they change slowly. */
 const SPEEDS_EVERY = 4
 
@@ -173,13 +168,13 @@
  * afterwards only those used since the last few reports.
  */
 function reportedSessionHashes(node: GatewayNode, nowMs: number): number[] {
-  const { rollouts, bounds } = node.opts
+  const { rollouts, bounds, peers } = node.opts
   const rolloutAgesMs = rollouts
     .running()
     .map(({ firstSeenAtMs }) => nowMs - firstSeenAtMs)
   if (rolloutAgesMs.length === 0) return []
   const hasNewRollout = Math.min(...rolloutAgesMs) < NEW_ROLLOUT_AGE_MS
   return rollouts.recentSessions.hashesWithin(
-    hasNewRollout ? bounds.sessionGapMs : REPORTED_SESSION_AGE_MS,
+    hasNewRollout ? bounds.sessionGapMs : repeatedNewsMs(peers.size),
   )
 }
