Reports of loads go to the address that an instance last sent from; what was sent is forgotten

Read in the diff: a gatherer kept the first address of each instance, and an instance kept what it had reported to every gatherer it ever had.

--- a/packages/gateway/src/loads/loadExchange.ts
+++ b/packages/gateway/src/loads/loadExchange.ts
@@ -45,6 +45,9 @@
 /** Time without a report after which a gatherer counts as silent, in milliseconds. */
 const SILENT_AFTER_MS = 4 * REPORT_INTERVAL_MS
 
+/** Time for which it is remembered what was reported to a gatherer, in milliseconds. */
+const SENT_REPORT_TTL_MS = 10_000
+
 /** Intervals after which the loads of the fleet expire. */
 const FLEET_TTL_INTERVALS = 10
 
@@ -141,7 +144,7 @@
     }[scope]
     const report = reports.get(sender) ?? ReceivedReport.create(from)
     reports.set(sender, report)
-    report.apply(message, this.opts.clock())
+    report.apply(message, from, this.opts.clock())
     if (scope === 'zone') this.#allGatherers.recordReport(sender)
     if (scope !== 'fleet') return
     this.#ownGatherers.recordReport(sender)
@@ -288,6 +291,8 @@
     for (const reports of [this.#members, this.#zoneSums, this.#fleetSums])
       for (const [name, report] of reports)
         if (report.isOutdated(nowMs)) reports.delete(name)
+    for (const [name, { sentAtMs }] of this.#lastSent)
+      if (nowMs - sentAtMs >= SENT_REPORT_TTL_MS) this.#lastSent.delete(name)
   }
 }
 
--- a/packages/gateway/src/loads/receivedReport.ts
+++ b/packages/gateway/src/loads/receivedReport.ts
@@ -15,9 +15,10 @@
  *
  * @example
  * const report = ReceivedReport.create(from)
- * report.apply(message, clock())
+ * report.apply(message, from, clock())
  */
 export class ReceivedReport {
+  address: PeerAddress
   zone = ''
   wantsFleet = false
   /** Number of instances whose loads are added up. */
@@ -27,10 +28,12 @@
   readonly #loads = new Map<number, ServerLoad>()
   #validUntilMs = Number.NEGATIVE_INFINITY
 
-  private constructor(readonly address: PeerAddress) {}
+  private constructor(from: PeerAddress) {
+    this.address = from
+  }
 
-  static create(address: PeerAddress): ReceivedReport {
-    return new ReceivedReport(address)
+  static create(from: PeerAddress): ReceivedReport {
+    return new ReceivedReport(from)
   }
 
   get loads(): LoadsByHash {
@@ -42,7 +45,8 @@
   }
 
   /** Replaces the loads of the servers that the message covers. */
-  apply(message: LoadMessage, nowMs: number): void {
+  apply(message: LoadMessage, from: PeerAddress, nowMs: number): void {
+    this.address = from
     const { firstHash, lastHash, loads, speeds, intervalMs } = message
     this.zone = message.zone
     this.wantsFleet = message.wantsFleet
