--- a/packages/gateway/src/loads/__tests__/loadExchange.spec.ts
+++ b/packages/gateway/src/loads/__tests__/loadExchange.spec.ts
@@ -39,6 +39,8 @@
 /** Instances in virtual time, whose datagrams arrive in the round in which they are sent. */
 class Fleet {
   readonly instances: Instance[] = []
+  /** Whether datagrams between two instances are lost. */
+  isCut: (from: string, to: string) => boolean = () => false
   readonly #clock = VirtualClock.create(0)
   readonly #random = seededRandom(1)
   readonly #zones = new Map<string, LiveInstance[]>()
@@ -110,7 +112,8 @@
     for (const address of addresses) {
       if (sender) sender.sentBytes += length
       const receiver = this.instances.find(({ name }) => name === address.name)
-      if (!receiver || receiver.isDown || this.#random() < this.lossShare) continue
+      if (!receiver || receiver.isDown || this.isCut(from, address.name)) continue
+      if (this.#random() < this.lossShare) continue
       receiver.receivedBytes += length
       receiver.exchange.receive(message, { name: from, host: from, port: 1 })
     }
@@ -174,6 +177,24 @@
     }
   })
 
+  it('knows the loads of its own side while half of a zone is cut off', () => {
+    const fleet = new Fleet(60, 3)
+    for (const { load } of fleet.instances) load.begin('s1', 40, 1)
+    fleet.run(SPREAD_ROUNDS)
+    // The first half of the zone, with its gatherers.
+    const cutOff = new Set(
+      fleet.instances.filter(({ zone }) => zone === 'z0').slice(0, 10),
+    )
+    const cutNames = new Set([...cutOff].map(({ name }) => name))
+    fleet.isCut = (from, to) => cutNames.has(from) !== cutNames.has(to)
+    fleet.run((2 * RECOVERY_MS) / REPORT_INTERVAL_MS)
+    for (const instance of fleet.instances)
+      assert.equal(instance.load.total('s1').running, cutOff.has(instance) ? 10 : 50)
+    fleet.isCut = () => false
+    fleet.run((2 * RECOVERY_MS) / REPORT_INTERVAL_MS)
+    assert.equal(fleet.knowing('s1', 60).length, 60)
+  })
+
   it('forgets the load of an instance that has ended', () => {
     const fleet = new Fleet(40, 2)
     const last = fleet.instances.at(-1)
