--- a/packages/gateway/src/loads/__tests__/loadExchange.spec.ts
+++ b/packages/gateway/src/loads/__tests__/loadExchange.spec.ts
@@ -13,7 +13,7 @@
 /** Rounds within which a load must be known everywhere while nothing is wrong. */
 const SPREAD_ROUNDS = 3
 
-/** Time within which the loads are known again after all gatherers have ended. */
+/** Time within which the loads are known again after all aggregators have ended. */
 const RECOVERY_MS = 4_000
 
 /** How far an instance has followed the four kinds of store objects. */
@@ -145,17 +145,17 @@
     assert.equal(own.load.total('s1').running, 0)
   })
 
-  it('goes on with other gatherers once all of them have ended', () => {
+  it('goes on with other aggregators once all of them have ended', () => {
     const fleet = new Fleet(195, 5)
     fleet.run(SPREAD_ROUNDS)
-    // The first two of each zone gather; the order stays as it was.
+    // The first two of each zone aggregate; the order stays as it was.
     for (const instance of fleet.instances.slice(0, 10)) instance.isDown = true
     for (const { load } of fleet.live) load.begin('s1', 40, 1)
     fleet.run(RECOVERY_MS / REPORT_INTERVAL_MS)
     assert.equal(fleet.knowing('s1', 185).length, 185)
   })
 
-  it('finds a live gatherer while every second instance is down', () => {
+  it('finds a live aggregator while every second instance is down', () => {
     const fleet = new Fleet(60, 3)
     fleet.run(SPREAD_ROUNDS)
     for (const [i, instance] of fleet.instances.entries())
@@ -181,7 +181,7 @@
     const fleet = new Fleet(60, 3)
     for (const { load } of fleet.instances) load.begin('s1', 40, 1)
     fleet.run(SPREAD_ROUNDS)
-    // The first half of the zone, with its gatherers.
+    // The first half of the zone, with its aggregators.
     const cutOff = new Set(
       fleet.instances.filter(({ zone }) => zone === 'z0').slice(0, 10),
     )
@@ -227,7 +227,7 @@
       const received = fleet.instances
         .map(({ receivedBytes }) => receivedBytes / seconds)
         .toSorted((a, b) => a - b)
-      // Two gatherers a zone receive the reports of the others.
+      // Two aggregators a zone receive the reports of the others.
       const ordinary = received.slice(0, count - 2 * zones)
       assert.ok((ordinary.at(-1) ?? 0) <= MAX_BYTES_PER_S, `${ordinary.at(-1)} B/s`)
     })
--- a/packages/gateway/src/loads/gathererWatch.ts
+++ b/packages/gateway/src/loads/aggregatorWatch.ts
@@ -1,18 +1,18 @@
-/** Tells which gatherers of loads have stayed silent, so that others take their place. */
+/** Tells which aggregators of loads have stayed silent, so that others take their place. */
 import type { Clock } from '@wagtailway/core'
 
-/** Time for which a silent gatherer is passed over, in milliseconds. */
+/** Time for which a silent aggregator is passed over, in milliseconds. */
 const PASS_OVER_MS = 6_000
 
 /**
- * Gatherers from which reports are expected.
+ * Aggregators from which reports are expected.
  *
  * @example
- * const watch = GathererWatch.create(clock, 1_200)
+ * const watch = AggregatorWatch.create(clock, 1_200)
  * watch.expect('n1')
  * watch.isPassedOver('n1') // true after 1.2 s without `recordReport('n1')`
  */
-export class GathererWatch {
+export class AggregatorWatch {
   /** Since when a report of each has been awaited. */
   readonly #awaitedSinceMs = new Map<string, number>()
   readonly #passedOverUntilMs = new Map<string, number>()
@@ -22,12 +22,12 @@
     private readonly silentAfterMs: number,
   ) {}
 
-  /** @param silentAfterMs Time without a report after which a gatherer is silent. */
-  static create(clock: Clock, silentAfterMs: number): GathererWatch {
-    return new GathererWatch(clock, silentAfterMs)
+  /** @param silentAfterMs Time without a report after which an aggregator is silent. */
+  static create(clock: Clock, silentAfterMs: number): AggregatorWatch {
+    return new AggregatorWatch(clock, silentAfterMs)
   }
 
-  /** Records that a gatherer should report from now on. */
+  /** Records that an aggregator should report from now on. */
   expect(name: string): void {
     if (!this.#awaitedSinceMs.has(name)) this.#awaitedSinceMs.set(name, this.clock())
   }
@@ -43,13 +43,13 @@
     if (this.#awaitedSinceMs.has(name)) this.#awaitedSinceMs.set(name, this.clock())
   }
 
-  /** Whether half of the time has passed after which a gatherer is silent. */
+  /** Whether half of the time has passed after which an aggregator is silent. */
   isLate(name: string): boolean {
     const sinceMs = this.#awaitedSinceMs.get(name)
     return sinceMs !== undefined && this.clock() - sinceMs >= this.silentAfterMs / 2
   }
 
-  /** Whether a gatherer has stayed silent and is not to be asked for a while. */
+  /** Whether an aggregator has stayed silent and is not to be asked for a while. */
   isPassedOver(name: string): boolean {
     const nowMs = this.clock()
     const sinceMs = this.#awaitedSinceMs.get(name)
--- a/packages/gateway/src/loads/loadExchange.ts
+++ b/packages/gateway/src/loads/loadExchange.ts
@@ -3,10 +3,10 @@
  * that does not grow with their number.
  *
  * Handles a large fleet, in which an instance meets each server too rarely to know its
- * queue from its own requests. Each instance reports its own loads to two gatherers of its
- * availability zone. They add them up, exchange the sums with the gatherers of the other
+ * queue from its own requests. Each instance reports its own loads to two aggregators of its
+ * availability zone. They add them up, exchange the sums with the aggregators of the other
  * zones, and send the sum of all to the instances that ask for it. Whoever receives
- * reports is a gatherer, so the instances need not agree on who it is: one whose gatherer
+ * reports is an aggregator, so the instances need not agree on who it is: one whose aggregator
  * stays silent asks the next instance in the order that all share.
  */
 import type { Clock } from '@wagtailway/core'
@@ -14,7 +14,7 @@
 import type { LiveInstance, PeerAddress } from '../peers/peerTable.js'
 import type { PrefillSpeeds } from '../placement/prefillSpeeds.js'
 import type { LoadTable } from '../placement/serverLoad.js'
-import { GathererWatch } from './gathererWatch.js'
+import { AggregatorWatch } from './aggregatorWatch.js'
 import { ROWS_PER_DATAGRAM, splitReport } from './loadMessage.js'
 import type { LoadMessage, LoadReport } from './loadMessage.js'
 import { lowerQuartiles, meanSpeeds, sumLoads } from './loadSums.js'
@@ -33,8 +33,8 @@
  */
 const UNCHANGED_INTERVAL_MS = 900
 
-/** Gatherers to which an instance reports: one answers, the other one stands by. */
-const GATHERERS_PER_ZONE = 2
+/** Aggregators to which an instance reports: one answers, the other one stands by. */
+const AGGREGATORS_PER_ZONE = 2
 
 /** Only every second sum holds how far its sender has followed the store. */
 const MARKS_EVERY = 2
@@ -42,10 +42,10 @@
 /** Only every fourth report holds prefill speeds, because they change slowly. */
 const SPEEDS_EVERY = 4
 
-/** Time without a report after which a gatherer counts as silent, in milliseconds. */
+/** Time without a report after which an aggregator counts as silent, in milliseconds. */
 const SILENT_AFTER_MS = 4 * REPORT_INTERVAL_MS
 
-/** Time for which it is remembered what was reported to a gatherer, in milliseconds. */
+/** Time for which it is remembered what was reported to an aggregator, in milliseconds. */
 const SENT_REPORT_TTL_MS = 10_000
 
 /** Intervals after which the loads of the fleet expire. */
@@ -66,10 +66,10 @@
   readonly onChange: (state: LoadExchangeState) => void
 }
 
-/** Whether recent loads of all instances are known, and from which gatherer. */
+/** Whether recent loads of all instances are known, and from which aggregator. */
 export interface LoadExchangeState {
   readonly isActive: boolean
-  readonly gatherer: string | undefined
+  readonly aggregator: string | undefined
 }
 
 /** Loads and speeds of several instances. */
@@ -79,7 +79,7 @@
   readonly speeds: SharedSpeeds
 }
 
-/** What this instance last reported to one gatherer. */
+/** What this instance last reported to one aggregator. */
 interface SentReport {
   readonly loads: LoadsByHash
   readonly wantsFleet: boolean
@@ -96,41 +96,41 @@
  * exchange.receive(message, from)
  */
 export class LoadExchange {
-  /** Reports of the instances that this one gathers for, by name. */
+  /** Reports of the instances that this one aggregates for, by name. */
   readonly #members = new Map<string, ReceivedReport>()
-  /** Sums of zones: the last one of each other gatherer, by its name. */
+  /** Sums of zones: the last one of each other aggregator, by its name. */
   readonly #zoneSums = new Map<string, ReceivedReport>()
   readonly #fleetSums = new Map<string, ReceivedReport>()
   readonly #lastSent = new Map<string, SentReport>()
-  /** Gatherers of the own zone, which are asked for the loads of the fleet. */
-  readonly #ownGatherers: GathererWatch
-  /** Gatherers of all zones, which are told the sum of the own zone. */
-  readonly #allGatherers: GathererWatch
+  /** Aggregators of the own zone, which are asked for the loads of the fleet. */
+  readonly #ownAggregators: AggregatorWatch
+  /** Aggregators of all zones, which are told the sum of the own zone. */
+  readonly #allAggregators: AggregatorWatch
   #rounds = 0
   #wasActive = false
 
   private constructor(private readonly opts: LoadExchangeOptions) {
-    this.#ownGatherers = GathererWatch.create(opts.clock, SILENT_AFTER_MS)
-    this.#allGatherers = GathererWatch.create(opts.clock, SILENT_AFTER_MS)
+    this.#ownAggregators = AggregatorWatch.create(opts.clock, SILENT_AFTER_MS)
+    this.#allAggregators = AggregatorWatch.create(opts.clock, SILENT_AFTER_MS)
   }
 
   static create(opts: LoadExchangeOptions): LoadExchange {
     return new LoadExchange(opts)
   }
 
-  /** Reports to the gatherers and, as one of them, sends out the sums. */
+  /** Reports to the aggregators and, as one of them, sends out the sums. */
   advance(): void {
     this.#rounds += 1
     this.#removeOutdated()
     const zones = this.opts.instancesByZone()
-    const gatherers = this.#selectOwnGatherers(zones.get(this.opts.zone) ?? [])
-    this.#reportTo(gatherers)
-    const isFirst = gatherers[0] !== undefined && !gatherers[0].address
-    if (isFirst || this.#members.size > 0) this.#gather(zones, isFirst)
+    const aggregators = this.#selectOwnAggregators(zones.get(this.opts.zone) ?? [])
+    this.#reportTo(aggregators)
+    const isFirst = aggregators[0] !== undefined && !aggregators[0].address
+    if (isFirst || this.#members.size > 0) this.#aggregate(zones, isFirst)
     const isActive = this.opts.load.hasFleetLoads
     if (isActive === this.#wasActive) return
     this.#wasActive = isActive
-    this.opts.onChange({ isActive, gatherer: gatherers[0]?.name })
+    this.opts.onChange({ isActive, aggregator: aggregators[0]?.name })
   }
 
   /** Applies a message of another instance. */
@@ -145,33 +145,33 @@
     const report = reports.get(sender) ?? ReceivedReport.create(from)
     reports.set(sender, report)
     report.apply(message, from, this.opts.clock())
-    if (scope === 'zone') this.#allGatherers.recordReport(sender)
+    if (scope === 'zone') this.#allAggregators.recordReport(sender)
     if (scope !== 'fleet') return
-    this.#ownGatherers.recordReport(sender)
+    this.#ownAggregators.recordReport(sender)
     this.#applyFleet(report, this.#lastSent.get(sender)?.loads)
   }
 
   /** The first live instances of the own zone that have not stayed silent. */
-  #selectOwnGatherers(zone: readonly LiveInstance[]): readonly LiveInstance[] {
-    const gatherers = firstOf(zone, this.#ownGatherers)
-    this.#ownGatherers.retain(new Set(gatherers.map(({ name }) => name)))
-    const [first, second] = gatherers
-    if (!first?.address) return gatherers
-    this.#ownGatherers.expect(first.name)
-    if (second?.address && this.#ownGatherers.isLate(first.name))
-      this.#ownGatherers.expect(second.name)
-    return gatherers
+  #selectOwnAggregators(zone: readonly LiveInstance[]): readonly LiveInstance[] {
+    const aggregators = firstOf(zone, this.#ownAggregators)
+    this.#ownAggregators.retain(new Set(aggregators.map(({ name }) => name)))
+    const [first, second] = aggregators
+    if (!first?.address) return aggregators
+    this.#ownAggregators.expect(first.name)
+    if (second?.address && this.#ownAggregators.isLate(first.name))
+      this.#ownAggregators.expect(second.name)
+    return aggregators
   }
 
   /** Sends the loads of this instance, unless they are the same as before. */
-  #reportTo(gatherers: readonly LiveInstance[]): void {
+  #reportTo(aggregators: readonly LiveInstance[]): void {
     const { load, prefillSpeeds, clock } = this.opts
     const loads = load.localLoadsByHash
     const nowMs = clock()
-    for (const [i, { name, address }] of gatherers.entries()) {
+    for (const [i, { name, address }] of aggregators.entries()) {
       if (!address) continue
-      const first = gatherers[0]?.name ?? name
-      const wantsFleet = i === 0 || this.#ownGatherers.isLate(first)
+      const first = aggregators[0]?.name ?? name
+      const wantsFleet = i === 0 || this.#ownAggregators.isLate(first)
       const last = this.#lastSent.get(name)
       const isDue = !last || nowMs - last.sentAtMs >= UNCHANGED_INTERVAL_MS
       const isSame = last?.wantsFleet === wantsFleet && hasSameLoads(last.loads, loads)
@@ -195,7 +195,10 @@
   }
 
   /** Adds up the loads of the zone and of the fleet, and sends both to whom they concern. */
-  #gather(zones: ReadonlyMap<string, readonly LiveInstance[]>, isFirst: boolean): void {
+  #aggregate(
+    zones: ReadonlyMap<string, readonly LiveInstance[]>,
+    isFirst: boolean,
+  ): void {
     const { load, prefillSpeeds } = this.opts
     const ownLoads = load.localLoadsByHash
     const members = [...this.#members.values()]
@@ -207,7 +210,7 @@
         ...members.map(({ speeds }) => singleSpeeds(speeds)),
       ]),
     }
-    this.#sendSum('zone', zoneSum, this.#selectGatherers(zones))
+    this.#sendSum('zone', zoneSum, this.#selectAggregators(zones))
     const sums = this.#largestSums(zoneSum)
     const fleetSum: Sum = {
       instances: sums.reduce((total, { instances }) => total + instances, 0),
@@ -225,8 +228,8 @@
   }
 
   /**
-   * The sum of each zone; of several gatherers, that of the most instances. One that few
-   * instances report to knows its own zone from another gatherer.
+   * The sum of each zone; of several aggregators, that of the most instances. One that few
+   * instances report to knows its own zone from another aggregator.
    */
   #largestSums(ownSum: Sum): Sum[] {
     const largest = new Map<string, Sum>([[this.opts.zone, ownSum]])
@@ -237,16 +240,16 @@
     return [...largest.values()]
   }
 
-  /** Addresses of the other gatherers of all zones. */
-  #selectGatherers(zones: ReadonlyMap<string, readonly LiveInstance[]>): PeerAddress[] {
+  /** Addresses of the other aggregators of all zones. */
+  #selectAggregators(zones: ReadonlyMap<string, readonly LiveInstance[]>): PeerAddress[] {
     const addresses = new Map<string, PeerAddress>()
     for (const instances of zones.values()) {
-      for (const { name, address } of firstOf(instances, this.#allGatherers))
+      for (const { name, address } of firstOf(instances, this.#allAggregators))
         if (address) addresses.set(name, address)
     }
-    this.#allGatherers.retain(new Set(addresses.keys()))
-    for (const name of addresses.keys()) this.#allGatherers.expect(name)
-    // Others may gather too, if the first ones are down.
+    this.#allAggregators.retain(new Set(addresses.keys()))
+    for (const name of addresses.keys()) this.#allAggregators.expect(name)
+    // Others may aggregate too, if the first ones are down.
     for (const [name, { address }] of this.#zoneSums) addresses.set(name, address)
     return [...addresses.values()]
   }
@@ -299,9 +302,11 @@
 /** The first instances of a zone that are not passed over. */
 function firstOf(
   zone: readonly LiveInstance[],
-  watch: GathererWatch,
+  watch: AggregatorWatch,
 ): readonly LiveInstance[] {
-  return zone.filter(({ name }) => !watch.isPassedOver(name)).slice(0, GATHERERS_PER_ZONE)
+  return zone
+    .filter(({ name }) => !watch.isPassedOver(name))
+    .slice(0, AGGREGATORS_PER_ZONE)
 }
 
 function hasSameLoads(a: LoadsByHash, b: LoadsByHash): boolean {
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -46,7 +46,7 @@
       name: settings.name,
       sequence,
       isDraining: node.isDraining,
-      // The gatherers of a large fleet know them already.
+      // The aggregators of a large fleet know them already.
       loads: load.hasFleetLoads ? new Map() : load.localLoads,
       evidence: running.map(({ service, target }) => ({
         service,
--- a/packages/scenario/src/promptLoad/__tests__/largeFleet.spec.ts
+++ b/packages/scenario/src/promptLoad/__tests__/largeFleet.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { evaluateCompletion } from '@wagtailway/gateway'
-import { gatherByZone, reportToEach, type LoadSharing } from '../loadSharing.js'
+import { aggregateByZone, reportToEach, type LoadSharing } from '../loadSharing.js'
 import {
   runPromptLoad,
   type PromptRunOptions,
@@ -50,8 +50,8 @@
   return dossier ? 1 - dossier.inTime / dossier.requests : 1
 }
 
-describe('a burst at 195 instances that gather loads by zone', () => {
-  const calm = run(gatherByZone)
+describe('a burst at 195 instances that aggregate loads by zone', () => {
+  const calm = run(aggregateByZone)
 
   it('earns more credit than with reports to each other', () => {
     const { creditRatio } = run(reportToEach)
@@ -70,7 +70,7 @@
   })
 
   it('delays at most 5 in 100 dossiers more while a sixth of the engines is slow', () => {
-    const slow = run(gatherByZone, {
+    const slow = run(aggregateByZone, {
       slowdownAt: (engine, atMs) =>
         engine % SLOW_EVERY === 0 && isFault(atMs) ? SLOW_FACTOR : 1,
     })
@@ -81,15 +81,15 @@
   })
 
   it('earns as much while a tenth of the datagrams is lost', () => {
-    const { creditRatio } = run(gatherByZone, { lossShare: 0.1 })
+    const { creditRatio } = run(aggregateByZone, { lossShare: 0.1 })
     assert.ok(
       creditRatio >= calm.creditRatio - LEAST_GAIN,
       `${creditRatio} ${calm.creditRatio}`,
     )
   })
 
-  it('earns as much when all first gatherers have ended', () => {
-    const { creditRatio } = run(gatherByZone, {
+  it('earns as much when all first aggregators have ended', () => {
+    const { creditRatio } = run(aggregateByZone, {
       isNodeDown: (index, atMs) => index < 10 && atMs > FAULT_FROM_MS,
     })
     assert.ok(
--- a/packages/scenario/src/promptLoad/__tests__/overload.spec.ts
+++ b/packages/scenario/src/promptLoad/__tests__/overload.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { evaluateCompletion } from '@wagtailway/gateway'
-import { gatherByZone } from '../loadSharing.js'
+import { aggregateByZone } from '../loadSharing.js'
 import { runPromptLoad, type PromptRunOptions } from '../promptRun.js'
 import { GEBETA_LARGE, SHEET_ENGINE, SHEET_MODELS } from '../promptWorkload.js'
 
@@ -24,7 +24,7 @@
   durationMs: DURATION_MS,
   rateAt: () => 1,
   policy: { evaluate: evaluateCompletion },
-  shareLoads: gatherByZone,
+  shareLoads: aggregateByZone,
   seed: 1,
 }
 
--- a/packages/scenario/src/promptLoad/__tests__/plainLoad.spec.ts
+++ b/packages/scenario/src/promptLoad/__tests__/plainLoad.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { gatherByZone, reportToEach } from '../loadSharing.js'
+import { aggregateByZone, reportToEach } from '../loadSharing.js'
 import { runPlainLoad, type PlainRunOptions } from '../plainRun.js'
 
 const SLOW_SERVER = 2
@@ -15,7 +15,7 @@
   workMs: 85.7,
   utilization: 0.3,
   durationMs: 12_000,
-  shareLoads: gatherByZone,
+  shareLoads: aggregateByZone,
   slowdownAt: () => 1,
   seed: 1,
 }
--- a/packages/scenario/src/promptLoad/loadSharing.ts
+++ b/packages/scenario/src/promptLoad/loadSharing.ts
@@ -99,8 +99,8 @@
   }
 }
 
-/** Gatherers of each zone add up the loads. */
-export const gatherByZone: LoadSharing = (opts) => {
+/** Aggregators of each zone add up the loads. */
+export const aggregateByZone: LoadSharing = (opts) => {
   const { time, nodes, random, isDown } = opts
   const byName = new Map(nodes.map((node) => [node.name, node]))
   const addressOf = ({ name }: PromptNode) => ({ name, host: name, port: PORT })
