--- a/packages/gateway/src/loads/loadSums.ts
+++ b/packages/gateway/src/loads/loadSums.ts
@@ -36,6 +36,17 @@
   return sums
 }
 
+/**
+ * The lower quartile of some values; `undefined` without any.
+ *
+ * @example
+ * lowerQuartile([4, 1, 3, 2]) // 2
+ */
+export function lowerQuartile(values: readonly number[]): number | undefined {
+  const ascending = values.toSorted((a, b) => a - b)
+  return ascending[Math.floor(ascending.length * LOW_QUANTILE)]
+}
+
 /**
  * The lower quartile of the speeds that single instances observed.
  *
@@ -46,11 +57,8 @@
   all: readonly ReadonlyMap<string, SpeedsByContextLength>[],
 ): SharedSpeeds {
   return combineByModel(all, (values) => {
-    const ascending = values.toSorted((a, b) => a - b)
-    const msPerToken = ascending[Math.floor(ascending.length * LOW_QUANTILE)]
-    return msPerToken === undefined
-      ? undefined
-      : { msPerToken, instances: ascending.length }
+    const msPerToken = lowerQuartile(values)
+    return msPerToken === undefined ? undefined : { msPerToken, instances: values.length }
   })
 }
 
--- a/packages/gateway/src/placement/prefillSpeeds.ts
+++ b/packages/gateway/src/placement/prefillSpeeds.ts
@@ -1,6 +1,6 @@
 /** Prefill speed of each model, learned from the time to the first event of streams. */
 import type { Clock } from '@wagtailway/core'
-import type { SharedSpeeds } from '../loads/loadSums.js'
+import { lowerQuartile, type SharedSpeeds } from '../loads/loadSums.js'
 
 /** Prefill time per token before any observation, in milliseconds: 64 tokens per millisecond. */
 const DEFAULT_MS_PER_TOKEN = 1 / 64
@@ -23,9 +23,6 @@
 /** Number of context length buckets; the last one has no upper bound. */
 const BUCKET_COUNT = 6
 
-/** Quantile of all instances' values that is used; higher values include time in queues. */
-const LOW_QUANTILE = 0.25
-
 /** Minimum interval between combining the speeds of all instances, in milliseconds. */
 const COMBINE_INTERVAL_MS = 500
 
@@ -134,18 +131,15 @@
           { length: BUCKET_COUNT },
           (_, bucket) =>
             fleetSpeeds.get(model)?.[bucket]?.msPerToken ??
-            lowerQuartile(allSpeeds.map((speeds) => speeds.get(model)?.[bucket])),
+            lowerQuartile(
+              allSpeeds.flatMap((speeds) => speeds.get(model)?.[bucket] ?? []),
+            ),
         ),
       ]),
     )
   }
 }
 
-function lowerQuartile(values: readonly (number | undefined)[]): number | undefined {
-  const ascending = values.filter((ms) => ms !== undefined).toSorted((a, b) => a - b)
-  return ascending[Math.floor(ascending.length * LOW_QUANTILE)]
-}
-
 function bucketOf(tokens: number): number {
   if (tokens < FIRST_BUCKET_TOKENS) return 0
   return Math.min(
