--- a/review/common/lab.mjs
+++ b/review/common/lab.mjs
@@ -6,7 +6,7 @@
 import { createWriteStream } from 'node:fs'
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { Agent, createServer as createHttpServer, request } from 'node:http'
-import { createServer } from 'node:net'
+import { connect, createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -145,32 +145,97 @@
   })
 }
 
-/** Starts gateways with the command of the deploy file; resolves once all are in touch. */
-export async function startGateways(lab, store, count, opts = {}) {
-  const hosts = Array.from({ length: count }, (_, i) => `127.0.0.${i + 11}`)
-  const [front, ready, control, inner, metrics] = await findFreePorts(5, hosts)
+/**
+ * Starts gateways with the command of the deploy file; resolves once all are in touch.
+ *
+ * @param opts.storePorts Ports at which the gateways reach the store, if not its own. The
+ *   gateways then share one host and have ports of their own.
+ */
+export async function startGateways(lab, store, count, { storePorts } = {}) {
   const folder = await mkdtemp(join(tmpdir(), 'wagtailway-review-'))
   lab.onClose(() => rm(folder, { recursive: true, force: true }))
-  const ports = { front, ready, control, inner, metrics }
-  const gateways = hosts.map(
-    (host, i) =>
-      new Gateway(lab, {
-        ...opts,
-        name: `front-${i + 1}`,
-        host,
-        hosts,
-        ports,
-        folder,
-        store,
-      }),
+  const hosts = Array.from({ length: count }, (_, i) =>
+    storePorts ? LOCALHOST : `127.0.0.${i + 11}`,
   )
-  for (const gateway of gateways) await gateway.start()
+  const common = storePorts ? undefined : await findGatewayPorts(hosts)
+  const gateways = []
+  for (const [i, host] of hosts.entries()) {
+    const ports = common ?? (await findGatewayPorts([host]))
+    const storePort = storePorts?.[i] ?? store.port
+    const name = `front-${i + 1}`
+    const gateway = new Gateway(lab, { name, host, hosts, ports, folder, storePort })
+    await gateway.start()
+    gateways.push(gateway)
+  }
   for (const gateway of gateways) await gateway.waitUntilReady()
   await sleep(CONTACT_MS)
   lab.record('gateways_ready', { count })
   return gateways
 }
 
+async function findGatewayPorts(hosts) {
+  const [front, ready, control, inner, metrics] = await findFreePorts(5, hosts)
+  return { front, ready, control, inner, metrics }
+}
+
+/**
+ * Serves the store to one gateway with other addresses of the replicas, so that the gateway
+ * reaches them through proxies of its own. Resolves with its port.
+ *
+ * @param addresses Replacements by the address that the store has.
+ */
+export async function startStoreView(lab, store, addresses) {
+  const server = createHttpServer((req, res) => {
+    const { method, url: path, headers } = req
+    const onward = request({ host: LOCALHOST, port: store.port, method, path, headers })
+    onward.on('error', () => res.destroy())
+    onward.on('response', (answer) => {
+      const chunks = []
+      answer.on('data', (chunk) => chunks.push(chunk))
+      answer.on('end', () => {
+        let text = Buffer.concat(chunks).toString()
+        for (const [from, to] of addresses) text = text.replaceAll(`"${from}"`, `"${to}"`)
+        const era = answer.headers['store-era']
+        res.writeHead(answer.statusCode, {
+          'Content-Type': 'application/json',
+          'Store-Era': era,
+        })
+        res.end(text)
+      })
+    })
+    req.pipe(onward)
+    res.on('close', () => onward.destroy())
+  })
+  await new Promise((resolve) => server.listen(0, LOCALHOST, resolve))
+  lab.onClose(() => closeServer(server))
+  return server.address().port
+}
+
+/** A proxy of one connection path, which can be cut: open connections and new ones. */
+export async function startProxy(lab, target) {
+  const [host, port] = target.split(':')
+  const sockets = new Set()
+  const server = createServer((socket) => {
+    const onward = connect({ host, port: Number(port) })
+    for (const [from, to] of [
+      [socket, onward],
+      [onward, socket],
+    ]) {
+      sockets.add(from)
+      from.on('error', () => to.destroy())
+      from.on('close', () => sockets.delete(from))
+      from.pipe(to)
+    }
+  })
+  await new Promise((resolve) => server.listen(0, LOCALHOST, resolve))
+  const cut = () => {
+    server.close()
+    for (const socket of sockets) socket.resetAndDestroy()
+  }
+  lab.onClose(cut)
+  return { address: `${LOCALHOST}:${server.address().port}`, cut }
+}
+
 /** One gateway process. */
 export class Gateway {
   #lab
@@ -279,7 +344,7 @@
 }
 
 /** Settings like those of the first site. */
-function settingsText({ name, host, hosts, ports, store, memoryMb = 350 }) {
+function settingsText({ name, host, hosts, ports, storePort }) {
   const seeds = hosts.slice(0, 3).map((seed) => `"${seed}:${ports.control}"`)
   return `nodeName = "${name}"
 role = "gateway"
@@ -302,7 +367,7 @@
 [limits]
 cpuShare = 0.675
 cores = 1
-memoryMb = ${memoryMb}
+memoryMb = 350
 fileDescriptors = 4100
 linkMbps = 1000.0
 [bounds]
@@ -318,7 +383,7 @@
 exposureSlack = 30
 sessionS = 5
 [platform]
-address = "${LOCALHOST}:${store.port}"
+address = "${LOCALHOST}:${storePort}"
 form = "objects"
 writesPerS = 400
 readsPerS = 2000
@@ -387,6 +452,7 @@
  *
  * @param handle Writes the response of one run.
  * @param service Service of the replica.
+ * @returns Its address.
  */
 export async function startReplica(lab, store, id, handle, service = 'list-api') {
   const server = createHttpServer((req, res) => {
@@ -414,13 +480,11 @@
   })
   server.keepAliveTimeout = 60_000
   await new Promise((resolve) => server.listen(0, LOCALHOST, resolve))
-  lab.onClose(() => {
-    server.closeAllConnections()
-    return new Promise((resolve) => server.close(resolve))
-  })
+  lab.onClose(() => closeServer(server))
+  const address = `${LOCALHOST}:${server.address().port}`
   store.put('servers', id, {
     service,
-    address: `${LOCALHOST}:${server.address().port}`,
+    address,
     zone: 'bole-hall',
     version: 'v1',
     slots: 64,
@@ -429,7 +493,12 @@
     sequence: 1,
     born: Date.now(),
   })
-  return server
+  return address
+}
+
+function closeServer(server) {
+  server.closeAllConnections()
+  return new Promise((resolve) => server.close(resolve))
 }
 
 /**
