--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,7 +1,8 @@
 /**
- * One replica spoils a few of its streams: a digit in the id of the first event is wrong. The
- * client must get all that the replica sent, or a stream that doesn't look complete.
+ * One replica spoils a few of its answers to streams: bytes without end, in chunks of one byte.
+ * The gateway must go on to answer its other requests.
  */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import {
   HAS_TROUBLE,
   configuration,
@@ -13,95 +14,152 @@
   startStore,
 } from '../common/lab.mjs'
 
-/** Clients before each gateway, and streams that each of them asks for. */
-const CLIENTS = 10
-const STREAMS = 30
+const TRAFFIC_MS = 14_000
 
-const EVENTS = 30
+const REQUEST_INTERVAL_MS = 50
+
+/** Clients before each gateway that ask for one stream after the other. */
+const STREAM_CLIENTS = 4
+
+/** Duration of a run of a request that is no stream, in milliseconds. */
+const RUN_MS = 20
+
+const EVENTS = 5
 const EVENT_MS = 10
 
-/** One in so many streams of one replica of four is spoiled. */
+/** One in so many answers of one replica of four is spoiled. */
 const SPOILED_EVERY = 50
 
-/** Id of the first event of a spoiled stream. */
-const SPOILED_ID = 9
+/** `timeoutMs` of the route, and when the answer must be there, in milliseconds. */
+const TIMEOUT_MS = 1_500
+const ANSWERED_BY_MS = TIMEOUT_MS + 500
+
+/** Requests without an answer by then that the rule allows, and their share. */
+const MAX_UNANSWERED = 8
+const MAX_UNANSWERED_SHARE = 1 / 2
+
+/** Delay of this process from which its times can't be trusted, in milliseconds. */
+const MAX_OWN_DELAY_MS = 400
+
+const CHUNKS = Buffer.from('1\r\na\r\n'.repeat(10_000))
 
 await runScript(import.meta.url, async (lab) => {
   const store = await startStore(lab)
-  store.put('config', 'main', configuration())
-  const sentById = new Map()
-  const startLlm = (id, firstIdOf) =>
-    startReplica(
-      lab,
-      store,
-      id,
-      (req, res) => {
-        const sent = answerInEvents(req, res, firstIdOf(req))
-        const requestId = req.headers['x-request-id']
-        sentById.set(requestId, [...(sentById.get(requestId) ?? []), sent])
-      },
-      'wagtail-llm',
-    )
-  for (const id of ['llm-1', 'llm-2', 'llm-3']) await startLlm(id, () => 1)
-  let streamCount = 0
-  await startLlm('llm-4', (req) => {
-    streamCount += 1
-    if (!HAS_TROUBLE || streamCount % SPOILED_EVERY !== 0) return 1
-    lab.record('stream_spoiled', { id: req.headers['x-request-id'] })
-    return SPOILED_ID
-  })
+  const safe = { timeoutMs: TIMEOUT_MS, targetLatencyMs: 121 }
+  store.put('config', 'main', configuration({ routes: { safe } }))
+  for (const id of ['list-1', 'list-2', 'list-3'])
+    await startReplica(lab, store, id, answerPlainly)
+  for (const id of ['llm-1', 'llm-2', 'llm-3'])
+    await startReplica(lab, store, id, answerInEvents, 'wagtail-llm')
+  let answerCount = 0
+  const spoilSome = (req, res) => {
+    answerCount += 1
+    if (HAS_TROUBLE && answerCount % SPOILED_EVERY === 0) answerWithoutEnd(lab, req, res)
+    else answerInEvents(req, res)
+  }
+  await startReplica(lab, store, 'llm-4', spoilSome, 'wagtail-llm')
   const gateways = await startGateways(lab, store, 2)
-  const answers = await Promise.all(
-    gateways.flatMap(({ host, port }) =>
-      Array.from({ length: CLIENTS }, async () => {
-        const received = []
-        for (let i = 0; i < STREAMS; i += 1) {
-          const headers = { 'X-Deadline-Remaining': '10000' }
-          const body = Buffer.from('text')
-          const path = `/note/${i}`
-          received.push(
-            await send(lab, { host, port, method: 'POST', path, body, headers }),
-          )
-          await sleep(20)
-        }
-        return received
-      }),
-    ),
+  const ownDelay = monitorEventLoopDelay()
+  ownDelay.enable()
+  const endMs = lab.nowMs + TRAFFIC_MS
+  const tookMs = gateways.map(() => [])
+  await Promise.all(
+    gateways.flatMap((gateway, i) => [
+      callPlainly(lab, gateway, endMs, tookMs[i]),
+      ...Array.from({ length: STREAM_CLIENTS }, () =>
+        callForStreams(lab, gateway, endMs),
+      ),
+    ]),
   )
-  return answers
-    .flat()
-    .filter(({ id, status, whole, text }) => {
-      const runs = sentById.get(id) ?? []
-      return status === 200 && whole && !runs.some((sent) => sent.join('') === text)
-    })
-    .map(({ id, text }) => ({
-      rule: 'ORDER',
-      id,
-      sent: eventIds(sentById.get(id)?.at(-1)?.join('') ?? ''),
-      received: eventIds(text),
-    }))
+  const ownDelayMs = Math.round(ownDelay.max / 1e6)
+  const results = gateways.map(({ name }, i) => {
+    const times = tookMs[i].toSorted((a, b) => a - b)
+    return {
+      name,
+      requests: times.length,
+      medianMs: times[Math.floor(times.length / 2)],
+      maxMs: times.at(-1),
+      openAtTimeout: times.filter((ms) => ms > TIMEOUT_MS).length,
+      unanswered: times.filter((ms) => ms > ANSWERED_BY_MS).length,
+    }
+  })
+  for (const result of results) lab.record('result', result)
+  lab.record('own_delay', { ownDelayMs })
+  if (ownDelayMs > MAX_OWN_DELAY_MS)
+    throw new Error(`this process was late: ${ownDelayMs} ms`)
+  const sum = (field) => results.reduce((total, result) => total + result[field], 0)
+  const isBroken =
+    sum('unanswered') >= MAX_UNANSWERED &&
+    sum('unanswered') > sum('openAtTimeout') * MAX_UNANSWERED_SHARE
+  return isBroken ? results.map((result) => ({ rule: 'CONFIG', ...result })) : []
 })
 
-/** Sends all events of a stream; returns the list that they are added to as they are sent. */
-function answerInEvents(req, res, firstId) {
+/** Sends a request at each interval, whether earlier ones were answered or not. */
+async function callPlainly(lab, { host, port }, endMs, tookMs) {
+  const answers = []
+  while (lab.nowMs < endMs) {
+    const sentAtMs = lab.nowMs
+    const headers = { 'X-Deadline-Remaining': '10000' }
+    const answer = send(lab, { host, port, path: '/check/1', headers })
+    answers.push(answer.then(() => tookMs.push(lab.nowMs - sentAtMs)))
+    await sleep(REQUEST_INTERVAL_MS)
+  }
+  await Promise.all(answers)
+}
+
+async function callForStreams(lab, { host, port }, endMs) {
+  const headers = { 'X-Deadline-Remaining': '15000' }
+  const body = Buffer.from('text')
+  while (lab.nowMs < endMs)
+    await send(lab, { host, port, method: 'POST', path: '/note/1', body, headers })
+}
+
+function answerPlainly(_req, res) {
+  setTimeout(() => {
+    res.writeHead(200, { 'X-Response-Signature': 's', 'Content-Length': 4 })
+    res.end('done')
+  }, RUN_MS)
+}
+
+function answerInEvents(req, res) {
   res.writeHead(200, { 'X-Response-Signature': 's', 'Content-Type': 'text/event-stream' })
-  const sent = []
-  const begin = Number(req.headers['last-event-id'] ?? 0) + 1
-  let number = begin
+  let id = Number(req.headers['last-event-id'] ?? 0)
   const timer = setInterval(() => {
-    const id = number === begin ? firstId + begin - 1 : number
-    const event = `id: ${id}\ndata: piece ${number}\n\n`
-    sent.push(event)
-    res.write(event)
-    number += 1
-    if (number <= EVENTS) return
+    id += 1
+    res.write(`id: ${id}\ndata: ${id}\n\n`)
+    if (id < EVENTS) return
     clearInterval(timer)
     res.end()
   }, EVENT_MS)
   res.on('close', () => clearInterval(timer))
-  return sent
 }
 
-function eventIds(text) {
-  return [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id).join(' ')
+/** Sends chunks of one byte until the caller closes the connection. */
+function answerWithoutEnd(lab, req, res) {
+  const { socket } = req
+  const id = req.headers['x-request-id']
+  const startedAtMs = lab.nowMs
+  let sentBytes = 0
+  lab.record('endless_begins', { id })
+  const head = [
+    'HTTP/1.1 200 OK',
+    `X-Request-Id: ${id}`,
+    'X-Response-Signature: s',
+    'Content-Type: text/event-stream',
+    'Transfer-Encoding: chunked',
+  ]
+  res.detachSocket(socket)
+  const pump = () => {
+    while (!socket.destroyed) {
+      sentBytes += CHUNKS.length
+      if (!socket.write(CHUNKS)) return
+    }
+  }
+  socket.on('error', () => undefined)
+  socket.on('drain', pump)
+  socket.on('close', () => {
+    lab.record('endless_closed', { id, sentBytes, tookMs: lab.nowMs - startedAtMs })
+  })
+  socket.write(`${head.join('\r\n')}\r\n\r\n`)
+  pump()
 }
