Review: a stream that may not be resumed runs at two servers

A configuration adds a streaming route with sizes and without streamResumption; the cascade drops the small model's answer and runs the request again.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,128 +1,126 @@
 /**
- * One replica spoils a few of its answers: a byte in the name of one header is wrong. Clients
- * of sound replicas must not lose their answers for it.
+ * A new version of the configuration adds a streaming route that may not be resumed. Its
+ * requests may run once at most, whatever the smaller models think of their answers.
  */
 import {
-  HAS_TROUBLE,
+  BROKEN,
+  COULD_NOT_RUN,
+  HELD,
   configuration,
-  keptConnection,
-  runScript,
+  hasTrouble,
+  runCase,
   send,
+  signed,
   sleep,
-  startGateways,
-  startReplica,
-  startStore,
-} from '../common/lab.mjs'
+  streamHeaders,
+  streamingRoute,
+} from '../common/stage.mjs'
 
-/** Clients of each kind before each gateway. */
-const CLIENTS = 10
+const REQUESTS = 40
+const WAIT_MS = 10_000
+const EVENTS = 6
+const EVENT_MS = 60
 
-const TRAFFIC_MS = 15_000
+const SIZES = ['m0', 'm1', 'm2']
 
-/** Duration of a run of a request that is no stream, in milliseconds. */
-const RUN_MS = 400
+/** Confidence that each model reports of its own answers. */
+const CONFIDENCE = { m0: 15, m1: 30, m2: 92 }
 
-const EVENTS = 5
-const EVENT_MS = 10
-
-/** One in so many answers of one replica of four is spoiled. */
-const SPOILED_EVERY = 50
-
-/** Lost answers of requests from kept connections that the rule allows a machine. */
-const MAX_LOST = 3
+const FIRST = streamingRoute({ sizes: SIZES })
+const ADDED = streamingRoute({
+  name: 'appeal-memo',
+  pathPrefix: '/memo/',
+  streamResumption: false,
+  timeoutMs: 10_000,
+  targetLatencyMs: 4_000,
+  sizes: SIZES,
+})
 
-await runScript(import.meta.url, async (lab) => {
-  const store = await startStore(lab)
-  store.put('config', 'main', configuration())
-  for (const id of ['list-1', 'list-2', 'list-3'])
-    await startReplica(lab, store, id, answerPlainly)
-  for (const id of ['llm-1', 'llm-2', 'llm-3'])
-    await startReplica(lab, store, id, answerInEvents, 'wagtail-llm')
-  let answerCount = 0
-  const spoilSome = (req, res) => {
-    answerCount += 1
-    if (!HAS_TROUBLE || answerCount % SPOILED_EVERY !== 0) {
-      answerInEvents(req, res)
+/** Answers with a stream, as long as its connection is open. */
+async function answerStream({ req, res, requestId, begin, end }) {
+  const model = String(req.headers['x-model'])
+  if (!(model in CONFIDENCE)) {
+    res.writeHead(421, { 'x-not-executed': '1', 'content-length': 0 }).end()
+    return
+  }
+  begin({ model, path: req.url })
+  const fields = {
+    'content-type': 'text/event-stream',
+    'x-confidence': String(CONFIDENCE[model]),
+  }
+  res.writeHead(200, signed(requestId, fields))
+  const firstEvent = Number(req.headers['last-event-id'] ?? 0) + 1
+  for (let id = firstEvent; id <= EVENTS; id += 1) {
+    if (res.destroyed) {
+      end({ model, result: 'connection closed', events: id - firstEvent })
       return
     }
-    lab.record('answer_spoiled', { id: req.headers['x-request-id'] })
-    const head = [
-      'HTTP/1.1 200 OK',
-      `X-Request-Id: ${req.headers['x-request-id']}`,
-      'X-Response-Signature: s',
-      'Content-Type: text/event-stream',
-      // The hyphen of the name has become a space.
-      'Cache Control: no-store',
-      'Transfer-Encoding: chunked',
-    ]
-    const event = 'id: 1\ndata: 1\n\n'
-    const chunk = `${event.length.toString(16)}\r\n${event}\r\n0\r\n\r\n`
-    req.socket.end(`${head.join('\r\n')}\r\n\r\n${chunk}`)
+    res.write(`id: ${id}\ndata: ${model} ${id}\n\n`)
+    await sleep(EVENT_MS)
   }
-  await startReplica(lab, store, 'llm-4', spoilSome, 'wagtail-llm')
-  const gateways = await startGateways(lab, store, 2)
-  const endMs = lab.nowMs + TRAFFIC_MS
-  const answers = await Promise.all(
-    gateways.flatMap((gateway) =>
-      Array.from({ length: CLIENTS }, (_, i) => [
-        callRepeatedly(lab, gateway, endMs, { path: `/confirm/${i}`, kept: true }),
-        callRepeatedly(lab, gateway, endMs, { path: `/note/${i}`, kept: false }),
-      ]).flat(),
-    ),
-  )
-  const ran = new Set(
-    lab.runs.filter(({ service }) => service === 'list-api').map(({ id }) => id),
-  )
-  const lost = answers
-    .flat()
-    .filter(({ id, kept, status }) => kept && status === 0 && ran.has(id))
-  const breaches = gateways.flatMap(({ name, exit }) => {
-    const lostHere = lost.filter(({ gateway }) => gateway === name)
-    lab.record('result', { name, lost: lostHere.length, exit })
-    return lostHere.length > MAX_LOST ? lostHere : []
-  })
-  return breaches.map((answer) => ({ rule: 'LOST', ...answer }))
-})
+  res.end()
+  end({ model, result: 'complete' })
+}
 
-/** Sends one request after the other until the traffic ends or the gateway has gone. */
-async function callRepeatedly(lab, gateway, endMs, { path, kept }) {
-  const agent = kept ? keptConnection() : undefined
-  const answers = []
-  // Spreads the clients, so that at any time most of them wait for an answer.
-  await sleep(Math.random() * RUN_MS)
-  for (let isFirst = true; lab.nowMs < endMs && gateway.isRunning; isFirst = false) {
-    const answer = await send(lab, {
-      host: gateway.host,
-      port: gateway.port,
+async function play({ gateways, servers, store, record }) {
+  const route = hasTrouble ? ADDED : FIRST
+  if (hasTrouble) {
+    store.put('config', 'main', configuration(2, [FIRST, ADDED]))
+    record('the operator adds a route', { version: 2, route: ADDED.name })
+    // Longer than `configurationMs`, so that all gateways serve the route.
+    await sleep(4_000)
+  }
+  const results = []
+  for (let i = 0; i < REQUESTS; i += 1) {
+    const gateway = gateways[i % gateways.length]
+    const requestId = `r${String(i).padStart(3, '0')}`
+    record('client sends', {
+      request: requestId,
+      route: route.name,
+      gateway: gateway.name,
+    })
+    const { host, port } = gateway
+    const result = send({
+      host,
+      port,
       method: 'POST',
-      path,
-      agent,
-      body: Buffer.from('text'),
-      headers: { 'X-Deadline-Remaining': kept ? '1500' : '10000' },
+      path: `${route.pathPrefix}${i}`,
+      headers: streamHeaders(requestId, WAIT_MS),
+      body: 'summarise',
     })
-    // The first request of a connection is not one from a kept connection.
-    answers.push({ ...answer, gateway: gateway.name, kept: kept && !isFirst })
+    results.push(
+      result.then(({ status, isWhole }) => {
+        record('client gets', { request: requestId, status, isWhole })
+        return status
+      }),
+    )
+    await sleep(100)
   }
-  agent?.destroy()
-  return answers
-}
-
-function answerPlainly(_req, res) {
-  setTimeout(() => {
-    res.writeHead(200, { 'X-Response-Signature': 's', 'Content-Length': 4 })
-    res.end('done')
-  }, RUN_MS)
+  const statuses = await Promise.all(results)
+  const runCounts = new Map()
+  for (const { requestId } of servers.flatMap(({ runs }) => runs))
+    runCounts.set(requestId, (runCounts.get(requestId) ?? 0) + 1)
+  const twice = [...runCounts].filter(([, runs]) => runs > 1).map(([id]) => id)
+  const answered = statuses.filter((status) => status === 200).length
+  record('verdict', {
+    route: route.name,
+    mayRunAgain: route.streamResumption,
+    answered,
+    ranMoreThanOnce: twice.length,
+  })
+  if (answered === 0) return COULD_NOT_RUN
+  return !route.streamResumption && twice.length > 0 ? BROKEN : HELD
 }
 
-function answerInEvents(req, res) {
-  res.writeHead(200, { 'X-Response-Signature': 's', 'Content-Type': 'text/event-stream' })
-  let id = Number(req.headers['last-event-id'] ?? 0)
-  const timer = setInterval(() => {
-    id += 1
-    res.write(`id: ${id}\ndata: ${id}\n\n`)
-    if (id < EVENTS) return
-    clearInterval(timer)
-    res.end()
-  }, EVENT_MS)
-  res.on('close', () => clearInterval(timer))
-}
+await runCase({
+  caseUrl: import.meta.url,
+  gateways: 3,
+  config: configuration(1, [FIRST]),
+  servers: ['i-1', 'i-2', 'i-3', 'i-4'].map((id) => ({
+    id,
+    service: 'wagtail-llm',
+    slots: 64,
+    handle: (exchange) => void answerStream(exchange),
+  })),
+  play,
+})
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts start; run after the build of the deploy file.
+# Builds the stand-ins that the scripts start; the gateway is built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-npx --no-install tsc -b packages/standins
+npx tsc -b packages/standins
