--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,165 +1,112 @@
 /**
- * One replica spoils a few of its answers to streams: bytes without end, in chunks of one byte.
- * The gateway must go on to answer its other requests.
+ * A gateway gets SIGTERM a second time while it finishes the requests that it has accepted.
  */
-import { monitorEventLoopDelay } from 'node:perf_hooks'
 import {
-  HAS_TROUBLE,
+  BOUND,
+  BROKEN,
+  COULD_NOT_RUN,
+  HELD,
+  clientHeaders,
   configuration,
-  runScript,
+  hasTrouble,
+  runCase,
   send,
+  signed,
   sleep,
-  startGateways,
-  startReplica,
-  startStore,
-} from '../common/lab.mjs'
-
-const TRAFFIC_MS = 14_000
-
-const REQUEST_INTERVAL_MS = 50
-
-/** Clients before each gateway that ask for one stream after the other. */
-const STREAM_CLIENTS = 4
-
-/** Duration of a run of a request that is no stream, in milliseconds. */
-const RUN_MS = 20
-
-const EVENTS = 5
-const EVENT_MS = 10
-
-/** One in so many answers of one replica of four is spoiled. */
-const SPOILED_EVERY = 50
-
-/** `timeoutMs` of the route, and when the answer must be there, in milliseconds. */
-const TIMEOUT_MS = 1_500
-const ANSWERED_BY_MS = TIMEOUT_MS + 500
-
-/** Requests without an answer by then that the rule allows, and their share. */
-const MAX_UNANSWERED = 8
-const MAX_UNANSWERED_SHARE = 1 / 2
-
-/** Delay of this process from which its times can't be trusted, in milliseconds. */
-const MAX_OWN_DELAY_MS = 400
-
-const CHUNKS = Buffer.from('1\r\na\r\n'.repeat(10_000))
-
-await runScript(import.meta.url, async (lab) => {
-  const store = await startStore(lab)
-  const safe = { timeoutMs: TIMEOUT_MS, targetLatencyMs: 121 }
-  store.put('config', 'main', configuration({ routes: { safe } }))
-  for (const id of ['list-1', 'list-2', 'list-3'])
-    await startReplica(lab, store, id, answerPlainly)
-  for (const id of ['llm-1', 'llm-2', 'llm-3'])
-    await startReplica(lab, store, id, answerInEvents, 'wagtail-llm')
-  let answerCount = 0
-  const spoilSome = (req, res) => {
-    answerCount += 1
-    if (HAS_TROUBLE && answerCount % SPOILED_EVERY === 0) answerWithoutEnd(lab, req, res)
-    else answerInEvents(req, res)
-  }
-  await startReplica(lab, store, 'llm-4', spoilSome, 'wagtail-llm')
-  const gateways = await startGateways(lab, store, 2)
-  const ownDelay = monitorEventLoopDelay()
-  ownDelay.enable()
-  const endMs = lab.nowMs + TRAFFIC_MS
-  const tookMs = gateways.map(() => [])
-  await Promise.all(
-    gateways.flatMap((gateway, i) => [
-      callPlainly(lab, gateway, endMs, tookMs[i]),
-      ...Array.from({ length: STREAM_CLIENTS }, () =>
-        callForStreams(lab, gateway, endMs),
-      ),
-    ]),
-  )
-  const ownDelayMs = Math.round(ownDelay.max / 1e6)
-  const results = gateways.map(({ name }, i) => {
-    const times = tookMs[i].toSorted((a, b) => a - b)
-    return {
-      name,
-      requests: times.length,
-      medianMs: times[Math.floor(times.length / 2)],
-      maxMs: times.at(-1),
-      openAtTimeout: times.filter((ms) => ms > TIMEOUT_MS).length,
-      unanswered: times.filter((ms) => ms > ANSWERED_BY_MS).length,
-    }
-  })
-  for (const result of results) lab.record('result', result)
-  lab.record('own_delay', { ownDelayMs })
-  if (ownDelayMs > MAX_OWN_DELAY_MS)
-    throw new Error(`this process was late: ${ownDelayMs} ms`)
-  const sum = (field) => results.reduce((total, result) => total + result[field], 0)
-  const isBroken =
-    sum('unanswered') >= MAX_UNANSWERED &&
-    sum('unanswered') > sum('openAtTimeout') * MAX_UNANSWERED_SHARE
-  return isBroken ? results.map((result) => ({ rule: 'CONFIG', ...result })) : []
-})
-
-/** Sends a request at each interval, whether earlier ones were answered or not. */
-async function callPlainly(lab, { host, port }, endMs, tookMs) {
-  const answers = []
-  while (lab.nowMs < endMs) {
-    const sentAtMs = lab.nowMs
-    const headers = { 'X-Deadline-Remaining': '10000' }
-    const answer = send(lab, { host, port, path: '/check/1', headers })
-    answers.push(answer.then(() => tookMs.push(lab.nowMs - sentAtMs)))
-    await sleep(REQUEST_INTERVAL_MS)
+  streamHeaders,
+  streamingRoute,
+  unsafeRoute,
+  until,
+} from '../common/stage.mjs'
+
+const EVENTS = 12
+const EVENT_MS = 250
+const STREAM_WAIT_MS = 15_000
+
+const WORK_MS = 2_500
+const UNSAFE_WAIT_MS = 4_000
+
+/** Requests of each kind that are in progress at the gateway. */
+const REQUESTS = 10
+
+/** Time from the first SIGTERM to the second, in milliseconds. */
+const SECOND_SIGNAL_MS = 1_000
+
+async function answerStream({ req, res, requestId, begin, end }) {
+  begin({ path: req.url })
+  res.writeHead(200, signed(requestId, { 'content-type': 'text/event-stream' }))
+  const firstEvent = Number(req.headers['last-event-id'] ?? 0) + 1
+  for (let id = firstEvent; id <= EVENTS && !res.destroyed; id += 1) {
+    res.write(`id: ${id}\ndata: ${id}\n\n`)
+    await sleep(EVENT_MS)
   }
-  await Promise.all(answers)
-}
-
-async function callForStreams(lab, { host, port }, endMs) {
-  const headers = { 'X-Deadline-Remaining': '15000' }
-  const body = Buffer.from('text')
-  while (lab.nowMs < endMs)
-    await send(lab, { host, port, method: 'POST', path: '/note/1', body, headers })
+  end({ result: res.destroyed ? 'connection closed' : 'complete' })
+  res.end()
 }
 
-function answerPlainly(_req, res) {
-  setTimeout(() => {
-    res.writeHead(200, { 'X-Response-Signature': 's', 'Content-Length': 4 })
-    res.end('done')
-  }, RUN_MS)
+async function answerPlain({ req, res, requestId, begin, end }) {
+  begin({ path: req.url })
+  await sleep(WORK_MS)
+  const body = `confirmed ${requestId}`
+  end({ result: res.destroyed ? 'done, connection closed' : 'complete' })
+  res.writeHead(200, signed(requestId, { 'content-length': body.length })).end(body)
 }
 
-function answerInEvents(req, res) {
-  res.writeHead(200, { 'X-Response-Signature': 's', 'Content-Type': 'text/event-stream' })
-  let id = Number(req.headers['last-event-id'] ?? 0)
-  const timer = setInterval(() => {
-    id += 1
-    res.write(`id: ${id}\ndata: ${id}\n\n`)
-    if (id < EVENTS) return
-    clearInterval(timer)
-    res.end()
-  }, EVENT_MS)
-  res.on('close', () => clearInterval(timer))
-}
-
-/** Sends chunks of one byte until the caller closes the connection. */
-function answerWithoutEnd(lab, req, res) {
-  const { socket } = req
-  const id = req.headers['x-request-id']
-  const startedAtMs = lab.nowMs
-  let sentBytes = 0
-  lab.record('endless_begins', { id })
-  const head = [
-    'HTTP/1.1 200 OK',
-    `X-Request-Id: ${id}`,
-    'X-Response-Signature: s',
-    'Content-Type: text/event-stream',
-    'Transfer-Encoding: chunked',
-  ]
-  res.detachSocket(socket)
-  const pump = () => {
-    while (!socket.destroyed) {
-      sentBytes += CHUNKS.length
-      if (!socket.write(CHUNKS)) return
-    }
+async function play({ gateways, servers, record }) {
+  const [gateway] = gateways
+  const { host, port } = gateway
+  const results = []
+  const start = (requestId, opts) => {
+    record('client sends', { request: requestId, path: opts.path, gateway: gateway.name })
+    const result = send({ host, port, method: 'POST', body: 'x', ...opts })
+    results.push(
+      result.then(({ status, isWhole, error }) => {
+        record('client gets', { request: requestId, status, isWhole, error })
+        return { requestId, status, isWhole }
+      }),
+    )
   }
-  socket.on('error', () => undefined)
-  socket.on('drain', pump)
-  socket.on('close', () => {
-    lab.record('endless_closed', { id, sentBytes, tookMs: lab.nowMs - startedAtMs })
+  for (let i = 0; i < REQUESTS; i += 1) {
+    const headers = streamHeaders(`s${i}`, STREAM_WAIT_MS)
+    start(`s${i}`, { path: `/panel/${i}`, headers })
+    start(`u${i}`, {
+      path: `/slot/${i}`,
+      headers: clientHeaders(`u${i}`, UNSAFE_WAIT_MS),
+    })
+  }
+  const runCount = () =>
+    new Set(servers.flatMap(({ runs }) => runs.map((r) => r.requestId))).size
+  if (!(await until(() => runCount() === 2 * REQUESTS, 1_000))) return COULD_NOT_RUN
+  gateway.signal('SIGTERM')
+  await sleep(SECOND_SIGNAL_MS)
+  if (hasTrouble) gateway.signal('SIGTERM')
+  const answers = await Promise.all(results)
+  await until(() => !gateway.isRunning, (BOUND.graceS + 1) * 1_000)
+  const lost = answers.filter(({ status, isWhole }) => status === 0 || !isWhole)
+  record('verdict', {
+    passedOn: runCount(),
+    answered: answers.length - lost.length,
+    lost: lost.map(({ requestId }) => requestId),
   })
-  socket.write(`${head.join('\r\n')}\r\n\r\n`)
-  pump()
+  return lost.length > 0 ? BROKEN : HELD
 }
+
+await runCase({
+  caseUrl: import.meta.url,
+  gateways: 2,
+  config: configuration(1, [streamingRoute(), unsafeRoute()]),
+  servers: [
+    ...['i-1', 'i-2'].map((id) => ({
+      id,
+      service: 'wagtail-llm',
+      slots: 64,
+      handle: (exchange) => void answerStream(exchange),
+    })),
+    ...['i-3', 'i-4'].map((id) => ({
+      id,
+      service: 'list-api',
+      handle: (exchange) => void answerPlain(exchange),
+    })),
+  ],
+  play,
+})
