Review: a gateway that is cut off drops all answers without a length

One of three gateways is cut off from the servers for 10 s; the servers' answers end with their connection.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,103 +1,171 @@
 /**
- * Clients name a model on a route that has `sizes`. Such a request must be rejected, or run
- * with the model that its client named.
+ * One gateway is cut off from all servers while the other gateways reach them. The servers
+ * send answers that end with their connection.
  */
 import {
+  BOUND,
   BROKEN,
   COULD_NOT_RUN,
   HELD,
+  clientHeaders,
   configuration,
   hasTrouble,
   runCase,
+  safeRoute,
   send,
   signed,
   sleep,
   streamHeaders,
   streamingRoute,
+  unsafeRoute,
 } from '../common/stage.mjs'
 
-const REQUESTS = 30
-const WAIT_MS = 10_000
+/** Length of the cut, in milliseconds. */
+const CUT_MS = 10_000
+
+const ROUND_MS = 200
+const WAIT_MS = 4_000
 const EVENTS = 4
-const EVENT_MS = 30
+const EVENT_MS = 20
+const WORK_MS = 20
+
+/** Share of the service elsewhere, and failures, from which the rule counts. */
+const LEAST_SHARE = 2 / 3
+const FREE_FAILURES = 10
+const FREE_FAILURE_SHARE = 1 / 50
+
+const STREAM = streamingRoute()
+const SAFE = safeRoute()
+const UNSAFE = unsafeRoute()
 
-const SIZES = ['m0', 'm1', 'm2']
-const ROUTE = streamingRoute({ sizes: SIZES })
+/** For a look at the cause: the same answers, but with a length or chunks. */
+const isFramed = process.env.FRAMED === '1'
+
+/** Headers without a length; the answer ends with its connection. */
+function unframed(requestId, fields) {
+  const connection = isFramed ? {} : { connection: 'close' }
+  return signed(requestId, { ...connection, ...fields })
+}
 
-/** Answers with a stream of the named model, as long as its connection is open. */
 async function answerStream({ req, res, requestId, begin, end }) {
-  const model = String(req.headers['x-model'])
-  if (!SIZES.includes(model)) {
-    res.writeHead(421, signed(requestId, { 'x-not-executed': '1', 'content-length': 0 }))
-    res.end()
-    return
-  }
-  begin({ model })
-  const fields = { 'content-type': 'text/event-stream', 'x-confidence': '80' }
-  res.writeHead(200, signed(requestId, fields))
+  begin({ path: req.url })
+  if (!isFramed) res.useChunkedEncodingByDefault = false
+  res.writeHead(200, unframed(requestId, { 'content-type': 'text/event-stream' }))
   const firstEvent = Number(req.headers['last-event-id'] ?? 0) + 1
   for (let id = firstEvent; id <= EVENTS && !res.destroyed; id += 1) {
-    res.write(`id: ${id}\ndata: ${model} ${id}\n\n`)
+    res.write(`id: ${id}\ndata: ${id}\n\n`)
     await sleep(EVENT_MS)
   }
   end({ result: res.destroyed ? 'connection closed' : 'complete' })
   res.end()
 }
 
-async function play({ gateways, servers, record }) {
-  const named = new Map()
-  const results = []
-  for (let i = 0; i < REQUESTS; i += 1) {
-    const { name: gateway, host, port } = gateways[i % gateways.length]
-    const requestId = `r${String(i).padStart(3, '0')}`
-    // The largest model of the route, as a client names it that wants no smaller one.
-    const model = hasTrouble ? 'm2' : '*'
-    named.set(requestId, model)
-    record('client sends', { request: requestId, model, gateway })
+async function answerPlain({ req, res, requestId, begin, end }) {
+  begin({ path: req.url })
+  await sleep(WORK_MS)
+  if (!isFramed) res.useChunkedEncodingByDefault = false
+  res.writeHead(200, unframed(requestId))
+  res.write(`answer to ${requestId}`)
+  end({ result: res.destroyed ? 'connection closed' : 'complete' })
+  res.end()
+}
+
+async function play({ gateways, record }) {
+  const [cutGateway] = gateways
+  const tries = []
+  let count = 0
+  const start = (gateway, { name: route, pathPrefix }, opts) => {
+    const { host, port } = gateway
+    const requestId = `r${String(count).padStart(4, '0')}`
+    count += 1
+    record('client sends', { request: requestId, route, gateway: gateway.name })
+    const sentAtMs = performance.now()
+    const headers = opts.headersFor(requestId, WAIT_MS)
     const result = send({
       host,
       port,
-      method: 'POST',
-      path: `${ROUTE.pathPrefix}${i}`,
-      headers: streamHeaders(requestId, WAIT_MS, { 'x-model': model }),
-      body: 'summarise',
+      path: `${pathPrefix}${requestId}`,
+      ...opts,
+      headers,
     })
-    results.push(
-      result.then(({ status, isWhole, text }) => {
-        const answer = text.split('\n')[1]
-        record('client gets', { request: requestId, status, isWhole, answer })
-        return status
+    tries.push(
+      result.then(({ status, isWhole, error }) => {
+        record('client gets', { request: requestId, status, isWhole, error })
+        const isServed = status === 200 && isWhole
+        return { gateway, route, sentAtMs, isServed }
       }),
     )
-    await sleep(60)
   }
-  const statuses = await Promise.all(results)
-  const wrong = servers
-    .flatMap(({ runs }) => runs)
-    .filter(({ requestId, model }) => {
-      const wanted = named.get(requestId)
-      return wanted !== '*' && wanted !== model
-    })
-  const answered = statuses.filter((status) => status !== 0).length
+  const startRound = () => {
+    for (const gateway of gateways) {
+      start(gateway, STREAM, { method: 'POST', body: 'x', headersFor: streamHeaders })
+      start(gateway, SAFE, { headersFor: clientHeaders })
+      start(gateway, UNSAFE, { method: 'POST', body: 'x', headersFor: clientHeaders })
+    }
+  }
+  for (let i = 0; i < 5; i += 1) {
+    startRound()
+    await sleep(ROUND_MS)
+  }
+  const before = await Promise.all(tries.splice(0))
+  record('before the cut', { sent: before.length, served: countServed(before) })
+  if (countServed(before) < before.length) return COULD_NOT_RUN
+  const cutAtMs = performance.now()
+  if (hasTrouble) cutGateway.cutOff()
+  while (performance.now() < cutAtMs + CUT_MS) {
+    startRound()
+    await sleep(ROUND_MS)
+  }
+  if (hasTrouble) await cutGateway.heal()
+  const all = await Promise.all(tries)
+  const judged = all.filter(({ sentAtMs }) => sentAtMs >= cutAtMs + BOUND.contactMs)
+  const atCut = judged.filter(({ gateway }) => gateway === cutGateway)
+  const elsewhere = judged.filter(({ gateway }) => gateway !== cutGateway)
+  const failures = judged.length - countServed(judged)
+  const shareAtCut = countServed(atCut) / atCut.length
+  const shareElsewhere = countServed(elsewhere) / elsewhere.length
   record('verdict', {
-    answered,
-    ok: statuses.filter((status) => status === 200).length,
-    rejected: statuses.filter((status) => status === 421).length,
-    ranWithAnotherModel: wrong.length,
+    atCut: {
+      sent: atCut.length,
+      served: countServed(atCut),
+      byRoute: servedByRoute(atCut),
+    },
+    elsewhere: { sent: elsewhere.length, served: countServed(elsewhere) },
+    failures,
   })
-  if (answered < REQUESTS) return COULD_NOT_RUN
-  return wrong.length > 0 ? BROKEN : HELD
+  const isWorse = shareAtCut < LEAST_SHARE * shareElsewhere
+  const isTooMuch = failures > FREE_FAILURES + FREE_FAILURE_SHARE * judged.length
+  return isWorse && isTooMuch ? BROKEN : HELD
+}
+
+function countServed(tries) {
+  return tries.filter(({ isServed }) => isServed).length
+}
+
+function servedByRoute(tries) {
+  const served = {}
+  for (const { route, isServed } of tries)
+    served[route] = (served[route] ?? 0) + (isServed ? 1 : 0)
+  return served
 }
 
 await runCase({
   caseUrl: import.meta.url,
-  gateways: 2,
-  config: configuration(1, [ROUTE]),
-  servers: ['i-1', 'i-2', 'i-3'].map((id) => ({
-    id,
-    service: 'wagtail-llm',
-    slots: 64,
-    handle: (exchange) => void answerStream(exchange),
-  })),
+  gateways: 3,
+  hasPaths: true,
+  config: configuration(1, [STREAM, SAFE, UNSAFE]),
+  servers: [
+    ...['i-1', 'i-2', 'i-3', 'i-4'].map((id) => ({
+      id,
+      service: 'wagtail-llm',
+      slots: 64,
+      handle: (exchange) => void answerStream(exchange),
+    })),
+    ...['i-5', 'i-6', 'i-7', 'i-8'].map((id) => ({
+      id,
+      service: 'list-api',
+      handle: (exchange) => void answerPlain(exchange),
+    })),
+  ],
   play,
 })
--- a/review/common/stage.mjs
+++ b/review/common/stage.mjs
@@ -2,8 +2,8 @@
  * A small deployment for the scripts of the review: the store's stand-in, model and plain
  * servers, and gateways as separate processes with the command of the deploy file.
  *
- * Everything listens on loopback. Each gateway has an address of its own, because the ports
- * of all machines of a deployment are the same.
+ * Everything listens on loopback. Usually each gateway has an address of its own, because the
+ * ports of all machines of a deployment are the same.
  */
 import { spawn } from 'node:child_process'
 import {
@@ -14,9 +14,9 @@
   writeFileSync,
 } from 'node:fs'
 import { createServer, request } from 'node:http'
-import { createServer as createTcpServer } from 'node:net'
+import { connect, createServer as createTcpServer } from 'node:net'
 import { tmpdir } from 'node:os'
-import { dirname, join } from 'node:path'
+import { dirname, join as joinPath } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { StoreStandin } from '../../packages/standins/dist/index.js'
@@ -77,6 +77,12 @@
   return [...ports]
 }
 
+/** Ports of one machine, or of all machines if each has an address of its own. */
+async function findPorts() {
+  const [front, ready, control, peers, metrics] = await findFreePorts(5)
+  return { front, ready, control, peers, metrics }
+}
+
 function isFree(port) {
   return new Promise((resolve) => {
     const server = createTcpServer()
@@ -93,7 +99,7 @@
 
 /** Command that the deploy file gives for the gateway, split at spaces. */
 function runCommand() {
-  const text = readFileSync(join(REPOSITORY, 'deploy/system.toml'), 'utf8')
+  const text = readFileSync(joinPath(REPOSITORY, 'deploy/system.toml'), 'utf8')
   const match = /^\[roles\.gateway\][^[]*?^run = "([^"]+)"/ms.exec(text)
   if (!match) throw new Error('deploy/system.toml has no command for the gateway')
   return match[1].split(' ')
@@ -121,6 +127,17 @@
     return this.opts.ports.front
   }
 
+  /** Cuts this gateway off from all servers. */
+  cutOff() {
+    this.opts.record('cut off from all servers', { gateway: this.name })
+    for (const path of this.opts.paths) path.cut()
+  }
+
+  async heal() {
+    this.opts.record('cut healed', { gateway: this.name })
+    for (const path of this.opts.paths) await path.heal()
+  }
+
   get isRunning() {
     return this.#child?.exitCode === null && this.#child.signalCode === null
   }
@@ -253,6 +270,112 @@
   }
 }
 
+/** The path from the gateway that can be cut off to one server. */
+class Path {
+  #server
+  #port = 0
+  #open = new Set()
+
+  constructor(target) {
+    this.target = target
+  }
+
+  async start() {
+    const [host, port] = this.target.split(':')
+    this.#server = createTcpServer((socket) => {
+      this.#open.add(socket)
+      socket.once('close', () => this.#open.delete(socket))
+      const upstream = connect({ host, port: Number(port), allowHalfOpen: true })
+      join(socket, upstream)
+      join(upstream, socket)
+    })
+    await this.heal()
+  }
+
+  get address() {
+    return `127.0.0.1:${this.#port}`
+  }
+
+  /** Resets the open connections, and refuses new ones. */
+  cut() {
+    this.#server.close()
+    for (const socket of this.#open) socket.resetAndDestroy()
+  }
+
+  async heal() {
+    await new Promise((resolve) => this.#server.listen(this.#port, '127.0.0.1', resolve))
+    this.#port = this.#server.address().port
+  }
+
+  async close() {
+    for (const socket of this.#open) socket.destroy()
+    if (this.#server.listening)
+      await new Promise((resolve) => this.#server.close(resolve))
+  }
+}
+
+/**
+ * The store as the gateway that can be cut off sees it: with the address of a path instead of
+ * that of the server behind it.
+ */
+class StoreView {
+  #server
+
+  constructor(storePort, paths) {
+    this.storePort = storePort
+    this.paths = paths
+  }
+
+  async start() {
+    this.#server = createServer((req, res) => {
+      const { method, url, headers } = req
+      const opts = { host: '127.0.0.1', port: this.storePort, method, path: url, headers }
+      const storeReq = request(opts, (storeRes) => {
+        const chunks = []
+        storeRes.on('data', (chunk) => chunks.push(chunk))
+        storeRes.on('end', () => {
+          let text = Buffer.concat(chunks).toString()
+          for (const { target, address } of this.paths)
+            text = text.replaceAll(`"${target}"`, `"${address}"`)
+          const { 'content-type': type, 'store-era': era } = storeRes.headers
+          res.writeHead(storeRes.statusCode, { 'content-type': type, 'store-era': era })
+          res.end(text)
+        })
+      })
+      storeReq.on('error', () => res.destroy())
+      res.once('close', () => storeReq.destroy())
+      req.pipe(storeReq)
+    })
+    this.#server.keepAliveTimeout = 60_000
+    await new Promise((resolve) => this.#server.listen(0, '127.0.0.1', resolve))
+  }
+
+  get port() {
+    return this.#server.address().port
+  }
+
+  async close() {
+    const closed = new Promise((resolve) => this.#server.close(resolve))
+    this.#server.closeAllConnections()
+    await closed
+  }
+}
+
+/** Passes bytes, the end and a reset on from one end of a path to the other. */
+function join(from, to) {
+  from.setNoDelay(true)
+  from.on('data', (chunk) => {
+    if (!to.destroyed) to.write(chunk)
+  })
+  from.on('end', () => to.end())
+  from.on('error', () => {
+    if (!to.destroyed) to.resetAndDestroy()
+  })
+  from.on('close', () => {
+    if (!to.writableEnded) to.destroy()
+  })
+}
+
 /** Headers that a server adds to each answer that it gives. */
 export function signed(requestId, fields = {}) {
   const signature = `sig.${requestId}`
@@ -353,19 +476,22 @@
  * @param opts.gateways Number of gateways.
  * @param opts.config First configuration of the operator.
  * @param opts.servers Options of the backend servers.
+ * @param opts.hasPaths Whether the first gateway can be cut off from the servers.
  * @param opts.play Plays the case; resolves with `HELD` or `BROKEN`.
  */
-export async function runCase({ caseUrl, gateways: count, config, servers, play }) {
+export async function runCase(opts) {
+  const { caseUrl, gateways: count, config, servers, play, hasPaths = false } = opts
   const folder = dirname(fileURLToPath(caseUrl))
-  const recordFile = createWriteStream(join(folder, 'record.txt'))
+  const recordFile = createWriteStream(joinPath(folder, 'record.txt'))
   const startMs = performance.now()
   const record = (event, fields = {}) => {
     const atMs = (performance.now() - startMs).toFixed(0).padStart(6)
     recordFile.write(`${atMs} ms ${event} ${JSON.stringify(fields)}\n`)
   }
-  const work = mkdtempSync(join(tmpdir(), 'review-'))
+  const work = mkdtempSync(joinPath(tmpdir(), 'review-'))
   const gateways = []
   const running = []
+  const closables = []
   let store
   let result = COULD_NOT_RUN
   const giveUp = setTimeout(() => {
@@ -377,27 +503,37 @@
     record('begin', { hasTrouble })
     store = await StoreStandin.create()
     store.put('config', 'main', config)
-    for (const opts of servers) {
-      const server = new Server({ healthPath: '/health', ...opts, record })
+    for (const serverOpts of servers) {
+      const server = new Server({ healthPath: '/health', ...serverOpts, record })
       await server.start()
       running.push(server)
       store.put('servers', server.id, server.entry())
     }
-    const hosts = Array.from(
-      { length: count },
-      (_, i) => `127.0.${process.pid % 200}.${i + 1}`,
-    )
-    const [front, ready, control, peers, metrics] = await findFreePorts(5)
-    const ports = { front, ready, control, peers, metrics }
-    for (const [i, host] of hosts.entries()) {
-      const name = `front-${i + 1}`
-      const settingsPath = join(work, `${name}.toml`)
-      const seeds = hosts.slice(0, 3)
-      writeFileSync(
+    const names = Array.from({ length: count }, (_, i) => `front-${i + 1}`)
+    const hosts = names.map((_, i) => `127.0.${process.pid % 200}.${i + 1}`)
+    const samePorts = await findPorts()
+    for (const [i, name] of names.entries()) {
+      const settingsPath = joinPath(work, `${name}.toml`)
+      const opts = {
+        name,
+        // A connection through another gateway comes from 127.0.0.1, whatever the address
+        // of the gateway that asks for it, and only known addresses are served.
+        host: hasPaths ? '127.0.0.1' : hosts[i],
+        ports: hasPaths ? await findPorts() : samePorts,
+        paths: [],
+        storePort: store.port,
         settingsPath,
-        settings({ name, host, ports, seeds, storePort: store.port }),
-      )
-      const gateway = new Gateway({ name, host, ports, settingsPath, record })
+      }
+      if (hasPaths && i === 0) {
+        opts.paths = running.map(({ address }) => new Path(address))
+        for (const path of opts.paths) await path.start()
+        const view = new StoreView(store.port, opts.paths)
+        await view.start()
+        opts.storePort = view.port
+        closables.push(view, ...opts.paths)
+      }
+      writeFileSync(settingsPath, settings({ ...opts, seeds: hosts.slice(0, 3) }))
+      const gateway = new Gateway({ ...opts, record })
       gateways.push(gateway)
       gateway.start()
     }
@@ -419,7 +555,7 @@
   }
   clearTimeout(giveUp)
   await Promise.all(gateways.map((gateway) => gateway.end()))
-  await Promise.all(running.map((server) => server.close()))
+  await Promise.all([...closables, ...running].map((closable) => closable.close()))
   await store?.close()
   rmSync(work, { recursive: true, force: true })
   record('end', { result })
