--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -20,7 +20,7 @@
   unsafeRoute,
 } from '../common/stage.mjs'
 
-/** Length of the cut, in milliseconds. */
+/** Time for which the gateway is cut off, in milliseconds; the case ends with it. */
 const CUT_MS = 10_000
 
 const ROUND_MS = 200
@@ -116,7 +116,6 @@
     startRound()
     await sleep(ROUND_MS)
   }
-  if (hasTrouble) await cutGateway.heal()
   const all = await Promise.all(tries)
   const judged = all.filter(({ sentAtMs }) => sentAtMs >= cutAtMs + BOUND.contactMs)
   const atCut = judged.filter(({ gateway }) => gateway === cutGateway)
--- a/review/common/stage.mjs
+++ b/review/common/stage.mjs
@@ -7,11 +7,13 @@
  */
 import { spawn } from 'node:child_process'
 import {
-  createWriteStream,
+  closeSync,
   mkdtempSync,
+  openSync,
   readFileSync,
   rmSync,
   writeFileSync,
+  writeSync,
 } from 'node:fs'
 import { createServer, request } from 'node:http'
 import { connect, createServer as createTcpServer } from 'node:net'
@@ -133,11 +135,6 @@
     for (const path of this.opts.paths) path.cut()
   }
 
-  async heal() {
-    this.opts.record('cut healed', { gateway: this.name })
-    for (const path of this.opts.paths) await path.heal()
-  }
-
   get isRunning() {
     return this.#child?.exitCode === null && this.#child.signalCode === null
   }
@@ -289,7 +286,11 @@
       join(socket, upstream)
       join(upstream, socket)
     })
-    await this.heal()
+    await new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(0, '127.0.0.1', resolve)
+    })
+    this.#port = this.#server.address().port
   }
 
   get address() {
@@ -302,11 +303,6 @@
     for (const socket of this.#open) socket.resetAndDestroy()
   }
 
-  async heal() {
-    await new Promise((resolve) => this.#server.listen(this.#port, '127.0.0.1', resolve))
-    this.#port = this.#server.address().port
-  }
-
   async close() {
     for (const socket of this.#open) socket.destroy()
     if (this.#server.listening)
@@ -482,11 +478,11 @@
 export async function runCase(opts) {
   const { caseUrl, gateways: count, config, servers, play, hasPaths = false } = opts
   const folder = dirname(fileURLToPath(caseUrl))
-  const recordFile = createWriteStream(joinPath(folder, 'record.txt'))
+  const recordFile = openSync(joinPath(folder, 'record.txt'), 'w')
   const startMs = performance.now()
   const record = (event, fields = {}) => {
     const atMs = (performance.now() - startMs).toFixed(0).padStart(6)
-    recordFile.write(`${atMs} ms ${event} ${JSON.stringify(fields)}\n`)
+    writeSync(recordFile, `${atMs} ms ${event} ${JSON.stringify(fields)}\n`)
   }
   const work = mkdtempSync(joinPath(tmpdir(), 'review-'))
   const gateways = []
@@ -494,11 +490,18 @@
   const closables = []
   let store
   let result = COULD_NOT_RUN
-  const giveUp = setTimeout(() => {
-    record('gave up')
+  const abort = (event, fields) => {
+    record(event, fields)
     for (const gateway of gateways) if (gateway.isRunning) gateway.signal('SIGKILL')
     process.exit(COULD_NOT_RUN)
+  }
+  const giveUp = setTimeout(() => {
+    abort('gave up')
   }, MAX_RUN_MS)
+  // Otherwise an error of the script itself would end it with status 1.
+  process.on('uncaughtException', (err) => {
+    abort('failed', { err: String(err.stack) })
+  })
   try {
     record('begin', { hasTrouble })
     store = await StoreStandin.create()
@@ -510,7 +513,7 @@
       store.put('servers', server.id, server.entry())
     }
     const names = Array.from({ length: count }, (_, i) => `front-${i + 1}`)
-    const hosts = names.map((_, i) => `127.0.${process.pid % 200}.${i + 1}`)
+    const hosts = names.map((_, i) => `127.0.${1 + (process.pid % 200)}.${i + 1}`)
     const samePorts = await findPorts()
     for (const [i, name] of names.entries()) {
       const settingsPath = joinPath(work, `${name}.toml`)
@@ -560,7 +563,7 @@
   rmSync(work, { recursive: true, force: true })
   record('end', { result })
   process.stdout.write(`${hasTrouble ? 'with' : 'without'} disruption: exit ${result}\n`)
-  await new Promise((resolve) => recordFile.end(resolve))
+  closeSync(recordFile)
   process.exit(result)
 }
 
