--- a/review/common/stage.mjs
+++ b/review/common/stage.mjs
@@ -69,7 +69,7 @@
 const FIRST_PORT = 12_000
 const PORT_COUNT = 18_000
 
-/** Finds different ports that are free on all addresses. */
+/** Finds different ports that are free. */
 async function findFreePorts(count) {
   const ports = new Set()
   while (ports.size < count) {
@@ -91,7 +91,7 @@
     server.once('error', () => {
       resolve(false)
     })
-    server.listen(port, '0.0.0.0', () => {
+    server.listen(port, '127.0.0.1', () => {
       server.close(() => {
         resolve(true)
       })
