--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,12 +1,11 @@
 /**
- * A gateway gets SIGTERM a second time while it finishes the requests that it has accepted.
+ * A new version of the configuration adds a streaming route that may not be resumed. Its
+ * requests may run once at most, whatever the smaller models think of their answers.
  */
 import {
-  BOUND,
   BROKEN,
   COULD_NOT_RUN,
   HELD,
-  clientHeaders,
   configuration,
   hasTrouble,
   runCase,
@@ -15,98 +14,113 @@
   sleep,
   streamHeaders,
   streamingRoute,
-  unsafeRoute,
-  until,
 } from '../common/stage.mjs'
 
-const EVENTS = 12
-const EVENT_MS = 250
-const STREAM_WAIT_MS = 15_000
+const REQUESTS = 40
+const WAIT_MS = 10_000
+const EVENTS = 6
+const EVENT_MS = 60
 
-const WORK_MS = 2_500
-const UNSAFE_WAIT_MS = 4_000
+const SIZES = ['m0', 'm1', 'm2']
 
-/** Requests of each kind that are in progress at the gateway. */
-const REQUESTS = 10
+/** Confidence that each model reports of its own answers. */
+const CONFIDENCE = { m0: 15, m1: 30, m2: 92 }
 
-/** Time from the first SIGTERM to the second, in milliseconds. */
-const SECOND_SIGNAL_MS = 1_000
+const FIRST = streamingRoute({ sizes: SIZES })
+const ADDED = streamingRoute({
+  name: 'appeal-memo',
+  pathPrefix: '/memo/',
+  streamResumption: false,
+  timeoutMs: 10_000,
+  targetLatencyMs: 4_000,
+  sizes: SIZES,
+})
 
+/** Answers with a stream, as long as its connection is open. */
 async function answerStream({ req, res, requestId, begin, end }) {
-  begin({ path: req.url })
-  res.writeHead(200, signed(requestId, { 'content-type': 'text/event-stream' }))
+  const model = String(req.headers['x-model'])
+  if (!(model in CONFIDENCE)) {
+    res.writeHead(421, { 'x-not-executed': '1', 'content-length': 0 }).end()
+    return
+  }
+  begin({ model, path: req.url })
+  const fields = {
+    'content-type': 'text/event-stream',
+    'x-confidence': String(CONFIDENCE[model]),
+  }
+  res.writeHead(200, signed(requestId, fields))
   const firstEvent = Number(req.headers['last-event-id'] ?? 0) + 1
-  for (let id = firstEvent; id <= EVENTS && !res.destroyed; id += 1) {
-    res.write(`id: ${id}\ndata: ${id}\n\n`)
+  for (let id = firstEvent; id <= EVENTS; id += 1) {
+    if (res.destroyed) {
+      end({ model, result: 'connection closed', events: id - firstEvent })
+      return
+    }
+    res.write(`id: ${id}\ndata: ${model} ${id}\n\n`)
     await sleep(EVENT_MS)
   }
-  end({ result: res.destroyed ? 'connection closed' : 'complete' })
   res.end()
+  end({ model, result: 'complete' })
 }
 
-async function answerPlain({ req, res, requestId, begin, end }) {
-  begin({ path: req.url })
-  await sleep(WORK_MS)
-  const body = `confirmed ${requestId}`
-  end({ result: res.destroyed ? 'done, connection closed' : 'complete' })
-  res.writeHead(200, signed(requestId, { 'content-length': body.length })).end(body)
-}
-
-async function play({ gateways, servers, record }) {
-  const [gateway] = gateways
-  const { host, port } = gateway
+async function play({ gateways, servers, store, record }) {
+  const route = hasTrouble ? ADDED : FIRST
+  if (hasTrouble) {
+    store.put('config', 'main', configuration(2, [FIRST, ADDED]))
+    record('the operator adds a route', { version: 2, route: ADDED.name })
+    // Longer than `configurationMs`, so that all gateways serve the route.
+    await sleep(4_000)
+  }
   const results = []
-  const start = (requestId, opts) => {
-    record('client sends', { request: requestId, path: opts.path, gateway: gateway.name })
-    const result = send({ host, port, method: 'POST', body: 'x', ...opts })
+  for (let i = 0; i < REQUESTS; i += 1) {
+    const gateway = gateways[i % gateways.length]
+    const requestId = `r${String(i).padStart(3, '0')}`
+    record('client sends', {
+      request: requestId,
+      route: route.name,
+      gateway: gateway.name,
+    })
+    const { host, port } = gateway
+    const result = send({
+      host,
+      port,
+      method: 'POST',
+      path: `${route.pathPrefix}${i}`,
+      headers: streamHeaders(requestId, WAIT_MS),
+      body: 'summarise',
+    })
     results.push(
-      result.then(({ status, isWhole, error }) => {
-        record('client gets', { request: requestId, status, isWhole, error })
-        return { requestId, status, isWhole }
+      result.then(({ status, isWhole }) => {
+        record('client gets', { request: requestId, status, isWhole })
+        return status
       }),
     )
+    await sleep(100)
   }
-  for (let i = 0; i < REQUESTS; i += 1) {
-    const headers = streamHeaders(`s${i}`, STREAM_WAIT_MS)
-    start(`s${i}`, { path: `/panel/${i}`, headers })
-    start(`u${i}`, {
-      path: `/slot/${i}`,
-      headers: clientHeaders(`u${i}`, UNSAFE_WAIT_MS),
-    })
-  }
-  const runCount = () =>
-    new Set(servers.flatMap(({ runs }) => runs.map((r) => r.requestId))).size
-  if (!(await until(() => runCount() === 2 * REQUESTS, 1_000))) return COULD_NOT_RUN
-  gateway.signal('SIGTERM')
-  await sleep(SECOND_SIGNAL_MS)
-  if (hasTrouble) gateway.signal('SIGTERM')
-  const answers = await Promise.all(results)
-  await until(() => !gateway.isRunning, (BOUND.graceS + 1) * 1_000)
-  const lost = answers.filter(({ status, isWhole }) => status === 0 || !isWhole)
+  const statuses = await Promise.all(results)
+  const runCounts = new Map()
+  for (const { requestId } of servers.flatMap(({ runs }) => runs))
+    runCounts.set(requestId, (runCounts.get(requestId) ?? 0) + 1)
+  const twice = [...runCounts].filter(([, runs]) => runs > 1).map(([id]) => id)
+  const answered = statuses.filter((status) => status === 200).length
   record('verdict', {
-    passedOn: runCount(),
-    answered: answers.length - lost.length,
-    lost: lost.map(({ requestId }) => requestId),
+    route: route.name,
+    mayRunAgain: route.streamResumption,
+    answered,
+    ranMoreThanOnce: twice.length,
   })
-  return lost.length > 0 ? BROKEN : HELD
+  if (answered === 0) return COULD_NOT_RUN
+  return !route.streamResumption && twice.length > 0 ? BROKEN : HELD
 }
 
 await runCase({
   caseUrl: import.meta.url,
-  gateways: 2,
-  config: configuration(1, [streamingRoute(), unsafeRoute()]),
-  servers: [
-    ...['i-1', 'i-2'].map((id) => ({
-      id,
-      service: 'wagtail-llm',
-      slots: 64,
-      handle: (exchange) => void answerStream(exchange),
-    })),
-    ...['i-3', 'i-4'].map((id) => ({
-      id,
-      service: 'list-api',
-      handle: (exchange) => void answerPlain(exchange),
-    })),
-  ],
+  gateways: 3,
+  config: configuration(1, [FIRST]),
+  servers: ['i-1', 'i-2', 'i-3', 'i-4'].map((id) => ({
+    id,
+    service: 'wagtail-llm',
+    slots: 64,
+    handle: (exchange) => void answerStream(exchange),
+  })),
   play,
 })
