--- a/packages/gateway/src/observe/log.ts
+++ b/packages/gateway/src/observe/log.ts
@@ -1,5 +1,5 @@
 /** Structured logs: one JSON line on standard output for each decision. */
-import { createWriteStream } from 'node:fs'
+import { LineWriter, openOutput, startTimer } from '@wagtailway/core'
 import { Logger } from 'tslog'
 
 /**
@@ -11,9 +11,6 @@
 /** Lines that may be written in one burst after a period without lines. */
 const MAX_BURST_LINES = 400
 
-/** Limit of the bytes buffered for a slow reader; above it, lines are dropped and counted. */
-const MAX_BUFFERED_BYTES = 262_144
-
 const STDOUT_FD = 1
 
 type Fields = Readonly<Record<string, unknown>>
@@ -21,46 +18,75 @@
 /** Writes one line: a decision and the values it was based on. */
 export type Log = (event: string, fields: Fields) => void
 
+/** Why a line was dropped: too many lines, or an output that does not take them. */
+export type DropReason = 'rate' | 'output'
+
+export interface ProcessLog {
+  readonly log: Log
+  /**
+   * Tries to write the last lines, for at most `timeoutMs` milliseconds; resolves to whether
+   * all are written.
+   */
+  close(timeoutMs: number): Promise<boolean>
+}
+
 /**
- * Creates the log of one process. It never blocks: lines that can't be written are
- * dropped, counted and reported.
+ * Creates the log of one process. It never blocks and never fails: lines that can't be
+ * written are dropped, counted and reported once the output takes lines again.
+ *
+ * @param onDropped Called for each line that is dropped.
  *
  * @example
- * const log = createLog('n1')
+ * const { log, close } = createLog('n1', (reason) => dropped.inc({ reason }))
  * log('config_in_force', { version: 7, ageMs: 12 })
+ * await close(200)
  */
-export function createLog(node: string): Log {
-  // An asynchronous stream, because `process.stdout` blocks when it is a pipe.
-  const stdout = createWriteStream('', { fd: STDOUT_FD, autoClose: false })
+export function createLog(
+  node: string,
+  onDropped: (reason: DropReason) => void,
+): ProcessLog {
+  const writer = LineWriter.create({
+    write: openOutput(STDOUT_FD),
+    startTimer,
+    onDropped: () => {
+      onDropped('output')
+    },
+  })
   const logger = new Logger<Fields>({
     type: 'hidden',
     hideLogPositionForProduction: true,
     attachedTransports: [
       (line) => {
-        stdout.write(`${JSON.stringify({ ...(line as Fields), _meta: undefined })}\n`)
+        writer.add(JSON.stringify({ ...(line as Fields), _meta: undefined }))
       },
     ],
   })
   let tokens = MAX_BURST_LINES
   let refilledAtMs = performance.now()
-  let dropped = 0
-  return (event, fields) => {
+  let droppedByRate = 0
+  const reportDropped = (t: string): void => {
+    const { dropped, err } = writer.takeGap()
+    if (droppedByRate + dropped === 0) return
+    const event = 'log_lines_dropped'
+    logger.warn({ t, node, event, dropped: droppedByRate + dropped, err })
+    droppedByRate = 0
+  }
+  const log: Log = (event, fields) => {
     const nowMs = performance.now()
     tokens = Math.min(
       MAX_BURST_LINES,
       tokens + ((nowMs - refilledAtMs) / 1_000) * MAX_LINES_PER_SECOND,
     )
     refilledAtMs = nowMs
-    if (tokens < 1 || stdout.writableLength > MAX_BUFFERED_BYTES) {
-      dropped += 1
+    if (tokens < 1) {
+      droppedByRate += 1
+      onDropped('rate')
       return
     }
     tokens -= 1
     const t = new Date().toISOString()
-    if (dropped > 0) {
-      logger.warn({ t, node, event: 'log_lines_dropped', dropped })
-      dropped = 0
-    }
+    if (!writer.isBlocked) reportDropped(t)
     logger.info({ t, node, event, ...fields })
   }
+  return { log, close: (timeoutMs) => writer.close(timeoutMs) }
 }
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -42,6 +42,12 @@
       labelNames: ['result'],
       registers,
     }),
+    droppedLogLines: new Counter({
+      name: 'wagtailway_gateway_log_lines_dropped_total',
+      help: 'Log lines that were not written, by reason: rate or output',
+      labelNames: ['reason'],
+      registers,
+    }),
     serverConnections: new Counter({
       name: 'wagtailway_gateway_server_connections_total',
       help: 'New connections to backend servers, by path: direct, relayed or none',
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -2,8 +2,11 @@
 import yargs, { type Options } from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import {
+  LineWriter,
   flagOf,
   formatSettingFinding,
+  openOutput,
+  startTimer,
   type Setting,
   type SettingFinding,
 } from '@wagtailway/core'
@@ -12,6 +15,8 @@
 
 const EXIT_BAD_SETTINGS = 2
 
+const STDOUT_FD = 1
+
 /** Settings from the command line and the environment, not validated yet. */
 export interface ParsedArgs {
   /** Values by setting name. */
@@ -84,7 +89,12 @@
     return
   }
   const router = await Router.create(resolved.val)
-  process.stdout.write(`listening ${router.address} peers ${router.peerAddress}\n`)
+  const output = LineWriter.create({
+    write: openOutput(STDOUT_FD),
+    startTimer,
+    onDropped: () => undefined,
+  })
+  output.add(`listening ${router.address} peers ${router.peerAddress}`)
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.once(signal, () => {
       router.close().then(
