--- a/packages/gateway/src/observe/log.ts
+++ b/packages/gateway/src/observe/log.ts
@@ -18,6 +18,11 @@
 /** Writes one line: a decision and the values it was based on. */
 export type Log = (event: string, fields: Fields) => void
 
+/** An error with its stack, for a line about one that should not have happened. */
+export function describeError(err: unknown): string {
+  return err instanceof Error ? (err.stack ?? err.message) : String(err)
+}
+
 /** Why a line was dropped: too many lines, or an output that does not take them. */
 export type DropReason = 'rate' | 'output'
 
--- a/packages/gateway/src/peers/peerLink.ts
+++ b/packages/gateway/src/peers/peerLink.ts
@@ -33,6 +33,8 @@
    * error.
    */
   readonly onFault: (detail: string) => void
+  /** Called when a datagram could be read and applying it failed. */
+  readonly onFailedInside: (err: unknown, host: string) => void
 }
 
 /**
@@ -45,44 +47,18 @@
 export class PeerLink {
   #timer: NodeJS.Timeout | undefined
   #reportRounds = 0
+  #isClosed = false
 
   private constructor(
     private readonly opts: PeerLinkOptions,
     private readonly socket: Socket,
   ) {
     socket.on('message', (datagram, { address, port }) => {
-      const from = { host: address, port }
-      const loadMessage = decodeLoadMessage(datagram)
-      if (loadMessage) {
-        opts.onLoadMessage(loadMessage, from)
-        return
+      try {
+        this.#receive(datagram, { host: address, port })
+      } catch (err) {
+        opts.onFailedInside(err, address)
       }
-      const permitMessage = decodePermitMessage(datagram)
-      if (permitMessage) {
-        opts.onPermitMessage(permitMessage, from)
-        return
-      }
-      const placeDatagram = decodePlaceDatagram(datagram)
-      if (placeDatagram) {
-        opts.onPlaceDatagram(placeDatagram, from)
-        return
-      }
-      const report = decodeReport(datagram)
-      if (!report) {
-        opts.onFault('unreadable datagram')
-        return
-      }
-      const isNew = !opts.peers.isAlive(report.name)
-      const cutOffBefore = opts.peers.cutOffServicesOf(report.name)
-      if (!opts.peers.applyReport(report, from)) return
-      const hasRegained = cutOffBefore.some(
-        (service) => report.cutOffServices?.includes(service) !== true,
-      )
-      if (hasRegained) opts.onPathRegained()
-      // Respond at once, so that both instances know each other as soon as one found the
-      // other.
-      if (isNew && !report.isDraining) this.#sendTo([from])
-      opts.onReport(report, from)
     })
     socket.on('error', (err) => {
       opts.onFault(err.message)
@@ -102,6 +78,11 @@
     return new PeerLink(opts, socket)
   }
 
+  /** UDP port that reports are received on. */
+  get port(): number {
+    return this.socket.address().port
+  }
+
   /** Sends a report now, to every known instance or only to those of the own zone. */
   send(scope: ReportScope = 'all'): void {
     const addresses = this.opts.peers.addresses(scope)
@@ -122,16 +103,54 @@
   }
 
   close(): void {
+    this.#isClosed = true
     clearTimeout(this.#timer)
     this.socket.close()
   }
 
+  #receive(datagram: Buffer, from: ListenAddress): void {
+    const { opts } = this
+    const loadMessage = decodeLoadMessage(datagram)
+    if (loadMessage) {
+      opts.onLoadMessage(loadMessage, from)
+      return
+    }
+    const permitMessage = decodePermitMessage(datagram)
+    if (permitMessage) {
+      opts.onPermitMessage(permitMessage, from)
+      return
+    }
+    const placeDatagram = decodePlaceDatagram(datagram)
+    if (placeDatagram) {
+      opts.onPlaceDatagram(placeDatagram, from)
+      return
+    }
+    const report = decodeReport(datagram)
+    if (!report) {
+      opts.onFault('unreadable datagram')
+      return
+    }
+    const isNew = !opts.peers.isAlive(report.name)
+    const cutOffBefore = opts.peers.cutOffServicesOf(report.name)
+    if (!opts.peers.applyReport(report, from)) return
+    const hasRegained = cutOffBefore.some(
+      (service) => report.cutOffServices?.includes(service) !== true,
+    )
+    if (hasRegained) opts.onPathRegained()
+    // Respond at once, so that both instances know each other as soon as one found the
+    // other.
+    if (isNew && !report.isDraining) this.#sendTo([from])
+    opts.onReport(report, from)
+  }
+
   #sendTo(addresses: readonly ListenAddress[]): void {
     const datagram = encodeReport(this.opts.createReport())
     for (const address of addresses) this.#sendDatagram(datagram, address)
   }
 
   #sendDatagram(datagram: Buffer, { host, port }: ListenAddress): void {
+    // A timer of the caller may come later than the close, and a closed socket throws.
+    if (this.#isClosed) return
     this.socket.send(datagram, port, host, (err) => {
       if (err) this.opts.onFault(err.message)
     })
--- a/packages/gateway/src/process/__tests__/discoverInstances.spec.ts
+++ b/packages/gateway/src/process/__tests__/discoverInstances.spec.ts
@@ -11,7 +11,13 @@
   t.mock.timers.enable({ apis: ['setTimeout'] })
   const clock = VirtualClock.create()
   const peers = PeerTable.create({ name: 'n1', zone: 'z1', linkMbps: 100 }, clock.now)
-  const stop = discoverInstances({ self: SELF, store, peers, seedHosts: [] })
+  const stop = discoverInstances({
+    log: () => undefined,
+    self: SELF,
+    store,
+    peers,
+    seedHosts: [],
+  })
   const pass = async (seconds: number): Promise<void> => {
     for (let i = 0; i < seconds * 10; i += 1) {
       await new Promise((resolve) => setImmediate(resolve))
@@ -61,4 +67,20 @@
     assert.equal(polls, pollsBefore + 2)
     stop()
   })
+
+  it('polls again after an error while the list was applied', async (t) => {
+    let polls = 0
+    const { pass, stop } = discover(t, {
+      register: () => Promise.resolve(true),
+      instances: () => {
+        polls += 1
+        return polls === 2
+          ? Promise.reject(new Error('unforeseen'))
+          : Promise.resolve([SELF])
+      },
+    })
+    await pass(10)
+    assert.ok(polls > 3, `${polls} polls`)
+    stop()
+  })
 })
--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -191,6 +191,21 @@
   }
 })
 
+describe('an update that can not be applied', () => {
+  it('does not end the loop, and is read again', async () => {
+    const calls = await follow({
+      forMs: 10_000,
+      instanceCount: SMALL_FLEET,
+      respond: ({ type }, index) => {
+        if (index === 1) throw new Error('unforeseen')
+        return type === 'list' ? update(10) : update(11 + index)
+      },
+    })
+    assert.ok(calls.length > 3, `${calls.length} calls`)
+    assert.equal(calls[2]?.type, 'list')
+  })
+})
+
 describe('a watch that ends without changes', () => {
   /** Ages of the state once the first watch has ended, by the duration of the watch. */
   async function ageAfterWatch(durationShare: number): Promise<number> {
--- a/packages/gateway/src/process/discoverInstances.ts
+++ b/packages/gateway/src/process/discoverInstances.ts
@@ -1,4 +1,5 @@
 /** Discovers the other entry instances through the store and the seed hosts. */
+import { describeError, type Log } from '../observe/log.js'
 import type { PeerAddress, PeerTable } from '../peers/peerTable.js'
 import type { StorePort } from './storePort.js'
 
@@ -18,6 +19,7 @@
 const MAX_RETRY_DELAY_MS = 5_000
 
 export interface DiscoveryOptions {
+  readonly log: Log
   readonly self: PeerAddress
   readonly store: Pick<StorePort<unknown>, 'register' | 'instances'>
   readonly peers: PeerTable
@@ -34,10 +36,11 @@
  * older copy.
  *
  * @example
- * const stop = discoverInstances({ self, store, peers, seedHosts })
+ * const stop = discoverInstances({ log, self, store, peers, seedHosts })
  * stop()
  */
 export function discoverInstances({
+  log,
   self,
   store,
   peers,
@@ -53,7 +56,7 @@
     if (host !== self.host)
       peers.addAddress({ name: `seed ${host}`, host, port: self.port })
   }
-  const poll = async (): Promise<void> => {
+  const synchronize = async (): Promise<boolean> => {
     isRegistered ||= await store.register(self)
     const addresses = await store.instances()
     for (const address of addresses ?? []) peers.addAddress(address)
@@ -62,7 +65,13 @@
     if (addresses && pollIndex >= FIRST_POLL_INTERVALS_MS.length) {
       isRegistered &&= addresses.some(({ name }) => name === self.name)
     }
-    const succeeded = isRegistered && addresses !== undefined
+    return isRegistered && addresses !== undefined
+  }
+  const poll = async (): Promise<void> => {
+    const succeeded = await synchronize().catch((err: unknown) => {
+      log('discovery_failed_inside', { err: describeError(err) })
+      return false
+    })
     failures = succeeded ? 0 : failures + 1
     const delayMs = succeeded
       ? (FIRST_POLL_INTERVALS_MS[pollIndex] ?? POLL_INTERVAL_MS)
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -4,7 +4,7 @@
 import type { Clock, Random } from '@wagtailway/core'
 import type { FeedState } from '../feed/feedState.js'
 import { planPoll, type PollInputs, type PollReason } from '../feed/pollSchedule.js'
-import type { Log } from '../observe/log.js'
+import { describeError, type Log } from '../observe/log.js'
 import type { FollowedKind, StoreFailure, StorePort } from './storePort.js'
 
 /**
@@ -104,8 +104,15 @@
       this.#lastPollAtMs = clock()
       // Something has changed, so a list is not larger than the changes.
       this.#needsList ||= !feed.hasList || poll.reason === 'pull_failed'
-      if (this.#needsList) await this.#list(poll.reason)
-      else await this.#watch(poll.waitMs)
+      try {
+        if (this.#needsList) await this.#list(poll.reason)
+        else await this.#watch(poll.waitMs)
+      } catch (err) {
+        // One update that can't be applied must not end the loop, which is never started again.
+        this.#needsList = true
+        this.#failures += 1
+        this.opts.log('feed_failed_inside', { kind: feed.kind, err: describeError(err) })
+      }
       if (this.#failures > 0) await this.#backOff(this.#failures)
     }
   }
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -3,6 +3,7 @@
 import { SMALL_FLEET_SIZE } from '../feed/pollSchedule.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import { LoadExchange, REPORT_INTERVAL_MS } from '../loads/loadExchange.js'
+import { describeError } from '../observe/log.js'
 import { PeerLink } from '../peers/peerLink.js'
 import type { PeerReport } from '../peers/peerReport.js'
 import { repeatedNewsMs } from '../peers/reportSchedule.js'
@@ -148,6 +149,10 @@
     onFault: (detail) => {
       metrics.peerFaults.inc({ detail })
     },
+    onFailedInside: (err, host) => {
+      metrics.peerFaults.inc({ detail: 'failed inside' })
+      node.opts.log('report_failed_inside', { host, err: describeError(err) })
+    },
   })
   const sendNews = limitRate(() => {
     link.send()
--- a/packages/gateway/src/process/quarantineStore.ts
+++ b/packages/gateway/src/process/quarantineStore.ts
@@ -1,6 +1,6 @@
 /** Keeps the quarantined prompt parts in the store, so that they outlive all instances. */
 import type { Clock } from '@wagtailway/core'
-import type { Log } from '../observe/log.js'
+import { describeError, type Log } from '../observe/log.js'
 import type { CrashQuarantine } from '../quarantine/crashQuarantine.js'
 import { isNewer, type TraitState } from '../quarantine/traitQuarantine.js'
 import type { StorePort } from './storePort.js'
@@ -71,9 +71,13 @@
   #exclusively(action: () => Promise<void>): void {
     if (this.#isBusy) return
     this.#isBusy = true
-    void action().finally(() => {
-      this.#isBusy = false
-    })
+    action()
+      .catch((err: unknown) => {
+        this.opts.log('quarantine_failed_inside', { err: describeError(err) })
+      })
+      .finally(() => {
+        this.#isBusy = false
+      })
   }
 
   async #synchronize(): Promise<void> {
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -103,6 +103,7 @@
   const metricsServer = await serveMetrics(metrics, settings, feeds, logServeFailed)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   const stopDiscovery = discoverInstances({
+    log,
     self,
     store,
     peers: node.opts.peers,
