--- a/packages/wagtailway/src/result.ts
+++ b/packages/wagtailway/src/result.ts
@@ -1,9 +1,12 @@
 /** Result type of operations that can fail in expected ways, from ts-results. */
-import tsResults from 'ts-results'
+import * as tsResultsModule from 'ts-results'
 
 export type { Result } from 'ts-results'
 
-// ts-results is CommonJS, so its values come through the default import.
+// The package has two forms: Node.js loads the CommonJS one, whose values come through the
+// default import; the bundle takes the ESM one, which has no default.
+const tsResults = 'default' in tsResultsModule ? tsResultsModule.default : tsResultsModule
+
 export const Ok = tsResults.Ok
 
 /**
@@ -14,7 +17,7 @@
  * @example
  * return Err(notRun('overloaded', 'All replicas are busy.'))
  */
-export function Err<E>(val: E): ReturnType<typeof tsResults.Err<E>> {
+export function Err<E>(val: E): ReturnType<typeof tsResultsModule.Err<E>> {
   const limit = Error.stackTraceLimit
   Error.stackTraceLimit = 0
   try {
