A request that comes after its connection was answered 408 doesn't run

A caller whose request's head came after `headerTimeoutMs`, or who had opened the connection that long before, read 408, which promises that the request never runs; the request then ran at a server if the caller's bytes were already on their way, and its answer was dropped.

Cause: a time-out ends only this side of the connection; the parser still took requests from it. A request that comes on a connection which this side has ended is dropped now, as one behind `Connection: close` is.

--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -47,13 +47,13 @@
 
   /**
    * Records a request; its answer is owed until it is written or the connection closes.
-   * Returns false if an earlier answer ends the connection, so that this one could never be
-   * sent: the request must not run.
+   * Returns false if an earlier answer ends the connection or this side has already ended it,
+   * so that this one could never be sent: the request must not run.
    */
   begin({ socket }: IncomingMessage, res: ServerResponse): boolean {
     this.#unused.delete(socket)
     const answers = this.#owed.get(socket)
-    if (!answers) return !socket.destroyed
+    if (!answers || !socket.writable) return false
     if ([...answers].some(({ shouldKeepAlive }) => !shouldKeepAlive)) return false
     answers.add(res)
     res.once('close', () => answers.delete(res))
