--- a/packages/gateway/src/paths/serverDialer.ts
+++ b/packages/gateway/src/paths/serverDialer.ts
@@ -15,7 +15,8 @@
 } from './dial.js'
 import type { PathFailure, PathFinding, PathPlan, PathTable } from './pathTable.js'
 import { connectThrough } from './relayClient.js'
-import { selectRelay, type RelayCandidate } from './selectRelay.js'
+import { findResponsiveRelay } from './findResponsiveRelay.js'
+import { selectRelay } from './selectRelay.js'
 
 /** Interval of the checks of lost paths, in milliseconds. */
 const CHECK_INTERVAL_MS = 500
@@ -23,9 +24,6 @@
 /** Lost servers of each service that are checked at a time. */
 const CHECKS_AT_A_TIME = 4
 
-/** Relays that are asked at once whether they get a response. */
-const RELAYS_AT_A_TIME = 4
-
 /** Time after which a check of a direct connection has failed, in milliseconds. */
 const CHECK_TIMEOUT_MS = 250
 
@@ -69,6 +67,7 @@
  */
 export class ServerDialer {
   readonly #checks = new Map<string, Promise<PathCheck>>()
+  readonly #muteChecks = new Map<string, Promise<boolean>>()
   /** Servers by service that were silent since the last response on a direct path. */
   readonly #silent = new Map<string, Set<string>>()
   readonly #timer: NodeJS.Timeout
@@ -102,13 +101,7 @@
    * server are one.
    */
   check(server: BackendServer): Promise<PathCheck> {
-    const running = this.#checks.get(server.id)
-    if (running) return running
-    const check = this.#check(server).finally(() => {
-      this.#checks.delete(server.id)
-    })
-    this.#checks.set(server.id, check)
-    return check
+    return runOnce(this.#checks, server.id, () => this.#check(server))
   }
 
   /**
@@ -270,9 +263,13 @@
 
   /**
    * Whether a server responds through a relay but not directly. If so, records that its
-   * path is lost.
+   * path is lost. Concurrent checks of one server are one: each costs several connections.
    */
-  async #isMute(server: BackendServer): Promise<boolean> {
+  #isMute(server: BackendServer): Promise<boolean> {
+    return runOnce(this.#muteChecks, server.id, () => this.#checkMute(server))
+  }
+
+  async #checkMute(server: BackendServer): Promise<boolean> {
     const isDirect = this.#bringsResponse(connectDirectly(server), server)
     const name = await this.#findResponsiveRelay(server)
     if (name === undefined) return false
@@ -284,37 +281,14 @@
 
   /** Name of the first relay through which a server responds; `undefined` if none does. */
   async #findResponsiveRelay(server: BackendServer): Promise<string | undefined> {
-    const asked = this.#drawRelays(server).map(async ({ address }) => {
-      if (await this.#bringsResponse(connectThrough(address, server), server))
-        return address.name
-      throw new Error(`no response through ${address.name}`)
-    })
-    try {
-      return await Promise.any(asked)
-    } catch {
-      // That no relay has a path either says nothing about this one.
-      return undefined
-    }
-  }
-
-  /** Draws several relays at once: some may be without a path as well. */
-  #drawRelays({ service }: BackendServer): RelayCandidate[] {
     const { peers, zone, random } = this.opts
-    const candidates = peers.relays(service)
-    const relays: RelayCandidate[] = []
-    const tried = new Set<string>()
-    while (relays.length < RELAYS_AT_A_TIME) {
-      const relay = selectRelay(
-        candidates,
-        zone,
-        { tried, failedZones: new Set() },
-        random,
-      )
-      if (!relay || tried.has(relay.address.name)) break
-      tried.add(relay.address.name)
-      relays.push(relay)
-    }
-    return relays
+    return findResponsiveRelay({
+      candidates: peers.relays(server.service),
+      zone,
+      random,
+      bringsResponse: ({ address }) =>
+        this.#bringsResponse(connectThrough(address, server), server),
+    })
   }
 
   /** Whether a server answers a health check on a connection. */
@@ -368,3 +342,18 @@
     clearTimeout(timer)
   }
 }
+
+/** Result of the check of a server that is running, or of one that is started now. */
+function runOnce<T>(
+  running: Map<string, Promise<T>>,
+  serverId: string,
+  check: () => Promise<T>,
+): Promise<T> {
+  const current = running.get(serverId)
+  if (current) return current
+  const started = check().finally(() => {
+    running.delete(serverId)
+  })
+  running.set(serverId, started)
+  return started
+}
