--- a/packages/gateway/src/forward/__tests__/attempt.spec.ts
+++ b/packages/gateway/src/forward/__tests__/attempt.spec.ts
@@ -17,11 +17,13 @@
   type AttemptResponse,
   type BodyResult,
 } from '../attempt.js'
-import { BufferBudget } from '../bufferBudget.js'
+import { MemoryShare } from '../../memory/memoryShare.js'
 import type { BackendServer } from '../../model/backendServer.js'
 import type { ResponseMetadata } from '../../model/requestMetadata.js'
 import { ServerConnections } from '../serverConnections.js'
 
+const HOLDER = { workspace: 'w', priority: 0 }
+
 const servers: Server[] = []
 
 afterEach(() => {
@@ -76,7 +78,7 @@
     method: 'GET',
     path: '/',
     headers: ['Host', 'app.example'],
-    body: Buffer.alloc(0),
+    body: [],
     requestId: 'r1',
     readResponseMetadata: () => metadata,
     onResponseHead,
@@ -86,7 +88,7 @@
 async function readBody(attempt: Attempt): Promise<BodyResult> {
   const head = await attempt.head
   assert.equal(head.type, 'answered')
-  const budget = BufferBudget.create(1_000)
+  const budget = MemoryShare.create(1_000, () => 0).open(HOLDER)
   return readFullBody(attempt, head as AttemptResponse, { maxBytes: 1_000, budget })
 }
 
@@ -209,7 +211,7 @@
         method: 'GET',
         path: '/',
         headers: ['Host', 'app.example', 'X-Request-Id', requestId],
-        body: Buffer.alloc(0),
+        body: [],
         requestId,
         readResponseMetadata: (headers) => ({
           ...METADATA,
--- a/packages/gateway/src/forward/__tests__/cutHead.spec.ts
+++ b/packages/gateway/src/forward/__tests__/cutHead.spec.ts
@@ -10,9 +10,11 @@
 import { after, before, describe, it } from 'node:test'
 import type { BackendServer } from '../../model/backendServer.js'
 import { Attempt, readFullBody } from '../attempt.js'
-import { BufferBudget } from '../bufferBudget.js'
+import { MemoryShare } from '../../memory/memoryShare.js'
 import { ServerConnections } from '../serverConnections.js'
 
+const HOLDER = { workspace: 'w', priority: 0 }
+
 const BODY = 'whole'
 const HEADS = {
   'with a length': `HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: ${BODY.length}\r\n\r\n`,
@@ -83,7 +85,7 @@
     method: 'POST',
     path: '/',
     headers: ['Host', 'app.example', 'Content-Length', String(body.length)],
-    body,
+    body: [body],
     requestId: 'r1',
     readResponseMetadata: () => ({
       requestId: undefined,
@@ -97,7 +99,7 @@
   })
   const head = await attempt.head
   if (head.type === 'failed') return false
-  const budget = BufferBudget.create(1_000)
+  const budget = MemoryShare.create(1_000, () => 0).open(HOLDER)
   const result = await readFullBody(attempt, head, { maxBytes: 1_000, budget })
   return result.type === 'complete'
 }
--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -1,11 +1,10 @@
 /** One attempt: a request sent once to one backend server. */
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
-import { readBytes } from '@wagtailway/core'
+import { readBytes, type ByteBudget } from '@wagtailway/core'
 import { ResetDetector } from '../http/resetDetector.js'
 import { findInvalidResponseHead } from '../http/validateHead.js'
 import type { ResponseMetadata } from '../model/requestMetadata.js'
 import { endMarkOf } from '../paths/relayClient.js'
-import type { BufferBudget } from './bufferBudget.js'
 import { DialError, ServerConnections, relayOf } from './serverConnections.js'
 
 /** Timeout for establishing a connection, in milliseconds; a healthy server takes 5. */
@@ -57,7 +56,7 @@
   readonly method: string
   readonly path: string
   readonly headers: readonly string[]
-  readonly body: Buffer
+  readonly body: readonly Buffer[]
   readonly requestId: string | undefined
   readonly readResponseMetadata: (
     headers: NodeJS.Dict<string | string[]>,
@@ -131,6 +130,16 @@
     return isFramed(res) ? undefined : this.#endMark
   }
 
+  /**
+   * Calls `listener` once nothing of the request's body is kept for sending any more; maybe
+   * twice.
+   */
+  onBodySent(listener: () => void): void {
+    const req = this.#req
+    if (!req || req.writableFinished || this.#isClosed) listener()
+    else req.once('finish', listener).once('close', listener)
+  }
+
   /** Closes the attempt's connection, so that the server stops working on the request. */
   cancel(): void {
     if (this.#isClosed) return
@@ -204,7 +213,8 @@
       this.#isClosed = true
       this.#fail('connection_lost', 'connection closed before the response')
     })
-    req.end(opts.body)
+    for (const block of opts.body.slice(0, -1)) req.write(block)
+    req.end(opts.body.at(-1))
   }
 
   #handleResponse(opts: AttemptRequest, res: IncomingMessage): void {
@@ -277,7 +287,7 @@
 export interface BodyLimits {
   readonly maxBytes: number
   /** Memory that all buffered bodies share. */
-  readonly budget: BufferBudget
+  readonly budget: ByteBudget
 }
 
 /**
--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -1,6 +1,6 @@
 /** The caller's side of one request: its body, its disconnection and its response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { discardBody, readBytes } from '@wagtailway/core'
+import { discardBody, readBlocks, type ByteBudget } from '@wagtailway/core'
 import type { HeaderDialect, RequestMetadata } from '../model/requestMetadata.js'
 
 /** Why this process answers a request itself instead of relaying a server's response. */
@@ -13,6 +13,7 @@
   | 'body_too_large'
   | 'body_too_fragmented'
   | 'headers_too_large'
+  | 'no_memory'
   | 'no_server'
   | 'overloaded'
   | 'shutting_down'
@@ -35,6 +36,7 @@
   body_too_large: 413,
   body_too_fragmented: 400,
   headers_too_large: 431,
+  no_memory: 503,
   no_server: 503,
   overloaded: 503,
   shutting_down: 503,
@@ -62,7 +64,11 @@
 const MAX_DISCARD_MS = 10_000
 
 /** The request body, or why it could not be read. */
-export type RequestBodyResult = Buffer | 'too_large' | 'too_fragmented' | 'broken'
+export type RequestBodyResult =
+  | { readonly type: 'complete'; readonly blocks: readonly Buffer[] }
+  | { readonly type: 'too_large' | 'too_fragmented' | 'broken' }
+  /** `neededBytes` is its size, as far as it is known. */
+  | { readonly type: 'no_memory'; readonly neededBytes: number }
 
 /**
  * One caller request and the response to it.
@@ -74,6 +80,7 @@
 export class Caller {
   readonly metadata: RequestMetadata
   #hasDisconnected = false
+  #closesOnRefusal = false
   readonly #disconnectListeners: (() => void)[] = []
 
   private constructor(
@@ -127,23 +134,47 @@
     else this.#disconnectListeners.push(listener)
   }
 
-  /** Reads the request body, which may hold at most `maxBytes`. */
-  async readBody(maxBytes: number): Promise<RequestBodyResult> {
-    const sizeHint = Number(this.req.headers['content-length'] ?? 0)
-    const result = await readBytes(this.req, { maxBytes, sizeHint, keepOpen: true })
+  /** Size of the request body in bytes, or `undefined` if its head doesn't tell it. */
+  get bodyBytes(): number | undefined {
+    const { headers } = this.req
+    if ('transfer-encoding' in headers) return undefined
+    return Number(headers['content-length'] ?? 0)
+  }
+
+  /**
+   * Reads the request body, which may hold at most `maxBytes`. Its memory stays reserved in
+   * `budget`: that of a body of known size before its first byte.
+   */
+  async readBody(maxBytes: number, budget: ByteBudget): Promise<RequestBodyResult> {
+    const { bodyBytes } = this
+    const result = await readBlocks(this.req, {
+      maxBytes,
+      sizeHint: bodyBytes ?? 0,
+      isSizeExact: bodyBytes !== undefined,
+      budget,
+      keepReserved: true,
+      keepOpen: true,
+    })
     switch (result.type) {
       case 'complete':
-        return result.bytes
+        return result
       case 'too_long':
-        return 'too_large'
+        return { type: 'too_large' }
       case 'too_fragmented':
-        return 'too_fragmented'
+        return { type: 'too_fragmented' }
       case 'no_memory':
+        return { type: 'no_memory', neededBytes: bodyBytes ?? result.byteCount }
       case 'closed':
-        return 'broken'
+        return { type: 'broken' }
     }
   }
 
+  /** Makes a refusal close the connection at once, so that nothing more of the body is read. */
+  closeOnRefusal(): void {
+    this.#closesOnRefusal = true
+    this.res.shouldKeepAlive = false
+  }
+
   /**
    * Answers with a refusal by this process and returns its status. If a response has
    * already begun or the caller has disconnected, only closes the connection.
@@ -156,7 +187,7 @@
       return status
     }
     const body = Buffer.from(JSON.stringify({ reason }))
-    if (reason === 'body_too_fragmented') res.shouldKeepAlive = false
+    if (reason === 'body_too_fragmented') this.closeOnRefusal()
     this.writeHead(status, [
       ...this.dialect.localResponseHeaders(this.metadata.requestId, retryAfterMs),
       'Content-Type',
@@ -164,14 +195,16 @@
       'Content-Length',
       String(body.length),
     ])
-    res.end(body)
-    this.#discardBody()
-    return status
-  }
-
-  /** Reads what still comes of the body, so that the connection can be reused. */
-  #discardBody(): void {
-    if (this.req.readableEnded || !this.res.shouldKeepAlive) return
+    if (this.req.readableEnded || this.#closesOnRefusal) {
+      res.end(body)
+      // Node.js doesn't tell the reader of a body that its connection is closed then.
+      if (this.#closesOnRefusal) res.once('close', () => this.req.destroy())
+      return status
+    }
+    // Closing a connection with unread bytes resets it, and the caller may miss the answer.
+    res.write(body)
+    for (const event of ['end', 'close']) this.req.once(event, () => res.end())
     discardBody(this.req, { maxBytes: MAX_DISCARDED_BYTES, timeoutMs: MAX_DISCARD_MS })
+    return status
   }
 }
--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -173,7 +173,7 @@
   ctx.retries.recordMayHaveRun(server)
   const bodyResult = await readFullBody(tracked.attempt, head, {
     maxBytes: MAX_RESPONSE_BYTES,
-    budget: ctx.opts.node.bodyBuffers,
+    budget: ctx.opts.node.memory.answers.open(ctx.memoryHolder),
   })
   if (caller.hasDisconnected)
     return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -341,7 +341,7 @@
   const { server } = tracked.placement
   const bodyResult = await readFullBody(tracked.attempt, head, {
     maxBytes: MAX_NON_STREAM_BYTES,
-    budget: ctx.opts.node.bodyBuffers,
+    budget: ctx.opts.node.memory.answers.open(ctx.memoryHolder),
   })
   if (caller.hasDisconnected)
     return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -1,11 +1,13 @@
 /** Handles one caller request from its arrival to its response. */
 import type { GatewayNode, ActiveConfig } from '../gatewayNode.js'
 import { findInvalidRequestHead } from '../http/validateHead.js'
+import type { MemoryHold } from '../memory/memoryShare.js'
 import type { Route, Workspace } from '../model/config.js'
 import { NO_SERVER_RETRY_AFTER_MS, type Caller, type RefusalReason } from './caller.js'
 import { forwardStream } from './forwardStream.js'
 import { forwardBuffered } from './forwardBuffered.js'
 import { RequestContext } from './requestContext.js'
+import { memoryHolderOf } from './requestOptions.js'
 
 /**
  * Retry delay sent by an instance that has no configuration yet, in milliseconds: startup
@@ -45,21 +47,70 @@
  * await handleRequest(node, Caller.create(req, res, dialect, clock()))
  */
 export async function handleRequest(node: GatewayNode, caller: Caller): Promise<void> {
-  const maxBodyBytes = node.activeConfig?.cfg.limits.maxBodyBytes ?? 0
   const initialAdmission = admit(node, caller)
   if (initialAdmission.type === 'refused') {
     refuse(node, caller, initialAdmission.reason)
     return
   }
-  const body = await caller.readBody(maxBodyBytes)
-  if (body === 'too_large' || body === 'too_fragmented') {
-    refuse(node, caller, `body_${body}`)
-    return
+  const { workspace, route, activeConfig } = initialAdmission
+  const hold = node.memory.bodies.open(memoryHolderOf(workspace, route))
+  try {
+    const { maxBodyBytes } = activeConfig.cfg.limits
+    const body = await readBody(node, caller, maxBodyBytes, hold)
+    if (body) await forward(node, caller, body, hold)
+  } finally {
+    hold.close()
   }
-  if (body === 'broken' || caller.hasDisconnected) {
+}
+
+/**
+ * Reads the body of a request; answers the request and returns `undefined` if it can't be
+ * read.
+ */
+async function readBody(
+  node: GatewayNode,
+  caller: Caller,
+  maxBytes: number,
+  hold: MemoryHold,
+): Promise<readonly Buffer[] | undefined> {
+  const { bodies } = node.memory
+  let hasStalled = false
+  hold.watch({
+    progress: () => caller.req.socket.bytesRead,
+    end: (stalledMs) => {
+      hasStalled = true
+      const { heldBytes } = hold
+      const { requestId: id } = caller.metadata
+      node.opts.log('body_stalled', { id, stalledMs: Math.round(stalledMs), heldBytes })
+      caller.closeOnRefusal()
+      refuse(node, caller, 'no_memory', bodies.returnDelayMs(heldBytes))
+    },
+  })
+  const body = await caller.readBody(maxBytes, hold)
+  hold.unwatch()
+  if (hasStalled) return undefined
+  if (body.type === 'too_large' || body.type === 'too_fragmented') {
+    refuse(node, caller, `body_${body.type}`)
+    return undefined
+  }
+  if (body.type === 'no_memory') {
+    refuse(node, caller, 'no_memory', bodies.returnDelayMs(body.neededBytes))
+    return undefined
+  }
+  if (body.type !== 'complete' || caller.hasDisconnected) {
     node.opts.metrics.requests.inc({ outcome: 'caller_left' })
-    return
+    return undefined
   }
+  return body.blocks
+}
+
+/** Forwards a request whose body has been read. */
+async function forward(
+  node: GatewayNode,
+  caller: Caller,
+  body: readonly Buffer[],
+  bodyHold: MemoryHold,
+): Promise<void> {
   // The configuration may have changed while the body was read.
   const admission = admit(node, caller)
   if (admission.type === 'refused') {
@@ -85,6 +136,7 @@
     service,
     workspace,
     body,
+    bodyHold,
   })
   ctx.finish(await (route.kind === 'stream' ? forwardStream(ctx) : forwardBuffered(ctx)))
 }
@@ -139,9 +191,13 @@
   return route.shares.at(-1)?.service ?? ''
 }
 
-function refuse(node: GatewayNode, caller: Caller, reason: RefusalReason): void {
+function refuse(
+  node: GatewayNode,
+  caller: Caller,
+  reason: RefusalReason,
+  retryAfterMs = RETRY_AFTER_MS_BY_REASON[reason],
+): void {
   const { log, metrics, clock } = node.opts
-  const retryAfterMs = RETRY_AFTER_MS_BY_REASON[reason]
   const status = caller.refuse(reason, retryAfterMs)
   metrics.requests.inc({ outcome: 'refused' })
   metrics.refusals.inc({ reason })
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -2,8 +2,9 @@
 import { cascadeModels, selectSingleRunModel } from '../cascade/cascade.js'
 import { identifyContent } from '../quarantine/requestContent.js'
 import { requestTraits, type RequestTrait } from '../quarantine/requestTrait.js'
+import type { MemoryHolder } from '../memory/memoryShare.js'
 import type { AttemptLogEntry, RequestOutcome } from './requestLog.js'
-import type { RequestContextOptions } from './requestOptions.js'
+import { memoryHolderOf, type RequestContextOptions } from './requestOptions.js'
 import { RequestPlacement, sharedParts } from './requestPlacement.js'
 import { RequestRetries } from './requestRetries.js'
 import { ResponseRecorder } from './responseRecorder.js'
@@ -53,6 +54,11 @@
     return new RequestContext(opts)
   }
 
+  /** For whom memory is held. */
+  get memoryHolder(): MemoryHolder {
+    return memoryHolderOf(this.opts.workspace, this.opts.route)
+  }
+
   /** Models to try, smallest first; empty if the route has none. */
   get models(): readonly string[] {
     const { route, caller, node } = this.opts
--- a/packages/gateway/src/forward/startAttempt.ts
+++ b/packages/gateway/src/forward/startAttempt.ts
@@ -128,7 +128,7 @@
       model,
       urgency: service.models.length === 0 ? undefined : urgency,
       lastEventId,
-      bodyBytes: body.length,
+      bodyBytes: body.reduce((sum, { length }) => sum + length, 0),
       keepAlive,
     }),
     body,
@@ -140,6 +140,8 @@
       dialer.recordResponse(server, attempt.relay)
     },
   })
+  // A server may answer long before it reads the body.
+  if (body.length > 0) attempt.onBodySent(ctx.opts.bodyHold.retain())
   return attempt
 }
 
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -1,9 +1,9 @@
 /** State shared by all requests of one process. */
 import type { Clock, Random } from '@wagtailway/core'
 import type { CascadeOptions } from './cascade/cascade.js'
-import { BufferBudget } from './forward/bufferBudget.js'
 import type { ServerConnections } from './forward/serverConnections.js'
 import type { ServerLimiter } from './limits/serverLimiter.js'
+import type { MemoryBudget } from './memory/memoryBudget.js'
 import type { GatewayConfig } from './model/config.js'
 import type { HeaderDialect } from './model/requestMetadata.js'
 import { RouteTable } from './model/routeTable.js'
@@ -50,12 +50,6 @@
 /** Share of the deployment's retry slack that all instances together use. */
 const RETRY_SLACK_SHARE = 0.5
 
-/**
- * Response bodies that a process buffers at the same time, in bytes; the smallest entry
- * instances have 178 MB.
- */
-const MAX_BUFFERED_BYTES = 33_554_432
-
 export interface GatewayNodeOptions {
   readonly name: string
   readonly zone: string
@@ -65,6 +59,7 @@
   readonly metrics: GatewayMetrics
   readonly dialect: HeaderDialect
   readonly bounds: GatewayBounds
+  readonly memory: MemoryBudget
   readonly cascade: CascadeOptions
   readonly servers: ServerTable
   readonly load: LoadTable
@@ -99,7 +94,6 @@
  * node.activateConfig(cfg)
  */
 export class GatewayNode {
-  readonly bodyBuffers = BufferBudget.create(MAX_BUFFERED_BYTES)
   requestsInProgress = 0
   /** Whether the initial lists of backend servers and rollouts have been read. */
   hasInitialLists = false
@@ -121,6 +115,10 @@
     return new GatewayNode(opts)
   }
 
+  get memory(): MemoryBudget {
+    return this.opts.memory
+  }
+
   /** `undefined` until the configuration and the initial lists have been read. */
   get activeConfig(): ActiveConfig | undefined {
     return this.hasInitialLists ? this.#activeConfig : undefined
--- a/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
@@ -8,7 +8,7 @@
 } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { Attempt, readFullBody, type AttemptResponse } from '../../forward/attempt.js'
-import { BufferBudget } from '../../forward/bufferBudget.js'
+import { MemoryShare } from '../../memory/memoryShare.js'
 import { ServerConnections } from '../../forward/serverConnections.js'
 import type { BackendServer } from '../../model/backendServer.js'
 import type { ResponseMetadata } from '../../model/requestMetadata.js'
@@ -16,6 +16,8 @@
 import { connectThrough } from '../relayClient.js'
 import { RelayServer } from '../relayServer.js'
 
+const HOLDER = { workspace: 'w', priority: 0 }
+
 const HOST = '127.0.0.1'
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n'
 const BODY = 'whole body'
@@ -70,13 +72,13 @@
     method: 'GET',
     path: '/',
     headers: ['Host', 'app.example'],
-    body: Buffer.alloc(0),
+    body: [],
     requestId: 'r1',
     readResponseMetadata: () => METADATA,
   })
   const head = await attempt.head
   assert.equal(head.type, 'answered')
-  const budget = BufferBudget.create(20_000_000)
+  const budget = MemoryShare.create(20_000_000, () => 0).open(HOLDER)
   const limits = { maxBytes: 16_777_216, budget }
   const result = await readFullBody(attempt, head as AttemptResponse, limits)
   return result.type === 'complete' ? result.body.toString('latin1') : result.type
--- a/packages/gateway/src/process/createNode.ts
+++ b/packages/gateway/src/process/createNode.ts
@@ -4,6 +4,7 @@
 import { ServerConnections } from '../forward/serverConnections.js'
 import { GatewayNode } from '../gatewayNode.js'
 import { ServerLimiter } from '../limits/serverLimiter.js'
+import { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -152,6 +153,7 @@
     metrics,
     dialect,
     bounds: settings.bounds,
+    memory: MemoryBudget.create(settings.memoryBytes, clock),
     cascade,
     servers,
     load,
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -236,6 +236,7 @@
     opts.prefillSpeeds.retainPeers(aliveNames)
     opts.quarantine.refresh(aliveNames)
     opts.limiter.refresh()
+    opts.memory.endStalled()
     rolloutController.advance().catch((err: unknown) => {
       opts.log('rollout_look_failed', { err: String(err) })
     })
--- a/packages/gateway/src/process/settings.ts
+++ b/packages/gateway/src/process/settings.ts
@@ -28,6 +28,8 @@
   readonly metricsAddress: ListenAddress
   /** Bandwidth of this machine's link, in megabits per second. */
   readonly linkMbps: number
+  /** Memory above which the process is killed, in bytes. */
+  readonly memoryBytes: number
   /** Time between the request to shut down and the forced stop, in milliseconds. */
   readonly graceMs: number
   /** Time within which a change in the store must be applied, in milliseconds. */
--- a/packages/gateway/src/quarantine/__tests__/requestContent.spec.ts
+++ b/packages/gateway/src/quarantine/__tests__/requestContent.spec.ts
@@ -7,12 +7,17 @@
   host: 'app.example',
   path: '/orders/7?full=1',
   caller: 'kebele',
-  body: Buffer.from('{"place":7}'),
+  body: [Buffer.from('{"place":7}')],
 }
 
 describe('the identifier of a request', () => {
   it('is the same for the same content', () => {
-    const copy = { ...CONTENT, host: 'APP.example', body: Buffer.from('{"place":7}') }
+    const copy = { ...CONTENT, host: 'APP.example', body: [Buffer.from('{"place":7}')] }
+    assert.equal(identifyContent(copy), identifyContent(CONTENT))
+  })
+
+  it('does not depend on the blocks that hold the body', () => {
+    const copy = { ...CONTENT, body: [Buffer.from('{"pl'), Buffer.from('ace":7}')] }
     assert.equal(identifyContent(copy), identifyContent(CONTENT))
   })
 
@@ -22,7 +27,7 @@
       { ...CONTENT, host: 'other.example' },
       { ...CONTENT, path: '/orders/7' },
       { ...CONTENT, caller: 'other' },
-      { ...CONTENT, body: Buffer.from('{"place":8}') },
+      { ...CONTENT, body: [Buffer.from('{"place":8}')] },
       { ...CONTENT, path: '/orders/7?full=1kebele', caller: '' },
     ]
     const ids = [CONTENT, ...others].map(identifyContent)
--- a/packages/gateway/src/quarantine/requestContent.ts
+++ b/packages/gateway/src/quarantine/requestContent.ts
@@ -10,7 +10,7 @@
   /** Path with the query. */
   readonly path: string
   readonly caller: string
-  readonly body: Buffer
+  readonly body: readonly Buffer[]
 }
 
 /**
@@ -22,5 +22,7 @@
 export function identifyContent(content: RequestContent): string {
   const { method, host, path, caller, body } = content
   const head = JSON.stringify([method, host.toLowerCase(), path, caller])
-  return createHash('sha256').update(head).update(body).digest('hex').slice(0, ID_LENGTH)
+  const hash = createHash('sha256').update(head)
+  for (const block of body) hash.update(block)
+  return hash.digest('hex').slice(0, ID_LENGTH)
 }
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -66,6 +66,7 @@
       readinessAddress: { host: LOCALHOST, port: readiness ?? 0 },
       metricsAddress: { host: LOCALHOST, port: metrics ?? 0 },
       linkMbps: 1_000,
+      memoryBytes: 350 * 1_048_576,
       graceMs,
       maxPropagationMs: 2_000,
       bounds: {
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -27,6 +27,10 @@
   readonly seeds: readonly string[]
   readonly ports: SoakPorts
   readonly storePort: number
+  /** Memory above which the process is killed, as its settings tell it. */
+  readonly memoryMb?: number
+  /** Arguments of Node.js. */
+  readonly nodeArgs?: readonly string[]
 }
 
 /**
@@ -75,13 +79,18 @@
     return this.#child?.exitCode === null && this.#child.signalCode === null
   }
 
+  /** Id of the process; `undefined` before the first start. */
+  get pid(): number | undefined {
+    return this.#child?.pid
+  }
+
   /** Starts the process; throws if it is running. */
   start(): void {
     if (this.isRunning) throw new Error(`${this.opts.name} is running`)
     this.startCount += 1
-    const { ports } = this.opts
+    const { ports, nodeArgs = [] } = this.opts
     const args = ['--settings', this.#settingsPath, '--metrics-port', `${ports.metrics}`]
-    const child = spawn(process.execPath, [PROGRAM, ...args], {
+    const child = spawn(process.execPath, [...nodeArgs, PROGRAM, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     })
     for (const stream of [child.stdout, child.stderr]) {
--- a/packages/standins/src/fleet/settingsFile.ts
+++ b/packages/standins/src/fleet/settingsFile.ts
@@ -14,6 +14,8 @@
   readonly store: string
   readonly graceS: number
   readonly sessionS: number
+  /** Memory above which the process is killed, if the file tells it. */
+  readonly memoryMb?: number | undefined
 }
 
 /**
@@ -23,7 +25,7 @@
  * await writeFile('local.toml', settingsFile(options))
  */
 export function settingsFile(opts: SettingsFileOptions): string {
-  const { name, host, ports, seeds, store, graceS, sessionS } = opts
+  const { name, host, ports, seeds, store, graceS, sessionS, memoryMb } = opts
   const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
   return [
     `nodeName = "${name}"`,
@@ -40,5 +42,6 @@
     '[bounds]',
     `graceS = ${graceS}`,
     `sessionS = ${sessionS}`,
+    ...(memoryMb === undefined ? [] : ['[limits]', `memoryMb = ${memoryMb}`]),
   ].join('\n')
 }
--- a/packages/wagtailway/src/transfer/__tests__/readBytes.spec.ts
+++ b/packages/wagtailway/src/transfer/__tests__/readBytes.spec.ts
@@ -2,7 +2,7 @@
 import { PassThrough, Readable } from 'node:stream'
 import { describe, it } from 'node:test'
 import { VirtualClock } from '../../clock.js'
-import { readBytes, type ByteBudget } from '../readBytes.js'
+import { readBlocks, readBytes, type ByteBudget } from '../readBytes.js'
 
 /** A stream without end, in chunks of one size. */
 function endless(chunkBytes: number): Readable {
@@ -91,3 +91,51 @@
     assert.deepEqual(again, { type: 'closed', byteCount: 0 })
   })
 })
+
+describe('readBlocks', () => {
+  it('keeps a body of exact size once, reserved before its first byte and until released', async () => {
+    const budget = new TestBudget(200_000)
+    const stream = new PassThrough()
+    const read = readBlocks(stream, {
+      maxBytes: 200_000,
+      sizeHint: 150_000,
+      isSizeExact: true,
+      budget,
+      keepReserved: true,
+    })
+    assert.equal(budget.reservedBytes, 150_000)
+    for (let i = 0; i < 150; i += 1) stream.write(Buffer.alloc(1_000, i))
+    stream.end()
+    const result = await read
+    assert.equal(result.type === 'complete' && result.blocks.length, 1)
+    assert.equal(result.type === 'complete' && result.blocks[0]?.length, 150_000)
+    assert.equal(result.type === 'complete' && result.blocks[0]?.[149_999], 149)
+    assert.equal(budget.peakBytes, 150_000)
+    assert.equal(budget.reservedBytes, 150_000)
+  })
+
+  it('reads nothing of a body of exact size for which there is no memory', async () => {
+    const budget = new TestBudget(100_000)
+    const stream = new PassThrough()
+    const opts = { maxBytes: 200_000, sizeHint: 150_000, isSizeExact: true, budget }
+    const result = await readBlocks(stream, { ...opts, keepOpen: true })
+    assert.deepEqual(result, { type: 'no_memory', byteCount: 0 })
+    assert.equal(budget.reservedBytes, 0)
+    assert.equal(stream.destroyed, false)
+  })
+
+  it('does not copy a body of unknown size once more at its end', async () => {
+    const budget = new TestBudget(2_000_000)
+    const chunks = Array.from({ length: 40 }, (_, i) => Buffer.alloc(20_000, i))
+    const result = await readBlocks(Readable.from(chunks), {
+      maxBytes: 1_000_000,
+      budget,
+      keepReserved: true,
+    })
+    assert.ok(result.type === 'complete')
+    assert.ok(result.blocks.length > 1)
+    assert.ok(Buffer.concat(result.blocks).equals(Buffer.concat(chunks)))
+    assert.ok(budget.peakBytes <= 800_000 + 65_536, `${budget.peakBytes} bytes held`)
+    assert.equal(budget.reservedBytes, budget.peakBytes)
+  })
+})
--- a/packages/wagtailway/src/transfer/byteCollector.ts
+++ b/packages/wagtailway/src/transfer/byteCollector.ts
@@ -10,6 +10,11 @@
    * @default 0
    */
   readonly sizeHint?: number
+  /**
+   * Whether there are `sizeHint` bytes at most, so that they are kept in one block.
+   * @default false
+   */
+  readonly isSizeExact?: boolean
   /** Called before memory is allocated; if it returns false, `append` fails. */
   readonly tryReserve?: (bytes: number) => boolean
 }
@@ -63,11 +68,17 @@
 
   /** Returns all bytes, and forgets them. */
   take(): Buffer {
+    const blocks = this.takeBlocks()
+    const [first] = blocks
+    return blocks.length === 1 && first ? first : Buffer.concat(blocks)
+  }
+
+  /** Returns all bytes without a copy, in the blocks that hold them, and forgets them. */
+  takeBlocks(): Buffer[] {
     const last = this.#block.subarray(0, this.#blockBytes)
-    const bytes =
-      this.#fullBlocks.length === 0 ? last : Buffer.concat([...this.#fullBlocks, last])
+    const blocks = this.#blockBytes > 0 ? [...this.#fullBlocks, last] : this.#fullBlocks
     this.clear()
-    return bytes
+    return blocks
   }
 
   clear(): void {
@@ -79,10 +90,8 @@
   }
 
   #allocate(neededBytes: number): boolean {
-    const { sizeHint = 0, tryReserve } = this.opts
-    const expected = Math.max(this.#byteCount, sizeHint - this.#byteCount)
-    const ahead = Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, expected))
-    const size = Math.max(neededBytes, ahead)
+    const { tryReserve } = this.opts
+    const size = Math.max(neededBytes, this.#sizeAhead())
     if (tryReserve?.(size) === false) return false
     if (this.#blockBytes > 0) this.#fullBlocks.push(this.#block)
     this.#block = Buffer.allocUnsafe(size)
@@ -90,4 +99,13 @@
     this.#heldBytes += size
     return true
   }
+
+  /** Size of the next block if few bytes are needed at once. */
+  #sizeAhead(): number {
+    const { sizeHint = 0, isSizeExact = false } = this.opts
+    const restBytes = sizeHint - this.#byteCount
+    if (isSizeExact && restBytes > 0) return restBytes
+    const expected = Math.max(this.#byteCount, restBytes)
+    return Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, expected))
+  }
 }
--- a/packages/wagtailway/src/transfer/readBytes.ts
+++ b/packages/wagtailway/src/transfer/readBytes.ts
@@ -16,8 +16,19 @@
   readonly maxBytes: number
   /** Size that the other party announced, in bytes. */
   readonly sizeHint?: number
+  /**
+   * Whether the body has exactly that size, as its framing ensures: its memory is reserved
+   * before the first byte, and it is kept in one block.
+   * @default false
+   */
+  readonly isSizeExact?: boolean
   /** Memory that is reserved while the body is read; without it, there is no limit. */
   readonly budget?: ByteBudget
+  /**
+   * Whether the memory of a complete body stays reserved.
+   * @default false
+   */
+  readonly keepReserved?: boolean
   /** Called for each chunk. */
   readonly onChunk?: () => void
   /**
@@ -35,14 +46,20 @@
  */
 export type ReadFailure = 'too_long' | 'too_fragmented' | 'no_memory' | 'closed'
 
+/** Why there is no whole body. */
+export interface FailedRead {
+  readonly type: ReadFailure
+  /** Bytes read before. */
+  readonly byteCount: number
+}
+
 /** The whole body, or why there is none. */
 export type ReadResult =
-  | { readonly type: 'complete'; readonly bytes: Buffer }
-  | {
-      readonly type: ReadFailure
-      /** Bytes read before. */
-      readonly byteCount: number
-    }
+  { readonly type: 'complete'; readonly bytes: Buffer } | FailedRead
+
+/** The whole body in the blocks that hold it, or why there is none. */
+export type ReadBlocksResult =
+  { readonly type: 'complete'; readonly blocks: readonly Buffer[] } | FailedRead
 
 /**
  * Reads a stream to its end, or destroys it. Never rejects.
@@ -51,25 +68,55 @@
  * const result = await readBytes(res, { maxBytes: 1_048_576 })
  * if (result.type === 'complete') result.bytes.length // 1_048_576 at most
  */
-export function readBytes(stream: Readable, opts: ReadOptions): Promise<ReadResult> {
+export async function readBytes(
+  stream: Readable,
+  opts: ReadOptions,
+): Promise<ReadResult> {
+  const result = await readBlocks(stream, opts)
+  if (result.type !== 'complete') return result
+  const { blocks } = result
+  const [first] = blocks
+  const bytes = blocks.length === 1 && first ? first : Buffer.concat(blocks)
+  return { type: 'complete', bytes }
+}
+
+/**
+ * Reads like `readBytes`, but doesn't copy the body into one buffer.
+ *
+ * @example
+ * const result = await readBlocks(req, { maxBytes: 1_048_576 })
+ * if (result.type === 'complete') for (const block of result.blocks) res.write(block)
+ */
+export function readBlocks(
+  stream: Readable,
+  opts: ReadOptions,
+): Promise<ReadBlocksResult> {
   const { maxBytes, sizeHint = 0, budget, onChunk, keepOpen = false } = opts
-  const { clock = monotonicClock } = opts
+  const { keepReserved = false, clock = monotonicClock } = opts
+  const isSizeExact = opts.isSizeExact === true && sizeHint <= maxBytes
   return new Promise((resolve) => {
     let reservedBytes = 0
+    const tryReserve = (bytes: number): boolean => {
+      if (budget?.tryReserve(bytes) === false) return false
+      reservedBytes += bytes
+      return true
+    }
+    /** Memory that was reserved ahead of its allocation. */
+    let aheadBytes = 0
     const allowance = ChunkAllowance.create(clock)
     const collector = ByteCollector.create({
       sizeHint: Math.min(maxBytes, sizeHint),
+      isSizeExact,
       tryReserve: (bytes) => {
-        if (budget?.tryReserve(bytes) === false) return false
-        reservedBytes += bytes
-        return true
+        const fromAheadBytes = Math.min(aheadBytes, bytes)
+        aheadBytes -= fromAheadBytes
+        return bytes === fromAheadBytes || tryReserve(bytes - fromAheadBytes)
       },
     })
     let isFinished = false
-    const finish = (result: ReadResult): void => {
+    const finish = (result: ReadBlocksResult): void => {
       isFinished = true
-      budget?.release(reservedBytes)
-      reservedBytes = 0
+      if (result.type !== 'complete' || !keepReserved) budget?.release(reservedBytes)
       collector.clear()
       resolve(result)
     }
@@ -82,6 +129,13 @@
       fail('closed')
       return
     }
+    if (isSizeExact && sizeHint > 0) {
+      if (!tryReserve(sizeHint)) {
+        fail('no_memory')
+        return
+      }
+      aheadBytes = sizeHint
+    }
     stream.on('data', (chunk: Buffer) => {
       // Many chunks can come in one read of the socket; they are dropped here.
       if (isFinished) return
@@ -91,7 +145,7 @@
       else if (!collector.append(chunk)) fail('no_memory')
     })
     stream.once('end', () => {
-      if (!isFinished) finish({ type: 'complete', bytes: collector.take() })
+      if (!isFinished) finish({ type: 'complete', blocks: collector.takeBlocks() })
     })
     stream.once('error', () => {
       fail('closed')
