Signals: SIGHUP never ends a process, SIGTERM, SIGINT and SIGQUIT always stop it

A gateway ended by SIGHUP in its first 0.3 s and by SIGINT, SIGQUIT and SIGUSR2 at any time, with the requests in progress; a router by SIGHUP and by a second SIGTERM or SIGINT. The handlers were registered after the settings were read, and only for two signals.

ProcessLife (@wagtailway/core/process) is the one place that handles signals and ends a process, for both daemons. The entry points load it alone and the rest after it; the bundle has an entry of its own, in which the import order does the same, since a dynamic import made it 1,132,048 bytes and its start 30 ms slower. SIGTERM, SIGINT and SIGQUIT ask for a stop (before there can be requests it ends at once with 0, and while sockets are being opened it drains what is open); further ones change nothing. SIGUSR2, SIGALRM, SIGVTALRM, SIGIO, SIGPWR, SIGSTKFLT and SIGXCPU are logged and ignored; SIGUSR1 and SIGPROF stay with the runtime. Settings that can't be used end with 2 (the router's status; 1 at the gateway before), another failed start with 1. The last line is an exit event.

--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -49,17 +49,64 @@
   readonly shutdownRequested: Promise<void>
 }
 
+interface Closable {
+  close(): void
+}
+
+/** What has been started so far. */
+interface StartedParts {
+  callerServer?: CallerServer
+  relayed?: Awaited<ReturnType<typeof relayConnections>>
+  stopDiscovery?: () => void
+  /** Asks the other instances to send nothing more here. */
+  announce?: () => void
+  /** In the order in which they were started. */
+  readonly closables: Closable[]
+}
+
 /**
- * Runs an entry instance; resolves once it has shut down.
+ * Runs an entry instance; resolves once it has shut down. A request to shut down ends a start
+ * that is not complete.
  *
  * @example
  * await runGateway({ settings, cascade: {}, dialect, store, log, metrics, shutdownRequested })
  */
 export async function runGateway<T>(opts: GatewayOptions<T>): Promise<void> {
-  const { settings, store, log, metrics } = opts
+  const { settings, store, log } = opts
   log('start', { zone: settings.zone, callers: settings.callerAddress })
   const node = createNode(opts)
+  const parts: StartedParts = { closables: [] }
+  const hasStarted = await Promise.race([
+    startParts(opts, node, parts).then(() => true),
+    opts.shutdownRequested.then(() => false),
+  ])
+  await opts.shutdownRequested
+  node.isDraining = true
+  parts.announce?.()
+  log('leaving', { inProgress: node.requestsInProgress })
+  parts.stopDiscovery?.()
+  void store.unregister(settings.name)
+  // An instance that never was ready has not been sent requests by the balancer.
+  const readinessGraceMs = hasStarted ? READINESS_GRACE_MS : 0
+  await new Promise((resolve) => setTimeout(resolve, readinessGraceMs))
+  const drainMs = settings.graceMs * GRACE_RATIO - readinessGraceMs
+  node.stopsAtMs = node.opts.clock() + drainMs
+  await Promise.all([parts.callerServer?.drain(drainMs), parts.relayed?.drain(drainMs)])
+  for (const closable of parts.closables.toReversed()) closable.close()
+  store.close()
+  node.opts.connections.close()
+  node.opts.dialer.close()
+  log('stop', { inProgress: node.requestsInProgress })
+}
+
+async function startParts<T>(
+  opts: GatewayOptions<T>,
+  node: GatewayNode,
+  parts: StartedParts,
+): Promise<void> {
+  const { settings, store, log, metrics } = opts
   const callerServer = await CallerServer.create(node, settings.callerAddress)
+  parts.callerServer = callerServer
   const setLimits = (): void => {
     if (node.activeConfig) callerServer.setLimits(node.activeConfig.cfg.limits)
   }
@@ -88,21 +135,31 @@
       log('feed_pull_failed', { ...failed })
     },
   })
+  parts.closables.push(exchange)
   const rolloutController = createRolloutController(node, store)
   const peerLink = await linkPeers(node, settings, rolloutController, exchange)
+  parts.closables.push(peerLink)
+  parts.announce = () => {
+    peerLink.send()
+  }
   const relayed = await relayConnections(node, settings)
+  parts.relayed = relayed
+  parts.closables.push(relayed)
   const followers = followFeeds(opts, node, feeds, exchange, () => {
     peerLink.send()
   })
+  parts.closables.push(...followers)
   const readinessServer = await PlainServer.create(
     settings.readinessAddress,
     () =>
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
   )
+  parts.closables.push(readinessServer)
   const metricsServer = await serveMetrics(metrics, settings, feeds, logServeFailed)
+  parts.closables.push(metricsServer)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
-  const stopDiscovery = discoverInstances({
+  parts.stopDiscovery = discoverInstances({
     self,
     store,
     peers: node.opts.peers,
@@ -116,32 +173,7 @@
     rank: () => node.opts.peers.rank(),
   })
   const stopChecks = startRegularChecks(node, rolloutController)
-
-  await opts.shutdownRequested
-  node.isDraining = true
-  peerLink.send()
-  log('leaving', { inProgress: node.requestsInProgress })
-  stopDiscovery()
-  void store.unregister(settings.name)
-  await new Promise((resolve) => setTimeout(resolve, READINESS_GRACE_MS))
-  const drainMs = settings.graceMs * GRACE_RATIO - READINESS_GRACE_MS
-  node.stopsAtMs = node.opts.clock() + drainMs
-  await Promise.all([callerServer.drain(drainMs), relayed.drain(drainMs)])
-  stopChecks()
-  for (const follower of followers) follower.close()
-  for (const closable of [
-    peerLink,
-    relayed,
-    exchange,
-    quarantineStore,
-    readinessServer,
-    metricsServer,
-    store,
-  ])
-    closable.close()
-  node.opts.connections.close()
-  node.opts.dialer.close()
-  log('stop', { inProgress: node.requestsInProgress })
+  parts.closables.push(quarantineStore, { close: stopChecks })
 }
 
 function isReady(node: GatewayNode): boolean {
--- a/packages/router/bin/wagtailway-router.js
+++ b/packages/router/bin/wagtailway-router.js
@@ -1,4 +1,2 @@
 #!/usr/bin/env node
-import { run } from '../dist/cli.js'
-
-await run()
+import '../dist/main.js'
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -1,4 +1,5 @@
 /** Command line of `wagtailway-router`. */
+import { SettingsError, type ProcessLife } from '@wagtailway/core/process'
 import yargs, { type Options } from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import {
@@ -10,8 +11,6 @@
 import { ROUTER_SETTINGS, SETTINGS_PREFIX, resolveConfig } from './options.js'
 import { Router } from './router.js'
 
-const EXIT_BAD_SETTINGS = 2
-
 /** Settings from the command line and the environment, not validated yet. */
 export interface ParsedArgs {
   /** Values by setting name. */
@@ -72,25 +71,28 @@
   return type === 'list' && typeof value === 'string' ? value.split(',') : value
 }
 
-/** Runs `wagtailway-router` until SIGTERM or SIGINT. */
-export async function run(): Promise<void> {
+/**
+ * Runs `wagtailway-router`; resolves once it has stopped, rejects with a `SettingsError` for
+ * settings that it can't start with.
+ *
+ * @example
+ * await run(life)
+ */
+export async function run(life: ProcessLife): Promise<void> {
   const { values, unknown } = parseArgs(hideBin(process.argv))
   const resolved = resolveConfig(values)
   if (resolved.err || unknown.length > 0) {
-    for (const finding of [...unknown, ...(resolved.err ? resolved.val : [])]) {
-      process.stderr.write(formatSettingFinding(finding, SETTINGS_PREFIX))
-    }
-    process.exitCode = EXIT_BAD_SETTINGS
-    return
+    const findings = [...unknown, ...(resolved.err ? resolved.val : [])]
+    const lines = findings.map((finding) =>
+      formatSettingFinding(finding, SETTINGS_PREFIX),
+    )
+    throw new SettingsError(lines.join('').trimEnd())
   }
+  // Callers are accepted last, so that a stop during the start needs no drain.
   const router = await Router.create(resolved.val)
+  life.observe(router.lifeObserver)
+  life.beginServing()
   process.stdout.write(`listening ${router.address} peers ${router.peerAddress}\n`)
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.once(signal, () => {
-      router.close().then(
-        () => process.exit(0),
-        () => process.exit(1),
-      )
-    })
-  }
+  await life.stopRequested
+  await router.close()
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,6 +1,7 @@
 /** Lifecycle of one entry instance: start, updates and shutdown. */
 import { setTimeout as delay } from 'node:timers/promises'
 import { Ticker } from '@wagtailway/core'
+import type { LifeObserver } from '@wagtailway/core/process'
 import type { Instance } from '@wagtailway/platform'
 import { CallerServer } from './http/callerServer.js'
 import { setMembershipMetrics, setPoolMetrics } from './metrics.js'
@@ -64,6 +65,19 @@
     return this.parts.peers.address
   }
 
+  /** Logs what happens to the process. */
+  get lifeObserver(): LifeObserver {
+    const { log } = this.parts.node
+    return {
+      log: (event, fields) => {
+        log.info(event, fields)
+      },
+      onHangup: () => {
+        log.info('signal_ignored', { signal: 'SIGHUP' })
+      },
+    }
+  }
+
   /**
    * Shuts down: notifies peers, waits for the load balancer, drains requests in progress, stores
    * billing records and session pins, hands over record copies, then stops.
--- a/packages/scenario/src/processLife/__tests__/bundle.spec.ts
+++ b/packages/scenario/src/processLife/__tests__/bundle.spec.ts
@@ -80,6 +80,8 @@
         headers: callerHeaders({ requestId: '1' }),
       })
       assert.equal(status, 200)
+      daemon.signal('SIGTERM')
+      assert.deepEqual(await daemon.ended, { status: 0, signal: null }, daemon.stderr)
     } finally {
       await daemon.close()
       await place.close()
@@ -88,6 +90,16 @@
     }
   })
 
+  it('handles signals before the code of any library runs', async () => {
+    const code = await readFile(join(emptyFolder, BUNDLE), 'utf8')
+    const handlersAt = code.indexOf('SIGHUP')
+    assert.ok(handlersAt > 0)
+    for (const library of ['wagtailway-gateway', '$ZodError']) {
+      const at = code.indexOf(library)
+      assert.ok(at > handlersAt, `${library} at ${at}, handlers at ${handlersAt}`)
+    }
+  })
+
   it('names nothing outside itself but modules of the runtime', async () => {
     const code = await readFile(join(emptyFolder, BUNDLE), 'utf8')
     const specifiers = [
