--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -160,6 +160,7 @@
   parts.closables.push(metricsServer)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   parts.stopDiscovery = discoverInstances({
+    log,
     self,
     store,
     peers: node.opts.peers,
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -3,14 +3,19 @@
 import yargs, { type Options } from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import {
+  LineWriter,
   flagOf,
   formatSettingFinding,
+  openOutput,
+  startTimer,
   type Setting,
   type SettingFinding,
 } from '@wagtailway/core'
 import { ROUTER_SETTINGS, SETTINGS_PREFIX, resolveConfig } from './options.js'
 import { Router } from './router.js'
 
+const STDOUT_FD = 1
+
 /** Settings from the command line and the environment, not validated yet. */
 export interface ParsedArgs {
   /** Values by setting name. */
@@ -92,7 +97,12 @@
   const router = await Router.create(resolved.val)
   life.observe(router.lifeObserver)
   life.beginServing()
-  process.stdout.write(`listening ${router.address} peers ${router.peerAddress}\n`)
+  const output = LineWriter.create({
+    write: openOutput(STDOUT_FD),
+    startTimer,
+    onDropped: () => undefined,
+  })
+  output.add(`listening ${router.address} peers ${router.peerAddress}`)
   await life.stopRequested
   await router.close()
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -69,6 +69,7 @@
   get lifeObserver(): LifeObserver {
     const { log } = this.parts.node
     return {
+      flush: this.parts.closeLog,
       log: (event, fields) => {
         log.info(event, fields)
       },
