--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -40,6 +40,8 @@
   readonly budget: CallBudget
   readonly claimStore: ClaimStore
   readonly loopLag: LoopLag
+  /** Tries to write the last lines of the log, for at most so many milliseconds. */
+  readonly closeLog: (timeoutMs: number) => Promise<boolean>
 }
 
 /**
@@ -51,7 +53,7 @@
   cfg: ResolvedRouterOptions,
   onChange: () => void,
 ): Promise<RouterParts> {
-  const log = createLog(cfg.node)
+  const { log, close: closeLog } = createLog(cfg.node)
   const metrics = RouterMetrics.create()
   const random = seededRandom(cfg.seed)
   const budget = CallBudget.create({ clock: monotonicClock, random })
@@ -160,5 +162,15 @@
     inProgress: 0,
   }
   operators.serve(node)
-  return { node, platform, peers, ratings, rollouts, budget, claimStore, loopLag }
+  return {
+    node,
+    platform,
+    peers,
+    ratings,
+    rollouts,
+    budget,
+    claimStore,
+    loopLag,
+    closeLog,
+  }
 }
--- a/packages/scenario/src/fleet/__tests__/unwritableOutput.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/unwritableOutput.spec.ts
@@ -197,6 +197,10 @@
     const reports = events.filter(({ event }) => event === 'log_lines_dropped')
     const reported = reports.reduce((sum, report) => sum + Number(report['dropped']), 0)
     assert.ok(reported >= dropped, `${reported} reported, ${dropped} counted`)
-    assert.equal(events.at(-1)?.['event'], 'stop')
+    const last = events.slice(-2).map(({ event, reason }) => [event, reason])
+    assert.deepEqual(last, [
+      ['stop', undefined],
+      ['exit', 'stopped'],
+    ])
   })
 })
