An unforeseen error drains the process, and is logged and counted

A throw in a timer, a rejected promise without a handler or an error event without a listener ended a gateway or a router with 1 at once, with all requests in progress, and left nothing but a stack on standard error.

ProcessLife handles uncaughtException (rejections come to it, too) in both daemons: the line unforeseen_error with kind, error and stack, the counter wagtailway_gateway_unforeseen_errors_total{kind} (router: wagtailway_unforeseen_errors_total), then the planned stop, and exit status 70. A second error during the drain is logged and changes nothing; more than 20 within a second, or a drain longer than graceS (router: drainGraceMs + defaultDeadlineMs), end it early. Tests in one process don't load it, so that errors fail them as before.

--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -76,6 +76,12 @@
       help: 'Connections of other instances that this one relays now',
       registers,
     }),
+    unforeseenErrors: new Counter({
+      name: 'wagtailway_gateway_unforeseen_errors_total',
+      help: 'Errors that no code handles, by how they came up; the process drains after one',
+      labelNames: ['kind'],
+      registers,
+    }),
     responseSeconds: new Histogram({
       name: 'wagtailway_gateway_answer_seconds',
       help: 'Time from a request to its whole answer',
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -96,7 +96,8 @@
   // Callers are accepted last, so that a stop during the start needs no drain.
   const router = await Router.create(resolved.val)
   life.observe(router.lifeObserver)
-  life.beginServing()
+  const { drainGraceMs, defaultDeadlineMs } = resolved.val
+  life.beginServing(drainGraceMs + defaultDeadlineMs)
   const output = LineWriter.create({
     write: openOutput(STDOUT_FD),
     startTimer,
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -198,6 +198,12 @@
     help: 'Connections closed at once because there were too many',
     registers: [this.registry],
   })
+  readonly unforeseenErrors = new Counter({
+    name: 'wagtailway_unforeseen_errors_total',
+    help: 'Errors that no code handles, by how they came up; the process drains after one',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  })
   readonly firstToken = new Histogram({
     name: 'wagtailway_first_token_seconds',
     help: 'Time to the first token of streamed answers',
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -67,9 +67,12 @@
 
   /** Logs what happens to the process. */
   get lifeObserver(): LifeObserver {
-    const { log } = this.parts.node
+    const { log, metrics } = this.parts.node
     return {
       flush: this.parts.closeLog,
+      onUnforeseen: (kind) => {
+        metrics.unforeseenErrors.inc({ kind })
+      },
       log: (event, fields) => {
         log.info(event, fields)
       },
--- a/packages/wagtailway/src/process/processLife.ts
+++ b/packages/wagtailway/src/process/processLife.ts
@@ -24,6 +24,10 @@
   'SIGXCPU',
 ] as const
 
+/** Unforeseen errors within `STORM_MS` that end the drain after the first one early. */
+const STORM_ERRORS = 20
+const STORM_MS = 1_000
+
 /** Longest wait for the last lines of the log, in milliseconds. */
 const FLUSH_MS = 300
 
@@ -37,10 +41,15 @@
   start_failed: 1,
   /** The command line or the settings can't be used. */
   bad_settings: 2,
+  /** An error that no code handles; the process was drained after it. */
+  unforeseen_error: 70,
 } as const
 
 export type ExitReason = keyof typeof EXIT_STATUSES
 
+/** How an unforeseen error came up: thrown, as a rejected promise, or by a stop that failed. */
+export type UnforeseenKind = 'uncaughtException' | 'unhandledRejection' | 'stop_failed'
+
 /** Settings that the process can't start with; `message` is shown as it is. */
 export class SettingsError extends Error {}
 
@@ -49,6 +58,7 @@
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void
   /** Called on SIGHUP. */
   readonly onHangup?: () => void
+  readonly onUnforeseen?: (kind: UnforeseenKind) => void
   /** Writes the last lines of the log, within the given time in milliseconds. */
   readonly flush?: (timeoutMs: number) => Promise<unknown>
 }
@@ -57,12 +67,14 @@
   readonly process: Pick<NodeJS.EventEmitter, 'on'> & {
     readonly exit: (status: number) => void
   }
+  /** Monotonic time, in milliseconds. */
+  readonly clock: () => number
   /** Writes a line while there is no log. */
   readonly writeError: (line: string) => void
 }
 
 /**
- * Handles the signals of a process and ends it.
+ * Handles the signals and the unforeseen errors of a process and ends it.
  *
  * @example
  * const life = ProcessLife.create()
@@ -72,16 +84,20 @@
  * })
  */
 export class ProcessLife {
-  /** Resolves when the process has to stop: by a signal. */
+  /** Resolves when the process has to stop: by a signal or after an unforeseen error. */
   readonly stopRequested: Promise<void>
   #requestStop: () => void = () => undefined
   #observer: LifeObserver = { log: () => undefined }
   #hasObserver = false
-  /** Whether there may be requests in progress; until then a stop needs no drain. */
-  #isServing = false
+  /** Set while the process may have requests; until then it ends without a drain. */
+  #maxDrainMs: number | undefined
   #isStopping = false
   #isEnding = false
+  #hasUnforeseen = false
   #signal: string | undefined
+  /** Times of the latest unforeseen errors, at most `STORM_ERRORS` of them. */
+  readonly #errorTimesMs: number[] = []
+
   private constructor(private readonly opts: ProcessLifeOptions) {
     this.stopRequested = new Promise((resolve) => {
       this.#requestStop = resolve
@@ -92,9 +108,13 @@
   static create(opts: ProcessLifeOptions = PROCESS): ProcessLife {
     const life = new ProcessLife(opts)
     const { process } = opts
+    process.on('uncaughtException', (err: unknown, origin: UnforeseenKind) => {
+      life.#handleUnforeseen(origin, err)
+    })
     for (const signal of STOP_SIGNALS) {
       process.on(signal, () => {
-        life.#stop(signal)
+        life.#signal ??= signal
+        life.#stop()
       })
     }
     for (const signal of IGNORED_SIGNALS) {
@@ -115,9 +135,13 @@
     this.#hasObserver = true
   }
 
-  /** Tells that requests may be in progress from now on, so that a stop needs a drain. */
-  beginServing(): void {
-    this.#isServing = true
+  /**
+   * Tells that requests may be in progress from now on, so that an end needs a drain.
+   *
+   * @param maxDrainMs Longest drain after an unforeseen error, in milliseconds.
+   */
+  beginServing(maxDrainMs: number): void {
+    this.#maxDrainMs = maxDrainMs
   }
 
   /**
@@ -128,9 +152,12 @@
   async run(main: () => Promise<void>): Promise<void> {
     try {
       await main()
-      await this.#end('stopped')
+      await this.#end(this.#hasUnforeseen ? 'unforeseen_error' : 'stopped')
     } catch (err) {
-      if (err instanceof SettingsError) {
+      if (this.#isStopping) {
+        this.#handleUnforeseen('stop_failed', err)
+        await this.#end('unforeseen_error')
+      } else if (err instanceof SettingsError) {
         this.opts.writeError(err.message)
         await this.#end('bad_settings')
       } else {
@@ -140,12 +167,31 @@
     }
   }
 
-  #stop(signal: string): void {
+  #handleUnforeseen(kind: UnforeseenKind, err: unknown): void {
+    const isFirst = !this.#hasUnforeseen
+    this.#hasUnforeseen = true
+    this.#log('unforeseen_error', { kind, err: String(err), stack: stackOf(err) })
+    this.#observer.onUnforeseen?.(kind)
+    if (this.#isStorm()) void this.#end('unforeseen_error')
+    else if (isFirst) {
+      this.#stop()
+      setTimeout(() => void this.#end('unforeseen_error'), this.#maxDrainMs)
+    }
+  }
+
+  #isStorm(): boolean {
+    const nowMs = this.opts.clock()
+    this.#errorTimesMs.push(nowMs)
+    if (this.#errorTimesMs.length <= STORM_ERRORS) return false
+    return nowMs - (this.#errorTimesMs.shift() ?? 0) < STORM_MS
+  }
+
+  #stop(): void {
     if (this.#isStopping) return
     this.#isStopping = true
-    this.#signal = signal
     this.#requestStop()
-    if (!this.#isServing) void this.#end('stopped')
+    if (this.#maxDrainMs === undefined)
+      void this.#end(this.#hasUnforeseen ? 'unforeseen_error' : 'stopped')
   }
 
   async #end(reason: ExitReason): Promise<void> {
@@ -178,8 +224,13 @@
   return err instanceof Error ? err.message : String(err)
 }
 
+function stackOf(err: unknown): string | undefined {
+  return err instanceof Error ? err.stack : undefined
+}
+
 const PROCESS: ProcessLifeOptions = {
   process,
+  clock: () => performance.now(),
   writeError: (line) => {
     try {
       writeSync(STDERR_FD, `${line}\n`)
