--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt: a request sent once to one backend server. */
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
-import { readBytes, type ByteBudget } from '@wagtailway/core'
+import { readBlocks, type ByteBudget } from '@wagtailway/core'
 import { ResetDetector } from '../http/resetDetector.js'
 import { findInvalidResponseHead } from '../http/validateHead.js'
 import type { ResponseMetadata } from '../model/requestMetadata.js'
@@ -10,10 +10,7 @@
 /** Timeout for establishing a connection, in milliseconds; a healthy server takes 5. */
 const CONNECT_TIMEOUT_MS = 500
 
-/**
- * Size from which a body itself counts as too long when the memory for all bodies is used up,
- * in bytes.
- */
+/** Size from which a body that is longer than allowed may have no end, in bytes. */
 const LONG_BODY_BYTES = 1_048_576
 
 /** Informational responses before the response after which an attempt has failed. */
@@ -278,15 +275,17 @@
 
 /**
  * A complete body, or that it ended early, or was closed because it may never end: it is too
- * long, or comes in too many small chunks.
+ * long, or comes in too many small chunks. A body for which there is no memory stays open and
+ * paused after its first `blocks`, whose memory stays reserved.
  */
 export type BodyResult =
-  | { readonly type: 'complete'; readonly body: Buffer }
+  | { readonly type: 'complete'; readonly body: readonly Buffer[] }
+  | { readonly type: 'no_memory'; readonly blocks: readonly Buffer[] }
   | { readonly type: 'broken' | 'too_long' }
 
 export interface BodyLimits {
   readonly maxBytes: number
-  /** Memory that all buffered bodies share. */
+  /** Memory that is reserved for the body, and stays so once it is complete. */
   readonly budget: ByteBudget
 }
 
@@ -301,15 +300,23 @@
   { res }: AttemptResponse,
   { maxBytes, budget }: BodyLimits,
 ): Promise<BodyResult> {
-  const sizeHint = Number(res.headers['content-length'] ?? 0)
-  const result = await readBytes(res, { maxBytes, budget, sizeHint })
+  const { 'content-length': length } = res.headers
+  const result = await readBlocks(res, {
+    maxBytes,
+    budget,
+    sizeHint: Number(length ?? 0),
+    isSizeExact: length !== undefined,
+    keepReserved: true,
+    handOver: true,
+  })
   switch (result.type) {
     case 'complete':
-      return toBodyResult(attempt, res, result.bytes)
+      return toBodyResult(attempt, res, result.blocks)
+    case 'no_memory':
+      return { type: 'no_memory', blocks: result.blocks ?? [] }
     case 'too_fragmented':
       return { type: 'too_long' }
     case 'too_long':
-    case 'no_memory':
       return { type: result.byteCount > LONG_BODY_BYTES ? 'too_long' : 'broken' }
     case 'closed':
       return { type: 'broken' }
@@ -317,12 +324,20 @@
 }
 
 /** Removes the mark that a relay has added to a body. */
-function toBodyResult(attempt: Attempt, res: IncomingMessage, bytes: Buffer): BodyResult {
+function toBodyResult(
+  attempt: Attempt,
+  res: IncomingMessage,
+  body: readonly Buffer[],
+): BodyResult {
   const expected = attempt.endMarkOf(res)
-  const bodyBytes = bytes.length - (expected?.length ?? 0)
-  const isMarked =
-    expected !== undefined &&
-    bytes.subarray(Math.max(0, bodyBytes)).equals(Buffer.from(expected))
+  if (expected === undefined) {
+    return attempt.isComplete(res, undefined)
+      ? { type: 'complete', body }
+      : { type: 'broken' }
+  }
+  const bytes = Buffer.concat(body)
+  const bodyBytes = bytes.length - expected.length
+  const isMarked = bytes.subarray(Math.max(0, bodyBytes)).equals(Buffer.from(expected))
   if (!attempt.isComplete(res, isMarked ? expected : undefined)) return { type: 'broken' }
-  return { type: 'complete', body: isMarked ? bytes.subarray(0, bodyBytes) : bytes }
+  return { type: 'complete', body: [isMarked ? bytes.subarray(0, bodyBytes) : bytes] }
 }
--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -1,4 +1,5 @@
 /** Forwards requests whose response is buffered until it is complete. */
+import type { MemoryHold } from '../memory/memoryShare.js'
 import { readFullBody, type AttemptResponse, type BodyResult } from './attempt.js'
 import {
   completeFailed,
@@ -18,6 +19,7 @@
 import type { RequestContext } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
 import type { FurtherRunReason } from '../retry/mayRunAgain.js'
+import { relayUnbuffered, type UnbufferedResult } from './relayUnbuffered.js'
 import { startTimer } from './timer.js'
 import { startAttempt, type TrackedAttempt } from './startAttempt.js'
 
@@ -165,18 +167,35 @@
   tracked: TrackedAttempt,
   head: AttemptResponse,
 ): Promise<AttemptResult> {
-  const { caller, route } = ctx.opts
+  const { caller } = ctx.opts
   const { server } = tracked.placement
   if (isRefusedByServer(ctx, tracked, head)) {
     return { type: 'retry', reason: 'server_refused' }
   }
   ctx.retries.recordMayHaveRun(server)
-  const bodyResult = await readFullBody(tracked.attempt, head, {
-    maxBytes: MAX_RESPONSE_BYTES,
-    budget: ctx.opts.node.memory.answers.open(ctx.memoryHolder),
-  })
-  if (caller.hasDisconnected)
-    return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
+  const hold = ctx.opts.node.memory.answers.open(ctx.memoryHolder)
+  try {
+    const limits = { maxBytes: MAX_RESPONSE_BYTES, budget: hold }
+    const bodyResult = await readFullBody(tracked.attempt, head, limits)
+    if (caller.hasDisconnected)
+      return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
+    return bodyResult.type === 'no_memory'
+      ? await handleUnbuffered(ctx, tracked, { head, blocks: bodyResult.blocks, hold })
+      : await handleBody(ctx, tracked, { head, bodyResult, hold })
+  } finally {
+    hold.close()
+  }
+}
+
+/** Handles a response whose body has been read, or has failed. */
+async function handleBody(
+  ctx: RequestContext,
+  tracked: TrackedAttempt,
+  answer: { head: AttemptResponse; bodyResult: BodyResult; hold: MemoryHold },
+): Promise<AttemptResult> {
+  const { route } = ctx.opts
+  const { server } = tracked.placement
+  const { head, bodyResult, hold } = answer
   const isUsableResponse = isUsable(head, bodyResult)
   const isServerFault = !isUsableResponse || head.status >= 500
   await recordBody(ctx, tracked, bodyResult, { isUsableResponse, status: head.status })
@@ -189,7 +208,64 @@
     return { type: 'retry', reason, isCharged: true }
   }
   if (!isUsable(head, bodyResult)) return { type: 'give_up', reason: 'server_failed' }
-  return { type: 'done', outcome: relayResponse(ctx, head, bodyResult.body) }
+  return { type: 'done', outcome: relayResponse(ctx, head, bodyResult.body, hold) }
+}
+
+/** Handles a response whose body finds no memory, which isn't its server's fault. */
+async function handleUnbuffered(
+  ctx: RequestContext,
+  tracked: TrackedAttempt,
+  answer: { head: AttemptResponse; blocks: readonly Buffer[]; hold: MemoryHold },
+): Promise<AttemptResult> {
+  const { head } = answer
+  const { server } = tracked.placement
+  tracked.logEntry.isUnbuffered = true
+  const isUsableResponse = isUsableHead(head)
+  const isServerFault = !isUsableResponse || head.status >= 500
+  const reason = isUsableResponse ? 'server_error' : 'broken_answer'
+  const mayRetry = isServerFault && ctx.retries.mayRunAgain(reason)
+  const isRetried = mayRetry && ctx.retries.tryAcquire(reason)
+  if (!isRetried && isUsableResponse && canRelayInPart(ctx, head)) {
+    const limited = { ...answer, maxBytes: MAX_RESPONSE_BYTES }
+    const result = await relayUnbuffered(ctx, tracked, limited)
+    return { type: 'done', outcome: await concludeUnbuffered(ctx, tracked, head, result) }
+  }
+  tracked.attempt.cancel()
+  tracked.inFlight.discard()
+  if (isServerFault) ctx.recorder.recordResult(server, 'failed')
+  tracked.complete(isUsableResponse ? `status_${head.status}` : 'broken_answer')
+  return isRetried
+    ? { type: 'retry', reason, isCharged: true }
+    : { type: 'give_up', reason: 'server_failed' }
+}
+
+/** Whether a caller can tell that a response is incomplete when its connection is closed. */
+function canRelayInPart({ opts }: RequestContext, { res }: AttemptResponse): boolean {
+  return 'content-length' in res.headers || opts.caller.req.httpVersion !== '1.0'
+}
+
+async function concludeUnbuffered(
+  ctx: RequestContext,
+  tracked: TrackedAttempt,
+  { status }: AttemptResponse,
+  result: UnbufferedResult,
+): Promise<RequestOutcome> {
+  const { recorder } = ctx
+  const { server } = tracked.placement
+  if (result === 'caller_left') return endOnDisconnect(ctx, tracked)
+  tracked.complete(result === 'complete' ? `status_${status}` : result)
+  if (result === 'complete') {
+    if (status < 300) tracked.inFlight.recordSound(tracked.sentAtMs)
+    else tracked.inFlight.discard()
+    recorder.recordResult(server, status < 500 ? 'ok' : 'failed')
+    return { outcome: 'answered', status }
+  }
+  if (result === 'broken') await recorder.recordLostConnection(tracked)
+  else tracked.inFlight.discard()
+  if (result === 'endless') recorder.recordUnreachable(server)
+  const isServerFault = result === 'broken' || result === 'endless'
+  const reason = isServerFault ? 'server_failed' : result
+  return { outcome: 'broken_off', status, reason }
 }
 
 /** Records what a body tells about its server, also whether that lived to complete it. */
@@ -215,8 +291,13 @@
 
 /** Whether a response is complete and, unless it is an error, signed and not encoded. */
 function isUsable(
-  { status, metadata: meta }: AttemptResponse,
+  head: AttemptResponse,
   body: BodyResult,
 ): body is Extract<BodyResult, { type: 'complete' }> {
-  return body.type === 'complete' && (status >= 300 || (meta.isSigned && !meta.isEncoded))
+  return body.type === 'complete' && isUsableHead(head)
+}
+
+/** Whether a response is an error, or signed and not encoded. */
+function isUsableHead({ status, metadata: meta }: AttemptResponse): boolean {
+  return status >= 300 || (meta.isSigned && !meta.isEncoded)
 }
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -4,7 +4,8 @@
  */
 import { evaluateCompletion, type Acceptance } from '../cascade/cascade.js'
 import type { Placement } from '../placement/selectPlacement.js'
-import { readFullBody, type AttemptResponse } from './attempt.js'
+import type { MemoryHold } from '../memory/memoryShare.js'
+import { readFullBody, type AttemptResponse, type BodyResult } from './attempt.js'
 import {
   completeFailed,
   describeQuarantine,
@@ -337,12 +338,26 @@
   tracked: TrackedAttempt,
   head: AttemptResponse,
 ): Promise<StreamAttemptResult> {
+  const hold = ctx.opts.node.memory.answers.open(ctx.memoryHolder)
+  try {
+    const limits = { maxBytes: MAX_NON_STREAM_BYTES, budget: hold }
+    const bodyResult = await readFullBody(tracked.attempt, head, limits)
+    return concludeNonStream(ctx, state, tracked, { head, bodyResult, hold })
+  } finally {
+    hold.close()
+  }
+}
+
+function concludeNonStream(
+  ctx: RequestContext,
+  state: StreamState,
+  tracked: TrackedAttempt,
+  answer: { head: AttemptResponse; bodyResult: BodyResult; hold: MemoryHold },
+): StreamAttemptResult {
   const { caller } = ctx.opts
   const { server } = tracked.placement
-  const bodyResult = await readFullBody(tracked.attempt, head, {
-    maxBytes: MAX_NON_STREAM_BYTES,
-    budget: ctx.opts.node.memory.answers.open(ctx.memoryHolder),
-  })
+  const { head, bodyResult, hold } = answer
+  if (bodyResult.type === 'no_memory') tracked.attempt.cancel()
   if (caller.hasDisconnected)
     return { type: 'done', outcome: endOnDisconnect(ctx, tracked) }
   tracked.complete(`status_${head.status}`)
@@ -356,7 +371,7 @@
   }
   if (head.status < 300 || bodyResult.type !== 'complete' || state.hasBegun)
     return { type: 'give_up', reason: 'server_failed' }
-  return { type: 'done', outcome: relayResponse(ctx, head, bodyResult.body) }
+  return { type: 'done', outcome: relayResponse(ctx, head, bodyResult.body, hold) }
 }
 
 function observePrefillSpeed(ctx: RequestContext, tracked: TrackedAttempt): void {
--- a/packages/gateway/src/forward/requestLog.ts
+++ b/packages/gateway/src/forward/requestLog.ts
@@ -24,6 +24,8 @@
   detail?: string
   /** Time from the start of the attempt to its result, in milliseconds. */
   tookMs: number
+  /** Whether there was no memory to buffer its response. */
+  isUnbuffered?: boolean
   confidence?: number | undefined
   /** Number of events that the server sent. */
   events?: number
--- a/packages/gateway/src/forward/requestOutcomes.ts
+++ b/packages/gateway/src/forward/requestOutcomes.ts
@@ -2,11 +2,13 @@
 import { discardBody } from '@wagtailway/core'
 import type { FurtherRunReason } from '../retry/mayRunAgain.js'
 import { contentIdOf } from '../quarantine/requestTrait.js'
+import type { MemoryHold } from '../memory/memoryShare.js'
 import { MISDIRECTED_REQUEST } from '../model/requestMetadata.js'
 import type { AttemptFailure, AttemptResponse } from './attempt.js'
 import { NO_SERVER_RETRY_AFTER_MS, type RefusalReason } from './caller.js'
 import type { RequestContext } from './requestContext.js'
 import type { RequestOutcome } from './requestLog.js'
+import { writeAnswer } from './writeAnswer.js'
 import type { TrackedAttempt } from './startAttempt.js'
 
 /** Why a request ends without a response from a server. */
@@ -199,19 +201,30 @@
   server_failed: 'server_refused',
 }
 
-/** Sends a server's fully read response to the caller. */
+/**
+ * Sends a server's fully read response to the caller.
+ *
+ * @param hold Memory of the body.
+ */
 export function relayResponse(
   ctx: RequestContext,
   { status, res }: AttemptResponse,
-  body: Buffer,
+  body: readonly Buffer[],
+  hold: MemoryHold,
 ): RequestOutcome {
   const { caller, node } = ctx.opts
   caller.writeHead(status, [
     ...node.opts.dialect.callerResponseHeaders(res.rawHeaders),
     'Content-Length',
-    String(body.length),
+    String(body.reduce((sum, { length }) => sum + length, 0)),
   ])
-  caller.res.end(body)
+  writeAnswer(caller.res, body, hold, (stalledMs) => {
+    node.opts.log('answer_stalled', {
+      id: caller.metadata.requestId,
+      stalledMs: Math.round(stalledMs),
+      heldBytes: hold.heldBytes,
+    })
+  })
   return { outcome: 'answered', status }
 }
 
--- a/packages/gateway/src/memory/memoryShare.ts
+++ b/packages/gateway/src/memory/memoryShare.ts
@@ -14,7 +14,7 @@
 const SHORT_AFTER_REFUSAL_MS = 6_000
 
 /** Time without progress after which a transfer ends while memory is short, in milliseconds. */
-const STALLED_MS = 2_000
+const STALLED_MS = 3_000
 
 /** Time over which the speed is measured at which memory is released, in milliseconds. */
 const DRAIN_WINDOW_MS = 1_000
@@ -31,8 +31,8 @@
 
 /** What waits for another party while it holds memory. */
 export interface Transfer {
-  /** Returns the bytes that have been transferred. */
-  readonly progress: () => number
+  /** Returns the bytes that have been transferred; `undefined` if it doesn't wait. */
+  readonly progress: () => number | undefined
   /** Ends it, and with it what it holds. */
   readonly end: (stalledMs: number) => void
 }
@@ -53,7 +53,7 @@
   unwatch(): void
   /** Keeps all that is held beyond `close`, until the returned function is called. */
   retain(): () => void
-  /** Releases all that is held, unless it is retained. */
+  /** Releases all that is held, once it isn't retained. */
   close(): void
 }
 
@@ -126,7 +126,7 @@
     const nowMs = this.clock()
     for (const [hold, watch] of [...this.#watched]) {
       const progress = watch.transfer.progress()
-      const isMoving = progress !== watch.seenProgress
+      const isMoving = progress === undefined || progress !== watch.seenProgress
       watch.seenProgress = progress
       // What stood still before memory was short gets its time once it is.
       if (isMoving || !this.#isShortFor(hold.holder, nowMs)) watch.seenAtMs = nowMs
@@ -244,8 +244,9 @@
 
   close(): void {
     this.#isClosed = true
+    if (this.#retainCount > 0) return
     this.unwatch()
-    if (this.#retainCount === 0) this.release(this.heldBytes)
+    this.release(this.heldBytes)
   }
 }
 
--- a/packages/scenario/src/fleet/__tests__/memory.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/memory.spec.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { callerHeaders } from '@wagtailway/standins'
 import { waitUntil } from '../gatewayHarness.js'
+import { LargeServer } from '../largeServer.js'
 import { MemoryFleet } from '../memoryFleet.js'
 
 /** Limit in the settings, and what the process may take of it, in megabytes. */
@@ -11,11 +12,18 @@
   { memoryMb: 178, maxMb: 178 },
 ]
 
+const ANSWER_COUNT = 60
+const ANSWER_BYTES = 12_000_000
+
 const BODY_COUNT = 60
 const BODY_BYTES = 4_000_000
 
+/** Interval at which a slow caller reads a little, in milliseconds. */
+const SLOW_INTERVAL_MS = 10
+
 let fleet: MemoryFleet | undefined
 const sockets: Socket[] = []
+const servers: LargeServer[] = []
 
 function requestHead(path: string, requestId: string, more: readonly string[]): string {
   const headers = Object.entries(callerHeaders({ requestId, waitMs: 9_000 }))
@@ -53,10 +61,34 @@
   return /^HTTP\/1\.1 (\d{3})/.exec(answer)?.[1]
 }
 
+/** Reads what is left of a connection; resolves to the bytes that it received. */
+function readRest(socket: Socket): Promise<number> {
+  let bytes = 0
+  socket.on('data', (chunk) => (bytes += chunk.length)).resume()
+  return new Promise((resolve) => {
+    if (socket.closed) resolve(bytes)
+    socket.once('close', () => {
+      resolve(bytes)
+    })
+  })
+}
+
+/** Reads a connection with pauses; resolves to the bytes that it received. */
+function readSlowly(socket: Socket): Promise<number> {
+  const timer = setInterval(() => {
+    if (socket.isPaused()) socket.resume()
+  }, SLOW_INTERVAL_MS)
+  socket.on('data', () => socket.pause())
+  return readRest(socket).finally(() => {
+    clearInterval(timer)
+  })
+}
+
 afterEach(async () => {
   for (const socket of sockets.splice(0)) socket.destroy()
   await fleet?.close()
   fleet = undefined
+  for (const server of servers.splice(0)) await server.close()
 })
 
 // Guards against: bodies that are each within the limits of the configuration take the process
@@ -128,3 +160,40 @@
     assert.equal(fleet.logLines('body_stalled').length, 2)
   })
 })
+
+// Guards against: answers that nobody reads fill the memory, and the servers that sent them are
+// taken for broken.
+describe('large answers that nobody reads', () => {
+  for (const { memoryMb, maxMb } of LIMITS) {
+    it(`leave a process of ${memoryMb} MB alive and the others served, and end early`, async () => {
+      const server = await LargeServer.create(ANSWER_BYTES, '/once/')
+      servers.push(server)
+      fleet = await MemoryFleet.create({ memoryMb, serverAddress: server.address })
+      const sound = fleet.startSoundRequests()
+      const readers = Array.from({ length: ANSWER_COUNT }, (_, i) => {
+        const head = requestHead(`/once/${i}`, `a-${i}`, ['Content-Length: 0'])
+        return open(fleet?.port ?? 0, head).pause()
+      })
+      const { port } = fleet
+      const slow = readSlowly(
+        open(port, requestHead('/once/s', 'slow', ['Content-Length: 0'])),
+      )
+      const stalledLines = new Set<string>()
+      await waitUntil(() => {
+        for (const line of fleet?.gateway.logLines ?? [])
+          if (/"(answer|reader)_stalled"/.test(line)) stalledLines.add(line)
+        return stalledLines.size === ANSWER_COUNT
+      })
+      const soundStatuses = (await sound.stop()).map(({ status }) => status)
+      const peakMb = await fleet.peakMb()
+      assert.ok(peakMb < maxMb, `${peakMb} MB at the peak`)
+      assert.deepEqual(new Set(soundStatuses), new Set([200]))
+      assert.deepEqual(fleet.logLines('server_unreachable'), [])
+      const wholeCount = (await Promise.all(readers.map(readRest))).filter(
+        (bytes) => bytes >= ANSWER_BYTES,
+      ).length
+      assert.equal(wholeCount, 0)
+      assert.ok((await slow) >= ANSWER_BYTES)
+    })
+  }
+})
