--- a/packages/gateway/src/forward/__tests__/answerFuzz.spec.ts
+++ b/packages/gateway/src/forward/__tests__/answerFuzz.spec.ts
@@ -262,7 +262,7 @@
     const holder = { workspace: 'w', priority: 0 }
     const budget = MemoryShare.create(1_048_576, () => 0).open(holder)
     const result = await readFullBody(attempt, head, { maxBytes: 65_536, budget })
-    return result.type === 'complete' ? result.body : undefined
+    return result.type === 'complete' ? Buffer.concat(result.body) : undefined
   } finally {
     clearTimeout(timer)
     connections.close()
