--- a/packages/scenario/src/testReport/findUnreported.ts
+++ b/packages/scenario/src/testReport/findUnreported.ts
@@ -34,14 +34,14 @@
     const { name = '', nesting = 0, file = '' } = data
     // The runner's own entry for a file has the file's name.
     if (name === file) {
-      if (type === 'test:enqueue') files.add(file)
+      if (type === 'test:enqueue') files.add(withoutBuild(file))
       continue
     }
     const key = `${file}: ${' > '.repeat(nesting)}${name}`
     if (type === 'test:enqueue') open.set(key, (open.get(key) ?? 0) + 1)
     if (type !== 'test:pass' && type !== 'test:fail') continue
     resultCount += 1
-    reportedFiles.add(file)
+    reportedFiles.add(withoutBuild(file))
     open.set(key, (open.get(key) ?? 0) - 1)
   }
   const silentFiles = [...files].filter((file) => !reportedFiles.has(file))
@@ -52,3 +52,8 @@
     missing: [...silentFiles.map((file) => `${file}: no result`), ...openTests],
   }
 }
+
+/** Path that is the same for a source and for what it is compiled to: results name the source. */
+function withoutBuild(file: string): string {
+  return file.replace(/\/(dist|src)\//, '/').replace(/\.[cm]?[jt]s$/, '')
+}
