--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -76,6 +76,11 @@
       help: 'Connections of other instances that this one relays now',
       registers,
     }),
+    loopDelaySeconds: new Gauge({
+      name: 'wagtailway_gateway_loop_delay_seconds',
+      help: 'How late the event loop runs its timers, moving average',
+      registers,
+    }),
     unforeseenErrors: new Counter({
       name: 'wagtailway_gateway_unforeseen_errors_total',
       help: 'Errors that no code handles, by how they came up; the process drains after one',
--- a/packages/gateway/src/process/loopDelay.ts
+++ b/packages/gateway/src/process/loopDelay.ts
@@ -19,16 +19,18 @@
   #dueAtMs = performance.now() + INTERVAL_MS
   readonly #timer: NodeJS.Timeout
 
-  private constructor() {
+  private constructor(onMeasured: (recentMs: number) => void) {
     this.#timer = setInterval(() => {
       const delayMs = Math.max(0, performance.now() - this.#dueAtMs)
       this.#dueAtMs = performance.now() + INTERVAL_MS
       this.#recentMs += (delayMs - this.#recentMs) * LATEST_WEIGHT
+      onMeasured(this.#recentMs)
     }, INTERVAL_MS)
   }
 
-  static create(): LoopDelay {
-    return new LoopDelay()
+  /** @param onMeasured Receives the moving average after each measurement. */
+  static create(onMeasured: (recentMs: number) => void = () => undefined): LoopDelay {
+    return new LoopDelay(onMeasured)
   }
 
   /** Moving average of the delay, in milliseconds. */
--- a/packages/gateway/src/process/relayConnections.ts
+++ b/packages/gateway/src/process/relayConnections.ts
@@ -34,7 +34,9 @@
   { host, peerPort }: GatewaySettings,
 ): Promise<RelayConnections> {
   const { log, metrics } = node.opts
-  const loopDelay = LoopDelay.create()
+  const loopDelay = LoopDelay.create((recentMs) => {
+    metrics.loopDelaySeconds.set(recentMs / 1_000)
+  })
   const server = await RelayServer.create({
     address: { host, port: peerPort },
     admit: (requester, incarnation, openCount) => {
