A silent server keeps a request that no other server can take

Requests on a service with one usable server that was slower than 1.6 times the route's target were answered 502 (after 0.3 s, with 7.7 s left), and streams that paused for over 3 s were broken off, although the answer was on its way: their attempt was cancelled first, and only then was another server looked for. The log says `silent` and `no_server`.

A silent attempt is now given up only while another server could take the request: `preview` leaves out the one that runs it.

--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -120,7 +120,8 @@
     tracked.attempt.cancel()
   }
   const timer = startTimer(timeoutMs, () => {
-    isCharged = canRetry && ctx.retries.tryAcquire('silent')
+    const hasOther = ctx.placement.preview(tracked.logEntry.model, server) !== undefined
+    isCharged = canRetry && hasOther && ctx.retries.tryAcquire('silent')
     if (isCharged || ctx.timeToDeadlineMs <= 0) abandon()
     else timer.restart(timeToNextAskMs(ctx, canRetry))
   })
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -196,7 +196,7 @@
     inactivityMs: Math.min(ctx.timeToDeadlineMs * MAX_WAIT_SHARE, inactivityMs),
     mayAbandon: () =>
       canRetry &&
-      ctx.canBeginInTime(tracked.logEntry.model) &&
+      ctx.canBeginElsewhere(tracked.logEntry.model, server) &&
       ctx.retries.tryAcquire('silent'),
     onInactive: () => {
       isCharged = true
--- a/packages/gateway/src/forward/relayEvents.ts
+++ b/packages/gateway/src/forward/relayEvents.ts
@@ -94,7 +94,7 @@
       inactivityMs,
       mayAbandon: () =>
         canRetry &&
-        ctx.canBeginInTime(tracked.logEntry.model) &&
+        ctx.canBeginElsewhere(tracked.logEntry.model, tracked.placement.server) &&
         ctx.retries.tryAcquire('silent'),
       onInactive: () => {
         finish('silent')
--- a/packages/gateway/src/forward/requestContext.ts
+++ b/packages/gateway/src/forward/requestContext.ts
@@ -2,6 +2,7 @@
 import { cascadeModels, selectSingleRunModel } from '../cascade/cascade.js'
 import { identifyContent } from '../quarantine/requestContent.js'
 import { requestTraits, type RequestTrait } from '../quarantine/requestTrait.js'
+import type { BackendServer } from '../model/backendServer.js'
 import type { AttemptLogEntry, RequestOutcome } from './requestLog.js'
 import type { RequestContextOptions } from './requestOptions.js'
 import { RequestPlacement, sharedParts } from './requestPlacement.js'
@@ -77,9 +78,12 @@
     })
   }
 
-  /** Whether a further attempt is expected to get its first byte before the deadline. */
-  canBeginInTime(model: string | undefined): boolean {
-    const placement = this.placement.preview(model)
+  /**
+   * Whether another server than the one that runs the request is expected to send its first
+   * byte before the deadline.
+   */
+  canBeginElsewhere(model: string | undefined, runningOn: BackendServer): boolean {
+    const placement = this.placement.preview(model, runningOn)
     return (
       placement !== undefined && placement.expectedFirstByteMs < this.timeToDeadlineMs
     )
--- a/packages/gateway/src/forward/requestPlacement.ts
+++ b/packages/gateway/src/forward/requestPlacement.ts
@@ -126,9 +126,16 @@
     this.opts.node.opts.places.release(server)
   }
 
-  /** The placement that `acquire` would try first. */
-  preview(model: string | undefined): Placement | undefined {
-    return this.#selectAmong(model, (server) => this.#isAvailable(server, 0))
+  /**
+   * The placement that `acquire` would try first.
+   *
+   * @param except Server that is not selected, such as the one that runs the request.
+   */
+  preview(model: string | undefined, except?: BackendServer): Placement | undefined {
+    return this.#selectAmong(
+      model,
+      (server) => server.id !== except?.id && this.#isAvailable(server, 0),
+    )
   }
 
   /** Whether a server may get the request, and a permit for it may be asked for. */
