--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -112,6 +112,8 @@
    * before, while the process was busy, is accepted and read first.
    */
   async drain(graceMs: number): Promise<void> {
+    const { clock } = this.node.opts
+    const closesAtMs = clock() + graceMs
     await this.#acceptWaiting()
     const closed = new Promise<void>((resolve) => {
       // The method of HTTP servers also cuts answers that are not yet written.
@@ -130,7 +132,7 @@
       setImmediate(() => {
         this.#closeAll(graceMs)
       })
-    }, graceMs)
+    }, closesAtMs - clock())
     await closed
     clearInterval(sweepTimer)
     clearTimeout(forceTimer)
