A short grace period is divided between the balancer and requests in progress

With `graceS` 2 a stop still waited 2.6 s for the balancer, so that the platform's SIGKILL at 2 s came before its end, with all requests in progress. Now that wait is at most 0.65 of the grace period.

--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -33,6 +33,9 @@
  */
 const READINESS_GRACE_MS = 2_600
 
+/** Maximum share of the grace period for that, so that requests in progress have the rest. */
+const MAX_READINESS_SHARE = 0.65
+
 /** Share of the grace period in which requests in progress must complete. */
 const GRACE_RATIO = 0.95
 
@@ -123,8 +126,12 @@
   log('leaving', { inProgress: node.requestsInProgress })
   stopDiscovery()
   void store.unregister(settings.name)
-  await new Promise((resolve) => setTimeout(resolve, READINESS_GRACE_MS))
-  const drainMs = settings.graceMs * GRACE_RATIO - READINESS_GRACE_MS
+  const readinessGraceMs = Math.min(
+    READINESS_GRACE_MS,
+    settings.graceMs * MAX_READINESS_SHARE,
+  )
+  await new Promise((resolve) => setTimeout(resolve, readinessGraceMs))
+  const drainMs = settings.graceMs * GRACE_RATIO - readinessGraceMs
   node.stopsAtMs = node.opts.clock() + drainMs
   await Promise.all([callerServer.drain(drainMs), relayed.drain(drainMs)])
   stopChecks()
--- a/packages/scenario/src/fleet/__tests__/stop.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/stop.spec.ts
@@ -73,8 +73,8 @@
   return [...received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status]) => status ?? '')
 }
 
-async function start(): Promise<TestGateway> {
-  gateway = await startGateway('n1', store.port, {}, 'z1', GRACE_MS)
+async function start(graceMs = GRACE_MS): Promise<TestGateway> {
+  gateway = await startGateway('n1', store.port, {}, 'z1', graceMs)
   const started = gateway
   await waitUntil(() => started.isReady())
   return started
@@ -258,6 +258,22 @@
     )
   })
 
+  it('leaves time for requests in progress if the grace period is short', async () => {
+    const graceMs = 2_000
+    const quick = await ReplicaStandin.create({ id: 'p1', responseMs: () => 500 })
+    store.put('servers', 'p1', quick.entry({ sequence: 2 }))
+    const { port, close } = await start(graceMs)
+    const startedAtMs = performance.now()
+    const closed = close()
+    await sleep(1_000)
+    const headers = callerHeaders({ requestId: 'r-1', waitMs: 900 })
+    const answer = sendToFleet({ port, method: 'POST', path: '/once/1', headers })
+    await closed
+    assert.ok(performance.now() - startedAtMs < graceMs)
+    assert.equal((await answer).status, 200)
+    await quick.close()
+  })
+
   it('asks for no less with a second signal than with the first', async () => {
     const [callers = 0, readiness = 0, control = 0, peers = 0, metrics = 0] =
       await findFreePorts(5)
