--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -33,6 +33,9 @@
  */
 const READINESS_GRACE_MS = 2_600
 
+/** Maximum share of the grace period for that, so that requests in progress have the rest. */
+const MAX_READINESS_SHARE = 0.65
+
 /** Share of the grace period in which requests in progress must complete. */
 const GRACE_RATIO = 0.95
 
@@ -96,7 +99,9 @@
   parts.stopDiscovery?.()
   void store.unregister(settings.name)
   // An instance that never was ready has not been sent requests by the balancer.
-  const readinessGraceMs = hasStarted ? READINESS_GRACE_MS : 0
+  const readinessGraceMs = hasStarted
+    ? Math.min(READINESS_GRACE_MS, settings.graceMs * MAX_READINESS_SHARE)
+    : 0
   await new Promise((resolve) => setTimeout(resolve, readinessGraceMs))
   const drainMs = settings.graceMs * GRACE_RATIO - readinessGraceMs
   node.stopsAtMs = node.opts.clock() + drainMs
