--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -263,6 +263,8 @@
   if (result === 'broken') await recorder.recordLostConnection(tracked)
   else tracked.inFlight.discard()
   if (result === 'endless') recorder.recordUnreachable(server)
+  if (result === 'reader_stalled')
+    ctx.opts.node.opts.metrics.stalledTransfers.inc({ kind: 'answer' })
   const isServerFault = result === 'broken' || result === 'endless'
   const reason = isServerFault ? 'server_failed' : result
   return { outcome: 'broken_off', status, reason }
--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -82,6 +82,7 @@
       const { heldBytes } = hold
       const { requestId: id } = caller.metadata
       node.opts.log('body_stalled', { id, stalledMs: Math.round(stalledMs), heldBytes })
+      node.opts.metrics.stalledTransfers.inc({ kind: 'body' })
       caller.closeOnRefusal()
       refuse(node, caller, 'no_memory', bodies.returnDelayMs(heldBytes))
     },
--- a/packages/gateway/src/forward/requestOutcomes.ts
+++ b/packages/gateway/src/forward/requestOutcomes.ts
@@ -219,6 +219,7 @@
     String(body.reduce((sum, { length }) => sum + length, 0)),
   ])
   writeAnswer(caller.res, body, hold, (stalledMs) => {
+    node.opts.metrics.stalledTransfers.inc({ kind: 'answer' })
     node.opts.log('answer_stalled', {
       id: caller.metadata.requestId,
       stalledMs: Math.round(stalledMs),
--- a/packages/gateway/src/memory/memoryBudget.ts
+++ b/packages/gateway/src/memory/memoryBudget.ts
@@ -55,6 +55,19 @@
     return new MemoryBudget(limitBytes, clock)
   }
 
+  /** Sizes of all parts and what is held of them, in bytes. */
+  describe(): Readonly<Record<string, number>> {
+    const { limitBytes, processBytes, bodies, answers } = this
+    return {
+      limit: limitBytes,
+      process: processBytes,
+      bodies: bodies.maxBytes,
+      bodies_held: bodies.heldBytes,
+      answers: answers.maxBytes,
+      answers_held: answers.heldBytes,
+    }
+  }
+
   /** Ends transfers that stand still where memory is short; see `MemoryShare`. */
   endStalled(): void {
     this.bodies.endStalled()
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -87,6 +87,18 @@
       help: 'Requests of callers in progress',
       registers,
     }),
+    memoryBytes: new Gauge({
+      name: 'wagtailway_gateway_memory_bytes',
+      help: 'Memory by part: the limit, what is resident, and the size of each share and what is held of it',
+      labelNames: ['part'],
+      registers,
+    }),
+    stalledTransfers: new Counter({
+      name: 'wagtailway_gateway_stalled_transfers_total',
+      help: 'Transfers that were ended because they stood still while memory was short, by kind',
+      labelNames: ['kind'],
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'wagtailway_gateway_store_calls_total',
       help: "Calls to the platform's store by how they ended",
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -12,6 +12,7 @@
   type PlainRequest,
   type PlainResponse,
 } from '../http/plainServer.js'
+import type { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -100,7 +101,13 @@
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
   )
-  const metricsServer = await serveMetrics(metrics, settings, feeds, logServeFailed)
+  const metricsServer = await serveMetrics(
+    metrics,
+    node.memory,
+    settings,
+    feeds,
+    logServeFailed,
+  )
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   const stopDiscovery = discoverInstances({
     self,
@@ -247,7 +254,8 @@
 }
 
 async function serveMetrics<T>(
-  { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
+  { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
+  memory: MemoryBudget,
   settings: GatewaySettings,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
@@ -259,6 +267,9 @@
       storeEra.set({ kind }, era)
       feedAgeSeconds.set({ kind }, ageMs / 1_000)
     }
+    for (const [part, bytes] of Object.entries(memory.describe()))
+      memoryBytes.set({ part }, bytes)
+    memoryBytes.set({ part: 'resident' }, process.memoryUsage.rss())
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
--- a/packages/scenario/src/fleet/__tests__/memory.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/memory.spec.ts
@@ -126,6 +126,15 @@
           assert.equal(statuses[i], hasRun ? '200' : '503', `request ${i}: ${answer}`)
           if (!hasRun) assert.match(answer, /retry-after: \d/i)
         }
+        const part = (name: string): string =>
+          `wagtailway_gateway_memory_bytes{part="${name}"}`
+        const refusals = 'wagtailway_gateway_refusals_total{reason="no_memory"}'
+        assert.equal(await fleet.metric(part('limit')), memoryMb * 1_048_576)
+        assert.equal(await fleet.metric(part('bodies_held')), 0)
+        assert.equal(
+          await fleet.metric(refusals),
+          statuses.filter((status) => status === '503').length,
+        )
       })
     }
   }
--- a/packages/scenario/src/fleet/memoryFleet.ts
+++ b/packages/scenario/src/fleet/memoryFleet.ts
@@ -91,6 +91,14 @@
     return Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) / KB_PER_MB
   }
 
+  /** Value of a metric, such as `name{label="value"}`; `undefined` if there is none. */
+  async metric(series: string): Promise<number | undefined> {
+    const { metrics } = this.gateway.opts.ports
+    const { body } = await sendToFleet({ port: metrics, path: '/metrics' })
+    const line = body.split('\n').find((text) => text.startsWith(`${series} `))
+    return line === undefined ? undefined : Number(line.slice(series.length))
+  }
+
   /** Lines of the process's log with an event. */
   logLines(event: string): string[] {
     return this.gateway.logLines.filter((line) => line.includes(`"event":"${event}"`))
