--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -12,6 +12,7 @@
   type PlainRequest,
   type PlainResponse,
 } from '../http/plainServer.js'
+import type { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -178,7 +179,13 @@
     logServeFailed,
   )
   parts.closables.push(readinessServer)
-  const metricsServer = await serveMetrics(metrics, settings, feeds, logServeFailed)
+  const metricsServer = await serveMetrics(
+    metrics,
+    node.memory,
+    settings,
+    feeds,
+    logServeFailed,
+  )
   parts.closables.push(metricsServer)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   parts.stopDiscovery = discoverInstances({
@@ -302,7 +309,8 @@
 }
 
 async function serveMetrics<T>(
-  { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
+  { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
+  memory: MemoryBudget,
   settings: GatewaySettings,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
@@ -314,6 +322,9 @@
       storeEra.set({ kind }, era)
       feedAgeSeconds.set({ kind }, ageMs / 1_000)
     }
+    for (const [part, bytes] of Object.entries(memory.describe()))
+      memoryBytes.set({ part }, bytes)
+    memoryBytes.set({ part: 'resident' }, process.memoryUsage.rss())
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
