--- a/packages/scenario/src/soak/__tests__/soak.spec.ts
+++ b/packages/scenario/src/soak/__tests__/soak.spec.ts
@@ -1,24 +1,47 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { runSoak } from '../runSoak.js'
+import { PROCESS_FAULT_NAMES, SERVICE_FAULT_NAMES, planFaults } from '../soakFaults.js'
 
 /** Seeds that broke a promise in the past, each with the cause. */
 const REGRESSIONS: readonly (readonly [seed: number, cause: string])[] = []
 
 const SEEDS = [1, 2]
 
+/** Seeds whose schedules together have each fault of what surrounds a process. */
+const PROCESS_SEEDS = [61, 137]
+
+const FAULTS_MS = 5_000
+
 /** Listed in KNOWN-RED.txt. */
 const KNOWN_FAILURES: ReadonlyMap<number, string> = new Map([
   [1, 'issue 16: a gateway was not ready within 12 s once, beside two hunts'],
 ])
 
+async function breaksNothing(seed: number, faults: readonly string[]): Promise<void> {
+  const report = await runSoak({ seed, gateways: 3, faultsMs: FAULTS_MS, faults })
+  assert.deepEqual(report.findings, [], report.faults.join(', '))
+  assert.ok(report.answered > report.calls / 2, `${report.answered} answered`)
+}
+
 describe('the fault soak', () => {
   for (const seed of [...SEEDS, ...REGRESSIONS.map(([failedSeed]) => failedSeed)]) {
     const todo = KNOWN_FAILURES.get(seed) ?? false
-    it(`breaks no promise with seed ${seed}`, { todo }, async () => {
-      const report = await runSoak({ seed, gateways: 3, faultsMs: 5_000 })
-      assert.deepEqual(report.findings, [], report.faults.join(', '))
-      assert.ok(report.answered > report.calls / 2, `${report.answered} answered`)
-    })
+    it(`breaks no promise with seed ${seed}`, { todo }, () =>
+      breaksNothing(seed, SERVICE_FAULT_NAMES),
+    )
   }
+
+  for (const seed of PROCESS_SEEDS) {
+    it(`breaks no promise with seed ${seed} around the processes`, () =>
+      breaksNothing(seed, PROCESS_FAULT_NAMES))
+  }
+
+  it('has each fault of what surrounds a process', () => {
+    const plans = PROCESS_SEEDS.map((seed) =>
+      planFaults(seed, PROCESS_FAULT_NAMES, FAULTS_MS),
+    )
+    const names = new Set(plans.flat().map(({ fault }) => fault.name))
+    assert.deepEqual([...names].sort(), [...PROCESS_FAULT_NAMES].sort())
+  })
 })
--- a/packages/scenario/src/soak/__tests__/soakGateway.spec.ts
+++ b/packages/scenario/src/soak/__tests__/soakGateway.spec.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { StoreStandin, fleetConfig } from '@wagtailway/standins'
 import { sendToFleet } from '../../fleet/fleetClient.js'
 import { findFreePorts } from '../../fleet/freePorts.js'
@@ -69,4 +72,26 @@
       gateway.start()
     }, /is running/)
   })
+
+  it('starts a process that ended by itself again and tells its end', async () => {
+    await gateway.close()
+    const folder = await mkdtemp(join(tmpdir(), 'wagtailway-soak-'))
+    const program = join(folder, 'program.mjs')
+    await writeFile(program, 'process.exitCode = 7')
+    gateway = await SoakGateway.create({ ...gateway.opts, program })
+    await waitUntil(() => gateway.startCount > 2 && gateway.findings.length > 1)
+    await rm(folder, { recursive: true })
+    assert.match(gateway.findings[0] ?? '', /^n1: end that nobody asked for .*: code 7/)
+    assert.deepEqual(gateway.downPeriods, [])
+  })
+
+  it('keeps the periods in which it was kept from serving', async () => {
+    const beforeMs = performance.now()
+    gateway.restart('SIGKILL', 50)
+    await waitUntil(async () => gateway.startCount === 2 && (await gateway.isReady()))
+    const [period] = gateway.downPeriods
+    assert.equal(gateway.downPeriods.length, 1)
+    assert.ok(period && period.fromMs >= beforeMs)
+    assert.ok(period.untilMs > performance.now() && period.untilMs < Infinity)
+  })
 })
--- a/packages/scenario/src/soak/cli.ts
+++ b/packages/scenario/src/soak/cli.ts
@@ -33,7 +33,14 @@
       default: FAULT_NAMES,
       describe: 'Names of the faults to inject',
     })
-    .option('log', { type: 'string', describe: 'File for the logs of a failed seed' })
+    .option('program', {
+      type: 'string',
+      describe: 'Program of the gateways, such as platform/dist/main.js of another build',
+    })
+    .option('log', {
+      type: 'string',
+      describe: 'Files for the logs of failed seeds; the seed is added to the name',
+    })
     .strict()
     .parse()
   let failed = 0
@@ -44,6 +51,7 @@
       gateways: argv.gateways,
       faultsMs,
       faults: argv.only,
+      ...(argv.program !== undefined && { program: argv.program }),
     })
     const { findings, faults, calls, answered } = report
     const verdict = findings.length === 0 ? 'kept' : 'BROKEN'
@@ -53,7 +61,10 @@
     if (findings.length === 0) continue
     failed += 1
     console.log([...findings, `faults: ${faults.join(', ')}`].join('\n'))
-    if (argv.log !== undefined) await writeFile(argv.log, report.logs.join('\n'))
+    if (argv.log !== undefined) {
+      const lines = [...findings, ...report.logs]
+      await writeFile(`${argv.log}-${seed}`, lines.join('\n'))
+    }
   }
   console.log(`${argv.runs - failed} kept, ${failed} broken`)
   process.exitCode = failed > 0 ? 1 : 0
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -11,6 +11,7 @@
 import { findFreePorts } from '../fleet/freePorts.js'
 import { waitUntil } from '../fleet/gatewayHarness.js'
 import {
+  checkLost,
   checkSoak,
   type DrainPeriod,
   type KeyProbe,
@@ -19,13 +20,10 @@
   type SoakCall,
   type TraitCrash,
 } from './soakCheck.js'
-import {
-  FAULT_NAMES,
-  injectFault,
-  type CurrentTrait,
-  type SoakContext,
-} from './soakFaults.js'
+import type { CurrentTrait, SoakContext } from './soakFault.js'
+import { FAULT_NAMES, planFaults } from './soakFaults.js'
 import { SoakGateway } from './soakGateway.js'
+import { LARGE_PATH, LARGE_RESPONSE_BYTES, MAX_BODY_BYTES } from './soakLoad.js'
 
 export interface SoakOptions {
   readonly seed: number
@@ -38,6 +36,12 @@
    * @default all
    */
   readonly faults?: readonly string[]
+  /**
+   * Program of the gateways.
+   *
+   * @default that of this build
+   */
+  readonly program?: string
 }
 
 export interface SoakReport {
@@ -49,9 +53,6 @@
   readonly logs: readonly string[]
 }
 
-/** Mean pause between two faults, in milliseconds; short enough that faults overlap. */
-const MEAN_FAULT_PAUSE_MS = 450
-
 /** Pause between two requests of one caller, in milliseconds. */
 const REQUEST_PAUSE_MS = 20
 
@@ -93,6 +94,8 @@
   const createReplica = (id: string): Promise<ReplicaStandin> =>
     ReplicaStandin.create({
       id,
+      responseBytes: ({ url }) =>
+        url?.startsWith(LARGE_PATH) ? LARGE_RESPONSE_BYTES : 0,
       onCrash: () => {
         restartLater(id)
       },
@@ -143,7 +146,12 @@
   let configVersion = 0
   const writeConfig = (): void => {
     const keys = ['key-1', `key-of-${configVersion}`]
-    store.put('config', 'main', fleetConfig({ version: configVersion, keys }))
+    const config = fleetConfig({
+      version: configVersion,
+      keys,
+      bodyBytes: MAX_BODY_BYTES,
+    })
+    store.put('config', 'main', config)
   }
   const changeConfig = (): void => {
     revokedKeys.push({ key: `key-of-${configVersion}`, atMs: performance.now() })
@@ -161,11 +169,10 @@
   }
   changeConfig()
   for (const replica of replicas) writeEntry(replica, 'ready')
-  const gateways = await startGateways(opts.gateways, store.port)
+  const gateways = await startGateways(opts, store.port)
   let storeDisturbedUntilMs = 0
   const disturbances: { fromMs: number; untilMs: number }[] = []
-  const context: SoakContext = {
-    random,
+  const context: Omit<SoakContext, 'random'> = {
     store,
     gateways,
     replicas,
@@ -182,16 +189,18 @@
   const keyProbes: KeyProbe[] = []
   const faults: string[] = []
   try {
-    await Promise.all(gateways.map((gateway) => waitUntil(() => gateway.isReady())))
+    const startFindings = await checkReady(gateways, 'the start')
     const callers = Array.from({ length: CALLER_COUNT }, (_, i) =>
       runCaller(i, gateways, calls, stop),
     )
     callers.push(sendBadRequests(gateways, badTrait, stop))
     callers.push(probeRevokedKeys(gateways, revokedKeys, keyProbes, stop))
-    const faultsEndMs = performance.now() + opts.faultsMs
-    while (performance.now() < faultsEndMs) {
-      await sleep(MEAN_FAULT_PAUSE_MS * (0.3 + 1.4 * random()))
-      faults.push(injectFault(context, opts.faults ?? FAULT_NAMES))
+    const plan = planFaults(opts.seed, opts.faults ?? FAULT_NAMES, opts.faultsMs)
+    for (const { fault, pauseMs, random } of plan) {
+      await sleep(pauseMs)
+      const undo = fault.inject({ ...context, random })
+      if (undo) setTimeout(undo, fault.ms)
+      faults.push(fault.name)
       const latestUntilMs = Math.max(
         storeDisturbedUntilMs,
         ...gateways.map(({ disturbedUntilMs }) => disturbedUntilMs),
@@ -199,10 +208,13 @@
       disturbances.push({ fromMs: performance.now(), untilMs: latestUntilMs })
     }
     await sleep(FINAL_PAUSE_MS)
-    await Promise.all(gateways.map((gateway) => waitUntil(() => gateway.isReady())))
+    const readyFindings = await checkReady(gateways, 'the faults')
     stop.isRequested = true
     await Promise.all(callers)
     const finalFindings = await checkServing(gateways)
+    const downPeriods = new Map(
+      gateways.map(({ opts: { name }, downPeriods }) => [name, downPeriods]),
+    )
     const runs = new Map(replicas.map((replica) => [replica.id, replica.runs]))
     const arrivals = new Map(replicas.map((replica) => [replica.id, replica.arrivals]))
     const isUndisturbed = (fromMs: number, untilMs: number): boolean =>
@@ -219,6 +231,10 @@
           arrivals,
           isUndisturbed,
         }),
+        ...checkLost(calls, downPeriods),
+        ...gateways.flatMap(({ findings }) => findings),
+        ...startFindings,
+        ...readyFindings,
         ...finalFindings,
       ],
       faults,
@@ -237,7 +253,10 @@
   }
 }
 
-async function startGateways(count: number, storePort: number): Promise<SoakGateway[]> {
+async function startGateways(
+  { gateways: count, program }: SoakOptions,
+  storePort: number,
+): Promise<SoakGateway[]> {
   const [callers = 0, readiness = 0, control = 0, peers = 0, metrics = 0] =
     await findFreePorts(5)
   const ports = { callers, readiness, control, peers, metrics }
@@ -245,7 +264,14 @@
   const seeds = hosts.slice(0, 3)
   return Promise.all(
     hosts.map((host, i) =>
-      SoakGateway.create({ name: `n${i + 1}`, host, seeds, ports, storePort }),
+      SoakGateway.create({
+        name: `n${i + 1}`,
+        host,
+        seeds,
+        ports,
+        storePort,
+        ...(program !== undefined && { program }),
+      }),
     ),
   )
 }
@@ -265,6 +291,7 @@
     if (!gateway) break
     const id = `c${index}-${i}`
     const path = `/${kind === 'stream' ? 'notes' : kind}/${id}`
+    const sentAtMs = performance.now()
     const response = await sendToFleet({
       server: gateway.opts.host,
       port: gateway.opts.ports.callers,
@@ -280,7 +307,16 @@
       agent,
       timeoutMs: REQUEST_TIMEOUT_MS,
     })
-    calls.push({ id, kind, path, response })
+    const { name } = gateway.opts
+    calls.push({
+      id,
+      kind,
+      path,
+      response,
+      gateway: name,
+      sentAtMs,
+      endedAtMs: performance.now(),
+    })
     await sleep(REQUEST_PAUSE_MS)
   }
   agent.destroy()
@@ -345,6 +381,24 @@
   }
 }
 
+/** Checks that each gateway becomes ready. */
+async function checkReady(
+  gateways: readonly SoakGateway[],
+  since: string,
+): Promise<string[]> {
+  const findings = await Promise.all(
+    gateways.map((gateway) =>
+      waitUntil(() => gateway.isReady()).then(
+        () => [],
+        (err: unknown) => [
+          `${gateway.opts.name} is not ready after ${since}: ${String(err)}`,
+        ],
+      ),
+    ),
+  )
+  return findings.flat()
+}
+
 /** Checks that each gateway serves plain requests again after the faults. */
 async function checkServing(gateways: readonly SoakGateway[]): Promise<string[]> {
   const findings = await Promise.all(
--- a/packages/scenario/src/soak/soakCheck.ts
+++ b/packages/scenario/src/soak/soakCheck.ts
@@ -2,6 +2,7 @@
 import type { ReplicaRun } from '@wagtailway/standins'
 import { eventIds, type FleetResponse } from '../fleet/fleetClient.js'
 import { worstWindow } from '../fleet/slidingWindow.js'
+import type { Period } from './soakGateway.js'
 
 /** One call: a request and the response that its caller received. */
 export interface SoakCall {
@@ -9,6 +10,11 @@
   readonly kind: 'plain' | 'once' | 'stream'
   readonly path: string
   readonly response: FleetResponse
+  /** Name of the gateway to which it was sent. */
+  readonly gateway: string
+  /** In milliseconds of `performance.now()`. */
+  readonly sentAtMs: number
+  readonly endedAtMs: number
 }
 
 /**
@@ -125,6 +131,40 @@
   ]
 }
 
+/**
+ * Checks that each request got an answer, but for those at a gateway while the soak kept it
+ * from serving.
+ *
+ * @param downPeriods Periods of each gateway, by its name.
+ *
+ * @example
+ * checkLost(calls, new Map([['n1', [{ fromMs: 800, untilMs: 5_100 }]]])) // [] if none was lost
+ */
+export function checkLost(
+  calls: readonly SoakCall[],
+  downPeriods: ReadonlyMap<string, readonly Period[]>,
+): string[] {
+  return [...downPeriods].flatMap(([name, periods]) => {
+    const lost = calls.filter(
+      ({ gateway, response, sentAtMs, endedAtMs }) =>
+        gateway === name &&
+        response.status === 0 &&
+        !periods.some(
+          ({ fromMs, untilMs }) => fromMs <= endedAtMs && untilMs >= sentAtMs,
+        ),
+    )
+    const worst = Math.round(
+      Math.max(...lost.map(({ sentAtMs, endedAtMs }) => endedAtMs - sentAtMs)),
+    )
+    const ids = lost.slice(0, 5).map(({ id }) => id)
+    return lost.length > 0
+      ? [
+          `${name}: ${lost.length} requests without an answer, after ${worst} ms at most: ${ids.join(' ')}`,
+        ]
+      : []
+  })
+}
+
 function checkCall({ kind, path, response }: SoakCall, runs: number): string[] {
   const findings: string[] = []
   if (kind === 'once' && runs > 1) findings.push(`ran ${runs} times`)
--- a/packages/scenario/src/soak/soakFaults.ts
+++ b/packages/scenario/src/soak/soakFaults.ts
@@ -1,53 +1,10 @@
 /** Random faults of the soak; faults may overlap. */
-import type { Random } from '@wagtailway/core'
-import type {
-  ReplicaBehaviour,
-  ReplicaStandin,
-  StoreCopy,
-  StoreStandin,
-} from '@wagtailway/standins'
+import { seededRandom, type Random } from '@wagtailway/core'
+import type { ReplicaBehaviour, StoreStandin } from '@wagtailway/standins'
 import { PASS, type RelayState } from '../relay/index.js'
-import type { BadTrait, LimitPeriod } from './soakCheck.js'
-import type { SoakGateway } from './soakGateway.js'
-
-/** The trait under which replicas crash now. */
-export interface CurrentTrait {
-  current: BadTrait | undefined
-}
-
-export interface SoakContext {
-  readonly random: Random
-  readonly store: StoreStandin
-  readonly gateways: readonly SoakGateway[]
-  readonly replicas: readonly ReplicaStandin[]
-  /** Writes the replica's entry with a state to the store. */
-  readonly writeEntry: (replica: ReplicaStandin, state: 'ready' | 'draining') => void
-  readonly badTrait: CurrentTrait
-  readonly limitPeriods: LimitPeriod[]
-  /** Stores a configuration without the key that the one before added. */
-  readonly revokeKey: () => void
-  /**
-   * Restores the store from a copy; the replicas and the operator write again a little
-   * later.
-   */
-  readonly restoreStore: (copy: StoreCopy) => void
-  /** Marks the store as disturbed for the next `ms` milliseconds. */
-  readonly markStoreDisturbed: (ms: number) => void
-}
-
-interface Fault {
-  readonly name: string
-  /** Time after which the fault is undone, in milliseconds. */
-  readonly ms: number
-  /** Injects the fault; returns a function that undoes it, if it needs undoing. */
-  readonly inject: (context: SoakContext) => (() => void) | undefined
-}
-
-/**
- * Time after the end of a fault until the bounds on following the store apply again, in
- * milliseconds.
- */
-const RECOVERY_MS = 3_500
+import type { BadTrait } from './soakCheck.js'
+import { RECOVERY_MS, markDisturbed, selectRandom, type Fault } from './soakFault.js'
+import { PROCESS_FAULTS } from './soakProcessFaults.js'
 
 /** Rate limits that a replica may name, in requests a second. */
 const RATE_LIMITS = [0.5, 1, 2.5, 8]
@@ -60,15 +17,6 @@
   'hang',
 ]
 
-function selectRandom<T>(random: Random, items: readonly T[]): T | undefined {
-  return items[Math.floor(random() * items.length)]
-}
-
-function markDisturbed(gateway: SoakGateway, ms: number): void {
-  const untilMs = performance.now() + ms + RECOVERY_MS
-  gateway.disturbedUntilMs = Math.max(gateway.disturbedUntilMs, untilMs)
-}
-
 /** Ends a gateway with a signal and starts it again `downMs` after its exit. */
 function restartFault(name: string, signal: NodeJS.Signals, downMs: number): Fault {
   return {
@@ -138,7 +86,7 @@
   }
 }
 
-const FAULTS: readonly Fault[] = [
+const SERVICE_FAULTS: readonly Fault[] = [
   restartFault('stop', 'SIGTERM', 50),
   restartFault('kill', 'SIGKILL', 300),
   storeLinkFault('store link cut', { type: 'cut' }, 900),
@@ -244,20 +192,57 @@
   },
 ]
 
+const FAULTS: readonly Fault[] = [...SERVICE_FAULTS, ...PROCESS_FAULTS]
+
+/** Names of the faults of network, store and replicas. */
+export const SERVICE_FAULT_NAMES: readonly string[] = SERVICE_FAULTS.map(
+  ({ name }) => name,
+)
+
+/** Names of the faults of what surrounds a process. */
+export const PROCESS_FAULT_NAMES: readonly string[] = PROCESS_FAULTS.map(
+  ({ name }) => name,
+)
+
 /** Names of all faults. */
 export const FAULT_NAMES: readonly string[] = FAULTS.map(({ name }) => name)
 
+/** One fault of a schedule. */
+export interface PlannedFault {
+  readonly fault: Fault
+  /** Time since the fault before, in milliseconds. */
+  readonly pauseMs: number
+  /** Random numbers of this fault. */
+  readonly random: Random
+}
+
+/** Mean pause between two faults, in milliseconds; short enough that faults overlap. */
+const MEAN_FAULT_PAUSE_MS = 450
+
+/** Number of seeds that a fault can have. */
+const SEED_COUNT = 2 ** 31
+
 /**
- * Injects a random fault of those named and schedules its end; returns the name of the fault.
+ * Returns the schedule of a seed: random faults of those named until `faultsMs` have passed.
+ * It depends on nothing else, as each fault has random numbers of its own.
  *
  * @example
- * log.push(injectFault(context, FAULT_NAMES))
+ * planFaults(7, FAULT_NAMES, 8_000).map(({ fault }) => fault.name)
  */
-export function injectFault(context: SoakContext, names: readonly string[]): string {
+export function planFaults(
+  seed: number,
+  names: readonly string[],
+  faultsMs: number,
+): PlannedFault[] {
+  const random = seededRandom(seed)
   const eligible = FAULTS.filter(({ name }) => names.includes(name))
-  const fault = selectRandom(context.random, eligible)
-  if (!fault) return 'none'
-  const undo = fault.inject(context)
-  if (undo) setTimeout(undo, fault.ms)
-  return fault.name
+  const planned: PlannedFault[] = []
+  for (let atMs = 0; atMs < faultsMs;) {
+    const pauseMs = MEAN_FAULT_PAUSE_MS * (0.3 + 1.4 * random())
+    atMs += pauseMs
+    const fault = selectRandom(random, eligible)
+    const faultSeed = Math.floor(random() * SEED_COUNT)
+    if (fault) planned.push({ fault, pauseMs, random: seededRandom(faultSeed) })
+  }
+  return planned
 }
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -1,5 +1,4 @@
 /** One real gateway process of the soak, with a relay between it and the store. */
-import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -7,6 +6,7 @@
 import { settingsFile } from '@wagtailway/standins'
 import { sendToFleet } from '../fleet/fleetClient.js'
 import { TcpRelay } from '../relay/index.js'
+import { SoakProcess } from './soakProcess.js'
 
 const PROGRAM = fileURLToPath(
   new URL('../../../../platform/dist/main.js', import.meta.url),
@@ -27,8 +27,52 @@
   readonly seeds: readonly string[]
   readonly ports: SoakPorts
   readonly storePort: number
+  /**
+   * The gateway's program.
+   *
+   * @default that of this build
+   */
+  readonly program?: string
+}
+
+/** What goes with one start of a process. */
+export interface StartOptions {
+  /**
+   * Limit of its open descriptors.
+   *
+   * @default that of this process
+   */
+  readonly fileLimit?: number
+  /** Called between the end of the process before and the start. */
+  readonly beforeStart?: () => Promise<void>
+  /** Called after the start. */
+  readonly afterStart?: (process: SoakProcess) => void
+}
+
+/** A period in milliseconds of `performance.now()`. */
+export interface Period {
+  readonly fromMs: number
+  untilMs: number
 }
 
+/** Grace period of a gateway, in seconds. */
+const GRACE_S = 4
+
+/** Time by which an end may come later than the grace period, in milliseconds. */
+const STOP_MARGIN_MS = 1_000
+
+/**
+ * Time from a start until a gateway must take requests, in milliseconds; it may have to
+ * wait for a socket that another process holds.
+ */
+const START_MS = 4_000
+
+/** Time until a process that had been frozen must answer in time again, in milliseconds. */
+const THAW_MS = 1_000
+
+/** Time until a process that ended by itself is started again, in milliseconds. */
+const RESTART_MS = 300
+
 /**
  * A gateway process that can be killed, paused, stopped and started again.
  *
@@ -46,9 +90,15 @@
    * `performance.now()`.
    */
   disturbedUntilMs = 0
+  /** Periods in which the soak itself keeps this gateway from serving requests. */
+  readonly downPeriods: Period[] = []
+  /** What its processes did that they must not do. */
+  readonly findings: string[] = []
   /** Number of processes that this gateway has had so far. */
   startCount = 0
-  #child: ChildProcess | undefined
+  /** The latest process. */
+  process: SoakProcess | undefined
+  #openDownPeriod: Period | undefined
   #isRestarting = false
   #isClosed = false
 
@@ -72,52 +122,85 @@
   }
 
   get isRunning(): boolean {
-    return this.#child?.exitCode === null && this.#child.signalCode === null
+    return this.process?.isRunning === true
+  }
+
+  /** Whether its process is running and wasn't asked to end. */
+  get isSettled(): boolean {
+    return this.isRunning && !this.#isRestarting
   }
 
   /** Starts the process; throws if it is running. */
-  start(): void {
-    if (this.isRunning) throw new Error(`${this.opts.name} is running`)
+  start({ fileLimit }: StartOptions = {}): SoakProcess {
+    const { ports, name, program = PROGRAM } = this.opts
+    if (this.isRunning) throw new Error(`${name} is running`)
     this.startCount += 1
-    const { ports } = this.opts
     const args = ['--settings', this.#settingsPath, '--metrics-port', `${ports.metrics}`]
-    const child = spawn(process.execPath, [PROGRAM, ...args], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    })
-    for (const stream of [child.stdout, child.stderr]) {
-      stream.on('data', (chunk: Buffer) => {
-        this.logLines.push(...chunk.toString().split('\n'))
+    this.process = SoakProcess.create({
+      command: [process.execPath, program, ...args],
+      ...(fileLimit !== undefined && { fileLimit }),
+      stopMs: GRACE_S * 1_000 + STOP_MARGIN_MS,
+      onLine: (line) => {
+        this.logLines.push(line)
         this.logLines.splice(0, Math.max(0, this.logLines.length - MAX_LOG_LINES))
-      })
-    }
-    this.#child = child
+      },
+      onFinding: (text) => this.findings.push(`${name}: ${text}`),
+      onUnaskedEnd: () => {
+        if (!this.#isRestarting) this.#startAfterExit(RESTART_MS)
+      },
+    })
+    this.#endDownPeriod(START_MS)
+    return this.process
   }
 
   signal(signal: NodeJS.Signals): void {
-    if (this.isRunning) this.#child?.kill(signal)
+    if (!this.isRunning) return
+    if (signal === 'SIGCONT' && !this.#isRestarting) this.#endDownPeriod(THAW_MS)
+    if (signal === 'SIGKILL' || signal === 'SIGTERM' || signal === 'SIGSTOP') {
+      this.#openDownPeriod ??= this.markDown(Infinity)
+    }
+    this.process?.signal(signal)
+  }
+
+  /** Marks that the soak keeps this gateway from serving requests for a time. */
+  markDown(ms: number): Period {
+    const nowMs = performance.now()
+    const period = { fromMs: nowMs, untilMs: nowMs + ms }
+    this.downPeriods.push(period)
+    return period
+  }
+
+  #endDownPeriod(laterMs: number): void {
+    if (this.#openDownPeriod) this.#openDownPeriod.untilMs = performance.now() + laterMs
+    this.#openDownPeriod = undefined
   }
 
   /**
    * Ends the process with a signal and starts it again `downMs` after its exit. While an
    * earlier restart is in progress, only sends the signal.
    */
-  restart(signal: NodeJS.Signals, downMs: number): void {
+  restart(signal: NodeJS.Signals, downMs: number, opts: StartOptions = {}): void {
     this.signal(signal)
-    if (this.#isRestarting) return
+    if (!this.#isRestarting) this.#startAfterExit(downMs, opts)
+  }
+
+  #startAfterExit(downMs: number, opts: StartOptions = {}): void {
     this.#isRestarting = true
-    void this.waitForExit().then(() => {
-      setTimeout(() => {
-        this.#isRestarting = false
-        if (!this.#isClosed) this.start()
-      }, downMs)
-    })
+    void this.waitForExit()
+      .then(() => opts.beforeStart?.())
+      .then(() => {
+        setTimeout(() => {
+          this.#isRestarting = false
+          if (this.#isClosed) return
+          const process = this.start(opts)
+          opts.afterStart?.(process)
+        }, downMs)
+      })
   }
 
   /** Resolves once the process has exited. */
   async waitForExit(): Promise<void> {
-    const child = this.#child
-    if (!child || !this.isRunning) return
-    await new Promise((resolve) => child.once('exit', resolve))
+    await this.process?.exited
   }
 
   async isReady(): Promise<boolean> {
@@ -142,7 +225,7 @@
 
   #settings(): string {
     const store = this.storeRelay.address
-    return settingsFile({ ...this.opts, store, graceS: 4, sessionS: 1 })
+    return settingsFile({ ...this.opts, store, graceS: GRACE_S, sessionS: 1 })
   }
 }
 
--- a/packages/standins/src/fleet/fleetConfig.ts
+++ b/packages/standins/src/fleet/fleetConfig.ts
@@ -12,12 +12,14 @@
   readonly isResumable?: boolean
   /** Name of the workspace that has the keys. */
   readonly workspace?: string
+  /** Longest body that a caller may send, in bytes. */
+  readonly bodyBytes?: number
 }
 
 /** Returns a configuration of two plain routes and one streaming route with two models. */
 export function fleetConfig(opts: FleetConfigOptions): unknown {
   const { version, keys = ['key-1'], hasPlain = true, timeoutMs = 2_000 } = opts
-  const { workspace = 'kebele', isResumable = true } = opts
+  const { workspace = 'kebele', isResumable = true, bodyBytes = 1_048_576 } = opts
   const route = {
     host: 'app.example',
     timeoutMs,
@@ -67,7 +69,7 @@
     ],
     limits: {
       headerBytes: 16_384,
-      bodyBytes: 1_048_576,
+      bodyBytes,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
--- a/packages/standins/src/fleet/replicaStandin.ts
+++ b/packages/standins/src/fleet/replicaStandin.ts
@@ -53,6 +53,8 @@
   readonly eventMs?: number
   /** Returns the time until the response of a request that is no stream, in milliseconds. */
   readonly responseMs?: () => number
+  /** Returns the size of a response that is no stream, in bytes; spaces fill it up. */
+  readonly responseBytes?: (req: IncomingMessage) => number
   /** Returns how to treat a request. */
   readonly behaviour?: (req: IncomingMessage, body: string) => ReplicaBehaviour
   /** Called when the replica has crashed. */
@@ -310,7 +312,8 @@
   }
 
   #respond(req: IncomingMessage, res: ServerResponse, behaviour: ReplicaBehaviour): void {
-    const body = `${req.method ?? ''} ${req.url ?? ''} by ${this.opts.id}`
+    const text = `${req.method ?? ''} ${req.url ?? ''} by ${this.opts.id}`
+    const body = text.padEnd(this.opts.responseBytes?.(req) ?? 0)
     const status = behaviour === 'error' ? 500 : 200
     res.writeHead(status, { ...responseHeaders(req), 'content-length': body.length })
     if (behaviour === 'cut') {
