--- a/packages/scenario/src/soak/__tests__/soakGateway.spec.ts
+++ b/packages/scenario/src/soak/__tests__/soakGateway.spec.ts
@@ -78,7 +78,7 @@
     const folder = await mkdtemp(join(tmpdir(), 'wagtailway-soak-'))
     const program = join(folder, 'program.mjs')
     await writeFile(program, 'process.exitCode = 7')
-    gateway = await SoakGateway.create({ ...gateway.opts, program })
+    gateway = await SoakGateway.create({ ...gateway.opts, program, isSupervised: true })
     await waitUntil(() => gateway.startCount > 2 && gateway.findings.length > 1)
     await rm(folder, { recursive: true })
     assert.match(gateway.findings[0] ?? '', /^n1: end that nobody asked for .*: code 7/)
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -270,6 +270,7 @@
         seeds,
         ports,
         storePort,
+        isSupervised: true,
         ...(program !== undefined && { program }),
       }),
     ),
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -33,6 +33,16 @@
    * @default that of this build
    */
   readonly program?: string
+  /** Memory above which the process is killed, as its settings tell it. */
+  readonly memoryMb?: number
+  /** Arguments of Node.js. */
+  readonly nodeArgs?: readonly string[]
+  /**
+   * Whether a process that ended by itself is started again.
+   *
+   * @default false
+   */
+  readonly isSupervised?: boolean
 }
 
 /** What goes with one start of a process. */
@@ -130,14 +140,19 @@
     return this.isRunning && !this.#isRestarting
   }
 
+  /** Id of the process; `undefined` before the first start. */
+  get pid(): number | undefined {
+    return this.process?.pid
+  }
+
   /** Starts the process; throws if it is running. */
   start({ fileLimit }: StartOptions = {}): SoakProcess {
-    const { ports, name, program = PROGRAM } = this.opts
+    const { ports, name, program = PROGRAM, nodeArgs = [] } = this.opts
     if (this.isRunning) throw new Error(`${name} is running`)
     this.startCount += 1
     const args = ['--settings', this.#settingsPath, '--metrics-port', `${ports.metrics}`]
     this.process = SoakProcess.create({
-      command: [process.execPath, program, ...args],
+      command: [process.execPath, ...nodeArgs, program, ...args],
       ...(fileLimit !== undefined && { fileLimit }),
       stopMs: GRACE_S * 1_000 + STOP_MARGIN_MS,
       onLine: (line) => {
@@ -146,7 +161,8 @@
       },
       onFinding: (text) => this.findings.push(`${name}: ${text}`),
       onUnaskedEnd: () => {
-        if (!this.#isRestarting) this.#startAfterExit(RESTART_MS)
+        if (this.opts.isSupervised && !this.#isRestarting)
+          this.#startAfterExit(RESTART_MS)
       },
     })
     this.#endDownPeriod(START_MS)
--- a/packages/scenario/src/soak/soakProcess.ts
+++ b/packages/scenario/src/soak/soakProcess.ts
@@ -108,6 +108,10 @@
     return this.#child.exitCode === null && this.#child.signalCode === null
   }
 
+  get pid(): number | undefined {
+    return this.#child.pid
+  }
+
   /** Sends a signal; one that the program should handle as soon as it can do so. */
   signal(signal: NodeJS.Signals): void {
     if (signal === 'SIGTERM' || signal === 'SIGHUP') {
