--- a/packages/scenario/src/soak/__tests__/soakProcess.spec.ts
+++ b/packages/scenario/src/soak/__tests__/soakProcess.spec.ts
@@ -117,14 +117,16 @@
   it('finds whole lines that are no JSON, and unforeseen errors', async () => {
     const error = '{"event":"unforeseen_error","err":"x"}'
     const observed = run(
-      `console.log('{"event":"start"}'); console.log('{"event":"sta{"event":"stop"}'); console.log('${error}'); process.stdout.write('{"eve'); ${STAY}`,
+      `console.log('{"event":"start"}'); console.log('{"event":"sta{"event":"stop"}'); console.log('${error}'); console.error('${error}'); process.stdout.write('{"eve'); ${STAY}`,
     )
-    await waitUntil(() => observed.lines.length === 3)
+    await waitUntil(() => observed.lines.length === 4)
     observed.process.signal('SIGKILL')
     await exited(observed)
-    assert.deepEqual(observed.findings, [
+    // The order of lines of two streams isn't fixed.
+    assert.deepEqual([...observed.findings].sort(), [
       'a line is no JSON: {"event":"sta{"event":"stop"}',
       error,
+      error,
     ])
   })
 
--- a/packages/scenario/src/soak/soakProcess.ts
+++ b/packages/scenario/src/soak/soakProcess.ts
@@ -87,6 +87,7 @@
     })
     readLines(child.stderr, (line) => {
       opts.onLine(line)
+      if (line.includes('"unforeseen_error"')) this.#find(line) // before there is a log
       if (/^\s+at |^\s*$/.test(line)) return // of a stack trace
       this.#errorLines.push(line.trim())
       this.#errorLines.splice(0, this.#errorLines.length - MAX_ERROR_LINES)
