--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -7,7 +7,7 @@
   type PlainResponse,
 } from '../http/plainServer.js'
 import { requestJson } from '../http/requestJson.js'
-import type { ListenAddress } from '../http/callerServer.js'
+import type { Listen } from '../sockets/sockets.js'
 import {
   FeedPuller,
   type FeedPullerOptions,
@@ -45,7 +45,9 @@
   FeedPullerOptions,
   'zone' | 'random' | 'sleep' | 'onPulled' | 'onFailed'
 > {
-  readonly address: ListenAddress
+  readonly listen: Listen
+  /** Port on which all instances serve their feeds. */
+  readonly port: number
   readonly clock: Clock
   /** Bandwidth of this machine's link, in megabits per second. */
   readonly linkMbps: number
@@ -86,7 +88,7 @@
         feedServer.respond({ kind, after: Number(after), era, host, acceptsGzip }),
       )
     }
-    const server = await PlainServer.create(opts.address, respond, opts.onServeFailed)
+    const server = await PlainServer.create(opts.listen, respond, opts.onServeFailed)
     return new FeedExchange(opts, server)
   }
 
@@ -116,7 +118,7 @@
   async #pull(host: string, kind: string, after: StorePosition): Promise<PullResponse> {
     const { status, body } = await requestJson({
       method: 'GET',
-      url: `http://${host}:${this.opts.address.port}/feed/${kind}?after=${after.revision}`,
+      url: `http://${host}:${this.opts.port}/feed/${kind}?after=${after.revision}`,
       headers: { [ERA_HEADER]: String(after.era) },
       timeoutMs: PULL_TIMEOUT_MS,
       agent: this.#agent,
--- a/packages/gateway/src/http/__tests__/plainServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/plainServer.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
+import { listenAt } from '../../sockets/sockets.js'
 import { PlainServer, type PlainResponse } from '../plainServer.js'
 
 const HOST = '127.0.0.1'
@@ -18,7 +19,7 @@
 
 before(async () => {
   server = await PlainServer.create(
-    { host: HOST, port: 0 },
+    listenAt({ host: HOST, port: 0 }),
     ({ path }) => RESPONSES[path]?.() ?? { status: 404, body: '' },
     (err, { path }) => errors.push(`${path}: ${String(err)}`),
   )
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -11,6 +11,7 @@
 import { handleRequest } from '../forward/handleRequest.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import type { CallerLimits } from '../model/config.js'
+import type { Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
 
 /**
@@ -33,16 +34,11 @@
  */
 const SWEEP_INTERVAL_MS = 50
 
-export interface ListenAddress {
-  readonly host: string
-  readonly port: number
-}
-
 /**
  * Accepts caller requests over HTTP.
  *
  * @example
- * const server = await CallerServer.create(node, { host: '127.0.0.1', port: 8080 })
+ * const server = await CallerServer.create(node, sockets.required('callers', address))
  * await server.drain(5_000)
  */
 export class CallerServer {
@@ -80,12 +76,9 @@
     })
   }
 
-  static async create(node: GatewayNode, address: ListenAddress): Promise<CallerServer> {
+  static async create(node: GatewayNode, listen: Listen): Promise<CallerServer> {
     const server = new CallerServer(node)
-    await new Promise<void>((resolve, reject) => {
-      server.#server.once('error', reject)
-      server.#server.listen({ ...address, backlog: 1_024 }, resolve)
-    })
+    await listen(server.#server)
     return server
   }
 
--- a/packages/gateway/src/http/plainServer.ts
+++ b/packages/gateway/src/http/plainServer.ts
@@ -8,7 +8,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http'
-import type { ListenAddress } from './callerServer.js'
+import type { Listen } from '../sockets/sockets.js'
 
 export interface PlainRequest {
   /** Path with the query. */
@@ -30,13 +30,13 @@
  *
  * @example
  * const respond = async () => ({ status: 200, body: 'ok' })
- * const server = await PlainServer.create(address, respond, (err) => console.error(err))
+ * const server = await PlainServer.create(listen, respond, (err) => console.error(err))
  */
 export class PlainServer {
   private constructor(private readonly server: Server) {}
 
   static async create(
-    address: ListenAddress,
+    listen: Listen,
     respond: (req: PlainRequest) => Promise<PlainResponse> | PlainResponse,
     onError: (err: unknown, req: PlainRequest) => void,
   ): Promise<PlainServer> {
@@ -54,10 +54,7 @@
       })
     })
     server.keepAliveTimeout = 30_000
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(address, resolve)
-    })
+    await listen(server)
     return new PlainServer(server)
   }
 
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -156,6 +156,18 @@
       help: 'Backend servers that name a rate limit',
       registers,
     }),
+    waitingSockets: new Gauge({
+      name: 'wagtailway_gateway_sockets_waiting',
+      help: 'Listening sockets that are not bound yet, as their address is taken (1) or was (0)',
+      labelNames: ['socket'],
+      registers,
+    }),
+    socketErrors: new Counter({
+      name: 'wagtailway_gateway_socket_errors_total',
+      help: 'Errors of listening sockets, by socket and code of the system',
+      labelNames: ['socket', 'code'],
+      registers,
+    }),
     configVersion: new Gauge({
       name: 'wagtailway_gateway_config_version',
       help: 'Version of the configuration in force',
--- a/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
@@ -14,6 +14,7 @@
 import type { ResponseMetadata } from '../../model/requestMetadata.js'
 import { connectDirectly } from '../directConnection.js'
 import { connectThrough } from '../relayClient.js'
+import { listenAt } from '../../sockets/sockets.js'
 import { RelayServer } from '../relayServer.js'
 
 const HOST = '127.0.0.1'
@@ -91,7 +92,7 @@
   })
   await new Promise<void>((resolve) => backend.listen(0, HOST, resolve))
   relay = await RelayServer.create({
-    address: { host: HOST, port: 0 },
+    listen: listenAt({ host: HOST, port: 0 }),
     admit: () => target(),
     connect: connectDirectly,
     otherServer: () => undefined,
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -4,9 +4,9 @@
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
-import type { ListenAddress } from '../http/callerServer.js'
 import { ResetDetector } from '../http/resetDetector.js'
 import type { BackendServer } from '../model/backendServer.js'
+import type { Listen } from '../sockets/sockets.js'
 import type { DirectResult, PendingConnection } from './dial.js'
 import { END_MARK_HEADER, FAILURE_HEADER, SERVER_HEADER } from './relayClient.js'
 
@@ -41,7 +41,7 @@
 }
 
 export interface RelayServerOptions {
-  readonly address: ListenAddress
+  readonly listen: Listen
   /** Decides on a request from a host; a server if its connection may be relayed. */
   readonly admit: (
     host: string,
@@ -88,10 +88,7 @@
 
   static async create(opts: RelayServerOptions): Promise<RelayServer> {
     const relayServer = new RelayServer(opts)
-    await new Promise<void>((resolve, reject) => {
-      relayServer.#server.once('error', reject)
-      relayServer.#server.listen(opts.address, resolve)
-    })
+    await opts.listen(relayServer.#server)
     return relayServer
   }
 
--- a/packages/gateway/src/peers/peerLink.ts
+++ b/packages/gateway/src/peers/peerLink.ts
@@ -13,13 +13,12 @@
   type PlaceDatagram,
 } from '../statements/placeMessage.js'
 import { decodeReport, encodeReport, type PeerReport } from './peerReport.js'
-import type { ListenAddress } from '../http/callerServer.js'
+import type { Listen, ListenAddress } from '../sockets/sockets.js'
 import type { PeerTable } from './peerTable.js'
 import { reportIntervalMs, reportScope, type ReportScope } from './reportSchedule.js'
 
 export interface PeerLinkOptions {
-  readonly host: string
-  readonly port: number
+  readonly listen: Listen
   readonly peers: PeerTable
   readonly createReport: () => PeerReport
   readonly onReport: (report: PeerReport, from: ListenAddress) => void
@@ -92,13 +91,7 @@
 
   static async create(opts: PeerLinkOptions): Promise<PeerLink> {
     const socket = createSocket('udp4')
-    await new Promise<void>((resolve, reject) => {
-      socket.once('error', reject)
-      socket.bind(opts.port, opts.host, () => {
-        socket.off('error', reject)
-        resolve()
-      })
-    })
+    await opts.listen(socket)
     return new PeerLink(opts, socket)
   }
 
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -8,6 +8,7 @@
 import { repeatedNewsMs } from '../peers/reportSchedule.js'
 import { REFRESH_MS } from '../statements/placeLimiter.js'
 import type { RolloutController } from '../rollout/rolloutController.js'
+import type { Listen } from '../sockets/sockets.js'
 import type { GatewaySettings } from './settings.js'
 
 /**
@@ -35,6 +36,7 @@
   settings: GatewaySettings,
   rolloutController: RolloutController,
   exchange: FeedExchange,
+  listen: Listen,
 ): Promise<LinkedPeers> {
   const { peers, load, prefillSpeeds, health, evidence, rollouts, metrics, clock } =
     node.opts
@@ -92,8 +94,7 @@
     },
   })
   const link = await PeerLink.create({
-    host: settings.host,
-    port: settings.peerPort,
+    listen,
     peers,
     createReport,
     onReport: (report, from) => {
--- a/packages/gateway/src/process/relayConnections.ts
+++ b/packages/gateway/src/process/relayConnections.ts
@@ -3,8 +3,8 @@
 import { incarnationOf, type BackendServer } from '../model/backendServer.js'
 import { connectDirectly } from '../paths/directConnection.js'
 import { RelayServer, type RelayRefusal } from '../paths/relayServer.js'
+import type { Listen } from '../sockets/sockets.js'
 import { LoopDelay } from './loopDelay.js'
-import type { GatewaySettings } from './settings.js'
 
 /**
  * Connections that are relayed at a time; each takes two of the process's descriptors, the
@@ -26,17 +26,17 @@
  * Starts to relay connections. The port is that of the reports, but for TCP.
  *
  * @example
- * const relayConnections = await relayConnections(node, settings)
+ * const relayConnections = await relayConnections(node, sockets.late('relays', address))
  * relayConnections.close()
  */
 export async function relayConnections(
   node: GatewayNode,
-  { host, peerPort }: GatewaySettings,
+  listen: Listen,
 ): Promise<RelayConnections> {
   const { log, metrics } = node.opts
   const loopDelay = LoopDelay.create()
   const server = await RelayServer.create({
-    address: { host, port: peerPort },
+    listen,
     admit: (requester, incarnation, openCount) => {
       const isBusy = openCount >= MAX_RELAYED || loopDelay.recentMs > MAX_LOOP_DELAY_MS
       return admitRelayed(node, requester, incarnation, isBusy)
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -17,6 +17,7 @@
 import type { GatewayMetrics } from '../observe/metrics.js'
 import { ROLLOUT_POLL_MS, RolloutController } from '../rollout/rolloutController.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
+import { Sockets, type Listen } from '../sockets/sockets.js'
 import { createNode } from './createNode.js'
 import { createFeeds, type Feeds } from './feeds.js'
 import { FeedFollower } from './feedFollower.js'
@@ -36,6 +37,12 @@
 /** Share of the grace period in which requests in progress must complete. */
 const GRACE_RATIO = 0.95
 
+/**
+ * Time for which the start waits for sockets beyond the grace period in which an earlier
+ * process on this machine holds them, in milliseconds.
+ */
+const SOCKET_MARGIN_MS = 2_000
+
 const METRICS_PATH = '/metrics'
 
 export interface GatewayOptions<T> {
@@ -50,7 +57,8 @@
 }
 
 /**
- * Runs an entry instance; resolves once it has shut down.
+ * Runs an entry instance; resolves once it has shut down. Rejects if a socket that it needs
+ * stays taken: that of the callers, the readiness checks, the feeds or the reports.
  *
  * @example
  * await runGateway({ settings, cascade: {}, dialect, store, log, metrics, shutdownRequested })
@@ -59,7 +67,19 @@
   const { settings, store, log, metrics } = opts
   log('start', { zone: settings.zone, callers: settings.callerAddress })
   const node = createNode(opts)
-  const callerServer = await CallerServer.create(node, settings.callerAddress)
+  const sockets = Sockets.create({
+    settingOf: settings.socketSettings,
+    maxWaitMs: settings.graceMs + SOCKET_MARGIN_MS,
+    log,
+    metrics,
+  })
+  void opts.shutdownRequested.then(() => {
+    sockets.stopWaiting()
+  })
+  const callerServer = await CallerServer.create(
+    node,
+    sockets.required('callers', settings.callerAddress),
+  )
   const setLimits = (): void => {
     if (node.activeConfig) callerServer.setLimits(node.activeConfig.cfg.limits)
   }
@@ -72,7 +92,8 @@
   }
   const exchange = await FeedExchange.create({
     onServeFailed: logServeFailed,
-    address: settings.feedAddress,
+    listen: sockets.required('feeds', settings.feedAddress),
+    port: settings.feedAddress.port,
     zone: settings.zone,
     linkMbps: settings.linkMbps,
     clock: monotonicClock,
@@ -89,18 +110,30 @@
     },
   })
   const rolloutController = createRolloutController(node, store)
-  const peerLink = await linkPeers(node, settings, rolloutController, exchange)
-  const relayed = await relayConnections(node, settings)
+  const peerAddress = { host: settings.host, port: settings.peerPort }
+  const peerLink = await linkPeers(
+    node,
+    settings,
+    rolloutController,
+    exchange,
+    sockets.required('reports', peerAddress),
+  )
+  const relayed = await relayConnections(node, sockets.late('relays', peerAddress))
   const followers = followFeeds(opts, node, feeds, exchange, () => {
     peerLink.send()
   })
   const readinessServer = await PlainServer.create(
-    settings.readinessAddress,
+    sockets.required('readiness', settings.readinessAddress),
     () =>
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
   )
-  const metricsServer = await serveMetrics(metrics, settings, feeds, logServeFailed)
+  const metricsServer = await serveMetrics(
+    metrics,
+    sockets.late('metrics', settings.metricsAddress),
+    feeds,
+    logServeFailed,
+  )
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   const stopDiscovery = discoverInstances({
     self,
@@ -247,7 +280,7 @@
 
 async function serveMetrics<T>(
   { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
-  settings: GatewaySettings,
+  listen: Listen,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
 ): Promise<PlainServer> {
@@ -261,5 +294,5 @@
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
-  return PlainServer.create(settings.metricsAddress, respond, onError)
+  return PlainServer.create(listen, respond, onError)
 }
--- a/packages/gateway/src/process/settings.ts
+++ b/packages/gateway/src/process/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of one entry instance, independent of their source. */
 import type { GatewayBounds } from '../gatewayNode.js'
-import type { ListenAddress } from '../http/callerServer.js'
+import type { ListenAddress, SocketName } from '../sockets/sockets.js'
 
 export interface GatewaySettings {
   /** Unique among the entry instances. */
@@ -26,6 +26,8 @@
    */
   readonly readinessAddress: ListenAddress
   readonly metricsAddress: ListenAddress
+  /** Name of the setting that has the address of each socket, for the operator. */
+  readonly socketSettings: Readonly<Record<SocketName, string>>
   /** Bandwidth of this machine's link, in megabits per second. */
   readonly linkMbps: number
   /** Time between the request to shut down and the forced stop, in milliseconds. */
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -28,6 +28,15 @@
 
 const LOCALHOST = '127.0.0.1'
 
+const SOCKET_SETTINGS = {
+  callers: 'callers',
+  readiness: 'readiness',
+  feeds: 'feeds',
+  reports: 'peers',
+  relays: 'peers',
+  metrics: 'metrics',
+}
+
 /** Longest wait for a condition that must become true, in milliseconds. */
 const WAIT_TIMEOUT_MS = 12_000
 
@@ -65,6 +74,7 @@
       callerAddress: { host: LOCALHOST, port: callers ?? 0 },
       readinessAddress: { host: LOCALHOST, port: readiness ?? 0 },
       metricsAddress: { host: LOCALHOST, port: metrics ?? 0 },
+      socketSettings: SOCKET_SETTINGS,
       linkMbps: 1_000,
       graceMs,
       maxPropagationMs: 2_000,
