--- a/packages/router/src/http/callerServer.ts
+++ b/packages/router/src/http/callerServer.ts
@@ -7,10 +7,11 @@
 } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { Err, Ok, notRun, type Refusal, type Result } from '@wagtailway/core'
+import { Err, Ok, flagOf, notRun, type Refusal, type Result } from '@wagtailway/core'
 import { handleCompletion } from '../request/completion.js'
 import { handleServiceRequest } from '../request/serviceRequest.js'
 import type { RouterNode } from '../routerNode.js'
+import { listenWithRetry } from './listen.js'
 import { MAX_HEADER_BYTES, malformedRefusal, refuseOnSocket } from './malformedRequest.js'
 import { sendJson, sendRefusal } from './sendResponse.js'
 
@@ -66,11 +67,12 @@
 
   static async create(opts: CallerServerOptions): Promise<CallerServer> {
     const server = new CallerServer(opts)
-    const { port, host } = opts.node.cfg
-    await new Promise<void>((resolve, reject) => {
-      server.#server.once('error', reject)
-      server.#server.listen(port, host, resolve)
-    })
+    const { cfg, log, metrics } = opts.node
+    const { port, host } = cfg
+    const setting = `--${flagOf('port')}`
+    await listenWithRetry({ socket: 'callers', host, port, setting, log, metrics })(
+      server.#server,
+    )
     return server
   }
 
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -198,6 +198,12 @@
     help: 'Connections closed at once because there were too many',
     registers: [this.registry],
   })
+  readonly socketErrors = new Counter({
+    name: 'wagtailway_socket_errors_total',
+    help: 'Errors of listening sockets, by socket and code of the system',
+    labelNames: ['socket', 'code'],
+    registers: [this.registry],
+  })
   readonly firstToken = new Histogram({
     name: 'wagtailway_first_token_seconds',
     help: 'Time to the first token of streamed answers',
--- a/packages/router/src/peers/__tests__/recordCopies.spec.ts
+++ b/packages/router/src/peers/__tests__/recordCopies.spec.ts
@@ -15,6 +15,7 @@
 import { PeerClaims, type ClaimTables } from '../peerClaims.js'
 import { PeerClients } from '../peerClients.js'
 import { PeerServer } from '../peerServer.js'
+import { listenOnce } from '../../http/listen.js'
 import { RecordCopies } from '../recordCopies.js'
 
 const record: BillingRecord = {
@@ -41,8 +42,7 @@
   const start = async (node: string, zone: string) => {
     const holder: { copies?: RecordCopies; claims?: PeerClaims } = {}
     const server = await PeerServer.create({
-      host: '127.0.0.1',
-      port: 0,
+      listen: (listening) => listenOnce(listening, { host: '127.0.0.1', port: 0 }),
       fallback: (_, res) => res.end(),
       service: {
         copyRecords: (req) => ({ accepted: holder.copies?.receive(req) ?? false }),
--- a/packages/router/src/peers/peerServer.ts
+++ b/packages/router/src/peers/peerServer.ts
@@ -4,19 +4,19 @@
 import type { ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from '@wagtailway/protocol'
+import type { Listen } from '../http/listen.js'
 
 /**
  * HTTP server of the peer service.
  *
  * @example
- * const server = await PeerServer.create({ host: '127.0.0.1', port: 0, service, fallback })
+ * const server = await PeerServer.create({ listen, service, fallback })
  */
 export class PeerServer {
   private constructor(private readonly server: Server) {}
 
   static async create(opts: {
-    host: string
-    port: number
+    listen: Listen
     service: Partial<ServiceImpl<typeof PeerService>>
     /** Handles requests that are not calls of the peer service. */
     fallback: RequestListener
@@ -29,10 +29,7 @@
       if (req.url?.startsWith(servicePath) === true) handler(req, res)
       else opts.fallback(req, res)
     })
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(opts.port, opts.host, resolve)
-    })
+    await opts.listen(server)
     return new PeerServer(server)
   }
 
--- a/packages/router/src/peers/peers.ts
+++ b/packages/router/src/peers/peers.ts
@@ -10,6 +10,7 @@
   ObjectStore,
 } from '@wagtailway/core'
 import type { Instance } from '@wagtailway/platform'
+import type { Listen } from '../http/listen.js'
 import { Exchanges } from './exchanges.js'
 import { PeerClaims, type ClaimKind, type ClaimTables } from './peerClaims.js'
 import { PeerClients } from './peerClients.js'
@@ -18,8 +19,7 @@
 
 export interface PeersOptions {
   readonly self: Omit<MemberIdentity, 'address'>
-  readonly host: string
-  readonly port: number
+  readonly listen: Listen
   /** Monotonic clock. */
   readonly clock: Clock
   /** Pause between two ticks of the exchanges, in milliseconds. */
@@ -64,8 +64,7 @@
     // The components need the server's address, so the server reaches them through this holder.
     const holder: { peers?: Peers } = {}
     const server = await PeerServer.create({
-      host: opts.host,
-      port: opts.port,
+      listen: opts.listen,
       fallback: opts.fallback,
       service: {
         exchange: (request) => holder.peers?.exchanges.exchange(request) ?? {},
--- a/packages/router/src/routerParts.ts
+++ b/packages/router/src/routerParts.ts
@@ -7,6 +7,7 @@
   QualityEstimates,
   RetryBudget,
   ServerPool,
+  flagOf,
   lagShedding,
   monotonicClock,
   seededRandom,
@@ -15,6 +16,7 @@
 import type { PlatformClient } from '@wagtailway/platform'
 import { BackendClient } from './backend/backendClient.js'
 import { BackendTable } from './backend/backendTable.js'
+import { listenWithRetry } from './http/listen.js'
 import { createLog } from './log.js'
 import { LoopLag } from './loopLag.js'
 import { RouterMetrics } from './metrics.js'
@@ -64,8 +66,14 @@
   const peers = await Peers.create({
     fallback: operators.handle,
     self: { node: cfg.node, incarnation, zone: cfg.zone, region: cfg.region },
-    host: cfg.host,
-    port: cfg.peerPort,
+    listen: listenWithRetry({
+      socket: 'peers',
+      host: cfg.host,
+      port: cfg.peerPort,
+      setting: `--${flagOf('peerPort')}`,
+      log,
+      metrics,
+    }),
     clock: monotonicClock,
     intervalMs: cfg.heartbeatMs,
     createNode: (self) => createExchangeNode(cfg, self, random),
