--- a/packages/scenario/src/soak/soakProcessFaults.ts
+++ b/packages/scenario/src/soak/soakProcessFaults.ts
@@ -187,12 +187,13 @@
     return undefined
   }),
   gatewayFault('standard output read slowly, then closed', 6_500, (_, { stdout }) => {
+    if (stdout.isPaused()) return undefined
     const pause = (): void => {
       stdout.pause()
     }
     pause()
     const timer = setInterval(() => {
-      stdout.once('data', pause).resume()
+      stdout.off('data', pause).once('data', pause).resume()
     }, SLOW_READ_MS)
     return () => {
       clearInterval(timer)
