--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -122,7 +122,8 @@
     tracked.attempt.cancel()
   }
   const timer = startTimer(timeoutMs, () => {
-    isCharged = canRetry && ctx.retries.tryAcquire('silent')
+    const hasOther = ctx.placement.preview(tracked.logEntry.model, server) !== undefined
+    isCharged = canRetry && hasOther && ctx.retries.tryAcquire('silent')
     if (isCharged || ctx.timeToDeadlineMs <= 0) abandon()
     else timer.restart(timeToNextAskMs(ctx, canRetry))
   })
@@ -263,6 +264,8 @@
   if (result === 'broken') await recorder.recordLostConnection(tracked)
   else tracked.inFlight.discard()
   if (result === 'endless') recorder.recordUnreachable(server)
+  if (result === 'reader_stalled')
+    ctx.opts.node.opts.metrics.stalledTransfers.inc({ kind: 'answer' })
   const isServerFault = result === 'broken' || result === 'endless'
   const reason = isServerFault ? 'server_failed' : result
   return { outcome: 'broken_off', status, reason }
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -12,6 +12,7 @@
   type PlainRequest,
   type PlainResponse,
 } from '../http/plainServer.js'
+import type { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -33,6 +34,9 @@
  */
 const READINESS_GRACE_MS = 2_600
 
+/** Maximum share of the grace period for that, so that requests in progress have the rest. */
+const MAX_READINESS_SHARE = 0.65
+
 /** Share of the grace period in which requests in progress must complete. */
 const GRACE_RATIO = 0.95
 
@@ -96,7 +100,9 @@
   parts.stopDiscovery?.()
   void store.unregister(settings.name)
   // An instance that never was ready has not been sent requests by the balancer.
-  const readinessGraceMs = hasStarted ? READINESS_GRACE_MS : 0
+  const readinessGraceMs = hasStarted
+    ? Math.min(READINESS_GRACE_MS, settings.graceMs * MAX_READINESS_SHARE)
+    : 0
   await new Promise((resolve) => setTimeout(resolve, readinessGraceMs))
   const drainMs = settings.graceMs * GRACE_RATIO - readinessGraceMs
   node.stopsAtMs = node.opts.clock() + drainMs
@@ -173,7 +179,13 @@
     logServeFailed,
   )
   parts.closables.push(readinessServer)
-  const metricsServer = await serveMetrics(metrics, settings, feeds, logServeFailed)
+  const metricsServer = await serveMetrics(
+    metrics,
+    node.memory,
+    settings,
+    feeds,
+    logServeFailed,
+  )
   parts.closables.push(metricsServer)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
   parts.stopDiscovery = discoverInstances({
@@ -297,7 +309,8 @@
 }
 
 async function serveMetrics<T>(
-  { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
+  { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
+  memory: MemoryBudget,
   settings: GatewaySettings,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
@@ -309,6 +322,9 @@
       storeEra.set({ kind }, era)
       feedAgeSeconds.set({ kind }, ageMs / 1_000)
     }
+    for (const [part, bytes] of Object.entries(memory.describe()))
+      memoryBytes.set({ part }, bytes)
+    memoryBytes.set({ part: 'resident' }, process.memoryUsage.rss())
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
