--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -51,7 +51,7 @@
   readonly linkMbps: number
   readonly feeds: readonly FeedState<unknown>[]
   /** Called when a request of another instance could not be answered. */
-  readonly onServeFailed: (err: unknown, req: PlainRequest) => void
+  readonly onServeFailed: (err: unknown, req?: PlainRequest) => void
 }
 
 /**
--- a/packages/gateway/src/http/__tests__/plainServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/plainServer.spec.ts
@@ -20,7 +20,7 @@
   server = await PlainServer.create(
     { host: HOST, port: 0 },
     ({ path }) => RESPONSES[path]?.() ?? { status: 404, body: '' },
-    (err, { path }) => errors.push(`${path}: ${String(err)}`),
+    (err, req) => errors.push(`${req?.path}: ${String(err)}`),
   )
 })
 
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -12,6 +12,7 @@
 import type { GatewayNode } from '../gatewayNode.js'
 import type { CallerLimits } from '../model/config.js'
 import { CallerConnections } from './callerConnections.js'
+import { listen } from './listen.js'
 
 /**
  * Maximum size of the headers that the parser accepts, in bytes; the configured limit is
@@ -87,9 +88,8 @@
 
   static async create(node: GatewayNode, address: ListenAddress): Promise<CallerServer> {
     const server = new CallerServer(node)
-    await new Promise<void>((resolve, reject) => {
-      server.#server.once('error', reject)
-      server.#server.listen({ ...address, backlog: LISTEN_BACKLOG }, resolve)
+    await listen(server.#server, { ...address, backlog: LISTEN_BACKLOG }, (err) => {
+      node.opts.log('accept_failed', { err: String(err) })
     })
     return server
   }
--- a/packages/gateway/src/http/plainServer.ts
+++ b/packages/gateway/src/http/plainServer.ts
@@ -9,6 +9,7 @@
   type ServerResponse,
 } from 'node:http'
 import type { ListenAddress } from './callerServer.js'
+import { listen } from './listen.js'
 
 export interface PlainRequest {
   /** Path with the query. */
@@ -35,10 +36,11 @@
 export class PlainServer {
   private constructor(private readonly server: Server) {}
 
+  /** @param onError Called without a request if a connection can't be accepted. */
   static async create(
     address: ListenAddress,
     respond: (req: PlainRequest) => Promise<PlainResponse> | PlainResponse,
-    onError: (err: unknown, req: PlainRequest) => void,
+    onError: (err: unknown, req?: PlainRequest) => void,
   ): Promise<PlainServer> {
     const server = createServer((incoming, res) => {
       incoming.resume()
@@ -54,10 +56,7 @@
       })
     })
     server.keepAliveTimeout = 30_000
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(address, resolve)
-    })
+    await listen(server, address, onError)
     return new PlainServer(server)
   }
 
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { ListenAddress } from '../http/callerServer.js'
+import { listen } from '../http/listen.js'
 import { ResetDetector } from '../http/resetDetector.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { DirectResult, PendingConnection } from './dial.js'
@@ -52,7 +53,7 @@
   /** Another server that shows, if it can be reached, that paths from here work. */
   readonly otherServer: (server: BackendServer) => BackendServer | undefined
   readonly onRequest: (request: RelayRequest) => void
-  /** Called when a request of a host could not be handled. */
+  /** Called when a request of a host could not be handled, or a connection not accepted. */
   readonly onError: (err: unknown, host: string) => void
   /** Called with the number of relayed connections when it changes. */
   readonly onOpenCount: (count: number) => void
@@ -88,9 +89,8 @@
 
   static async create(opts: RelayServerOptions): Promise<RelayServer> {
     const relayServer = new RelayServer(opts)
-    await new Promise<void>((resolve, reject) => {
-      relayServer.#server.once('error', reject)
-      relayServer.#server.listen(opts.address, resolve)
+    await listen(relayServer.#server, opts.address, (err) => {
+      opts.onError(err, '')
     })
     return relayServer
   }
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -114,7 +114,8 @@
     node.hasInitialLists ||= Object.values(feeds).every(({ hasList }) => hasList)
     setLimits()
   })
-  const logServeFailed = (err: unknown, { path, host }: PlainRequest): void => {
+  const logServeFailed = (err: unknown, req?: PlainRequest): void => {
+    const { path, host } = req ?? {}
     log('request_failed_inside', { path, host, err: String(err) })
   }
   const exchange = await FeedExchange.create({
@@ -283,7 +284,7 @@
   { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
   settings: GatewaySettings,
   feeds: Feeds<T>,
-  onError: (err: unknown, req: PlainRequest) => void,
+  onError: (err: unknown, req?: PlainRequest) => void,
 ): Promise<PlainServer> {
   const respond = async ({ path }: PlainRequest): Promise<PlainResponse> => {
     if (path !== METRICS_PATH) return { status: 404, body: 'not found' }
