--- a/packages/gateway/src/forward/relayUnbuffered.ts
+++ b/packages/gateway/src/forward/relayUnbuffered.ts
@@ -47,6 +47,9 @@
     let isWaitingForReader = false
     let byteCount = 0
     let checkedByteCount = 0
+    const endMark = tracked.attempt.endMarkOf(res)
+    /** Last bytes, which may be the mark. */
+    let tail: Buffer = Buffer.alloc(0)
     const finish = (result: UnbufferedResult): void => {
       if (isFinished) return
       isFinished = true
@@ -77,6 +80,13 @@
         res.resume()
       })
     }
+    const writeAllButTail = (chunk: Buffer): void => {
+      const bytes = Buffer.concat([tail, chunk])
+      const byteLength = Math.max(0, bytes.length - (endMark?.length ?? 0))
+      tail = bytes.subarray(byteLength)
+      if (byteLength > 0) write(bytes.subarray(0, byteLength))
+    }
+    const relayChunk = endMark === undefined ? write : writeAllButTail
     hold.watch({
       progress: () => (isWaitingForReader ? byteCount : undefined),
       end: () => {
@@ -90,11 +100,12 @@
       if (isFinished) return
       if (!allowance.tryTake(chunk.length) || byteCount + chunk.length > maxBytes)
         finish('endless')
-      else write(chunk)
+      else relayChunk(chunk)
     })
     res.on('end', () => {
       if (isFinished) return
-      if (!tracked.attempt.isComplete(res, undefined)) {
+      const mark = tail.toString('latin1') === endMark ? endMark : undefined
+      if (!tracked.attempt.isComplete(res, mark)) {
         finish('broken')
         return
       }
@@ -109,7 +120,7 @@
       ...dialect.callerResponseHeaders(res.rawHeaders),
       ...(length === undefined ? [] : ['Content-Length', length]),
     ])
-    for (const block of blocks) write(block)
+    for (const block of blocks) relayChunk(block)
     if (!isWaitingForReader) res.resume()
   })
 }
--- a/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
@@ -6,8 +6,12 @@
   type Server,
   type Socket,
 } from 'node:net'
+import { PassThrough } from 'node:stream'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { Attempt, readFullBody, type AttemptResponse } from '../../forward/attempt.js'
+import { relayUnbuffered } from '../../forward/relayUnbuffered.js'
+import type { RequestContext } from '../../forward/requestContext.js'
+import type { TrackedAttempt } from '../../forward/startAttempt.js'
 import { MemoryShare } from '../../memory/memoryShare.js'
 import { ServerConnections } from '../../forward/serverConnections.js'
 import type { BackendServer } from '../../model/backendServer.js'
@@ -63,9 +67,9 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
-/** Sends a request through the relay; resolves to its body, or to how that failed. */
-async function call(): Promise<string> {
-  const attempt = Attempt.start({
+/** Sends a request through the relay. */
+function start(): Attempt {
+  return Attempt.start({
     host: HOST,
     port: portOf(backend),
     agent: connections.agentFor(target(), false),
@@ -76,6 +80,11 @@
     requestId: 'r1',
     readResponseMetadata: () => METADATA,
   })
+}
+
+/** Sends a request through the relay; resolves to its body, or to how that failed. */
+async function call(): Promise<string> {
+  const attempt = start()
   const head = await attempt.head
   assert.equal(head.type, 'answered')
   const budget = MemoryShare.create(20_000_000, () => 0).open(HOLDER)
@@ -86,6 +95,39 @@
     : result.type
 }
 
+/**
+ * Sends a request through the relay and relays its answer unbuffered; resolves to what the
+ * caller gets of it, and to how it ended.
+ */
+async function callUnbuffered(): Promise<{ received: string; result: string }> {
+  const attempt = start()
+  const head = (await attempt.head) as AttemptResponse
+  head.res.pause()
+  const res = new PassThrough()
+  let received = ''
+  res.on('data', (chunk: Buffer) => (received += chunk.toString('latin1')))
+  const ctx = {
+    timeToDeadlineMs: 5_000,
+    opts: {
+      caller: { res, writeHead: () => undefined, onDisconnect: () => undefined },
+      node: {
+        opts: {
+          clock: () => performance.now(),
+          dialect: { callerResponseHeaders: () => [] },
+        },
+      },
+    },
+  } as unknown as RequestContext
+  const result = await relayUnbuffered(ctx, { attempt } as unknown as TrackedAttempt, {
+    head,
+    blocks: [],
+    hold: MemoryShare.create(20_000_000, () => 0).open(HOLDER),
+    maxBytes: 16_777_216,
+  })
+  await sleep(PART_MS)
+  return { received, result }
+}
+
 beforeEach(async () => {
   backend = createServer((socket) => {
     socket.on('error', () => undefined)
@@ -148,6 +190,21 @@
     assert.ok((await call()) === large)
   })
 
+  it('is whole without its mark if there is no memory for it', async () => {
+    respond = (socket) => socket.end(HEAD + BODY)
+    assert.deepEqual(await callUnbuffered(), { received: BODY, result: 'complete' })
+    const large = BODY.repeat(50_000)
+    respond = (socket) => socket.end(HEAD + large)
+    const { received, result } = await callUnbuffered()
+    assert.equal(result, 'complete')
+    assert.ok(received === large)
+    respond = (socket) => {
+      socket.write(HEAD + BODY)
+      setTimeout(() => socket.resetAndDestroy(), PART_MS)
+    }
+    assert.equal((await callUnbuffered()).result, 'broken')
+  })
+
   it('is whole without a body', async () => {
     respond = (socket) => socket.end('HTTP/1.1 204 No Content\r\n\r\n')
     assert.equal(await call(), '')
