--- a/packages/wagtailway/src/process/__tests__/processLife.spec.ts
+++ b/packages/wagtailway/src/process/__tests__/processLife.spec.ts
@@ -47,6 +47,15 @@
 }
 
 describe('ProcessLife', () => {
+  it('drains after a value that has no text is thrown', (t) => {
+    const { emitter, lines, observe } = createLife(t)
+    observe()
+    assert.doesNotThrow(() => {
+      emitter.emit('uncaughtException', Object.create(null), 'uncaughtException')
+    })
+    assert.equal(lines[0]?.event, 'unforeseen_error')
+  })
+
   it('ends with 0 once the program has stopped, and names the first signal', async (t) => {
     const { life, emitter, lines, statuses, observe } = createLife(t)
     observe()
--- a/packages/wagtailway/src/process/processLife.ts
+++ b/packages/wagtailway/src/process/processLife.ts
@@ -170,7 +170,7 @@
   #handleUnforeseen(kind: UnforeseenKind, err: unknown): void {
     const isFirst = !this.#hasUnforeseen
     this.#hasUnforeseen = true
-    this.#log('unforeseen_error', { kind, err: String(err), stack: stackOf(err) })
+    this.#log('unforeseen_error', { kind, err: thrownText(err), stack: stackOf(err) })
     this.#observer.onUnforeseen?.(kind)
     if (this.#isStorm()) void this.#end('unforeseen_error')
     else if (isFirst) {
@@ -224,6 +224,15 @@
   return err instanceof Error ? err.message : String(err)
 }
 
+/** Text of anything that was thrown, also of an object that has none. */
+function thrownText(err: unknown): string {
+  try {
+    return String(err)
+  } catch {
+    return typeof err
+  }
+}
+
 function stackOf(err: unknown): string | undefined {
   return err instanceof Error ? err.stack : undefined
 }
