--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -11,7 +11,7 @@
 import { handleRequest } from '../forward/handleRequest.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import type { CallerLimits } from '../model/config.js'
-import type { Listen } from '../sockets/sockets.js'
+import { LISTEN_BACKLOG, type Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
 
 /**
@@ -44,6 +44,7 @@
 export class CallerServer {
   readonly #server: Server
   readonly #connections = CallerConnections.create()
+  #acceptedCount = 0
   /** Response to the latest request of each connection. */
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>()
   #maxHeaderBytes = MAX_PARSED_HEADER_BYTES
@@ -66,6 +67,7 @@
     )
     this.#server.maxHeadersCount = 0
     this.#server.on('connection', (socket) => {
+      this.#acceptedCount += 1
       this.#connections.add(socket)
     })
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
@@ -96,9 +98,13 @@
 
   /**
    * Stops accepting connections, closes those on which nothing is owed and waits for the
-   * others; after `graceMs` milliseconds closes all remaining connections.
+   * others; after `graceMs` milliseconds closes all remaining connections. What has come
+   * before, while the process was busy, is accepted and read first.
    */
   async drain(graceMs: number): Promise<void> {
+    const { clock } = this.node.opts
+    const closesAtMs = clock() + graceMs
+    await this.#acceptWaiting()
     const closed = new Promise<void>((resolve) => {
       // The method of HTTP servers also cuts answers that are not yet written.
       NetServer.prototype.close.call(this.#server, () => {
@@ -106,21 +112,39 @@
       })
     })
     this.#connections.closeUnowed()
+    // Timers that are due run before what has come is read; `setImmediate` runs after it.
     const sweepTimer = setInterval(() => {
-      this.#connections.closeUnowed()
+      setImmediate(() => {
+        this.#connections.closeUnowed()
+      })
     }, SWEEP_INTERVAL_MS)
     const forceTimer = setTimeout(() => {
-      const { owedCount, unwrittenBytes } = this.#connections
-      if (owedCount > 0)
-        this.node.opts.log('answers_cut', { owedCount, unwrittenBytes, afterMs: graceMs })
-      this.#connections.closeAll()
-    }, graceMs)
+      setImmediate(() => {
+        this.#closeAll(graceMs)
+      })
+    }, closesAtMs - clock())
     await closed
     clearInterval(sweepTimer)
     clearTimeout(forceTimer)
     this.#server.close()
   }
 
+  /** Accepts the connections that wait; the event loop accepts as few as one in a turn. */
+  async #acceptWaiting(): Promise<void> {
+    for (let turn = 0; turn < LISTEN_BACKLOG; turn += 1) {
+      const countBefore = this.#acceptedCount
+      await new Promise((resolve) => setImmediate(resolve))
+      if (this.#acceptedCount === countBefore) return
+    }
+  }
+
+  #closeAll(afterMs: number): void {
+    const { owedCount, unwrittenBytes } = this.#connections
+    if (owedCount > 0)
+      this.node.opts.log('answers_cut', { owedCount, unwrittenBytes, afterMs })
+    this.#connections.closeAll()
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { node } = this
     this.#lastResponses.set(req.socket, res)
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -42,6 +42,12 @@
       labelNames: ['result'],
       registers,
     }),
+    droppedLogLines: new Counter({
+      name: 'wagtailway_gateway_log_lines_dropped_total',
+      help: 'Log lines that were not written, by reason: rate or output',
+      labelNames: ['reason'],
+      registers,
+    }),
     serverConnections: new Counter({
       name: 'wagtailway_gateway_server_connections_total',
       help: 'New connections to backend servers, by path: direct, relayed or none',
@@ -70,6 +76,17 @@
       help: 'Connections of other instances that this one relays now',
       registers,
     }),
+    loopDelaySeconds: new Gauge({
+      name: 'wagtailway_gateway_loop_delay_seconds',
+      help: 'How late the event loop runs its timers, moving average',
+      registers,
+    }),
+    unforeseenErrors: new Counter({
+      name: 'wagtailway_gateway_unforeseen_errors_total',
+      help: 'Errors that no code handles, by how they came up; the process drains after one',
+      labelNames: ['kind'],
+      registers,
+    }),
     responseSeconds: new Histogram({
       name: 'wagtailway_gateway_answer_seconds',
       help: 'Time from a request to its whole answer',
@@ -87,6 +104,18 @@
       help: 'Requests of callers in progress',
       registers,
     }),
+    memoryBytes: new Gauge({
+      name: 'wagtailway_gateway_memory_bytes',
+      help: 'Memory by part: the limit, what is resident, and the size of each share and what is held of it',
+      labelNames: ['part'],
+      registers,
+    }),
+    stalledTransfers: new Counter({
+      name: 'wagtailway_gateway_stalled_transfers_total',
+      help: 'Transfers that were ended because they stood still while memory was short, by kind',
+      labelNames: ['kind'],
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'wagtailway_gateway_store_calls_total',
       help: "Calls to the platform's store by how they ended",
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -12,6 +12,7 @@
   type PlainRequest,
   type PlainResponse,
 } from '../http/plainServer.js'
+import type { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -34,6 +35,9 @@
  */
 const READINESS_GRACE_MS = 2_600
 
+/** Maximum share of the grace period for that, so that requests in progress have the rest. */
+const MAX_READINESS_SHARE = 0.65
+
 /** Share of the grace period in which requests in progress must complete. */
 const GRACE_RATIO = 0.95
 
@@ -56,17 +60,82 @@
   readonly shutdownRequested: Promise<void>
 }
 
+interface Closable {
+  close(): void
+}
+
+/** What has been started so far. */
+interface StartedParts {
+  callerServer?: CallerServer
+  relayed?: Awaited<ReturnType<typeof relayConnections>>
+  stopDiscovery?: () => void
+  /** Asks the other instances to send nothing more here. */
+  announce?: () => void
+  /** In the order in which they were started. */
+  readonly closables: Closable[]
+}
+
 /**
  * Runs an entry instance; resolves once it has shut down. Rejects if a socket that it needs
- * stays taken: that of the callers, the readiness checks, the feeds or the reports.
+ * stays taken: that of the callers, the readiness checks, the feeds or the reports. A request
+ * to shut down ends a start that is not complete.
  *
  * @example
  * await runGateway({ settings, cascade: {}, dialect, store, log, metrics, shutdownRequested })
  */
 export async function runGateway<T>(opts: GatewayOptions<T>): Promise<void> {
-  const { settings, store, log, metrics } = opts
+  const { settings, store, log } = opts
   log('start', { zone: settings.zone, callers: settings.callerAddress })
   const node = createNode(opts)
+  const parts: StartedParts = { closables: [] }
+  const shutdown = { isRequested: false }
+  const shutdownRequested = opts.shutdownRequested.then(() => {
+    shutdown.isRequested = true
+    return false
+  })
+  const started = startParts(opts, node, parts).then(
+    () => true,
+    (err: unknown) => {
+      if (!shutdown.isRequested) throw err
+      return false
+    },
+  )
+  const hasStarted = await Promise.race([started, shutdownRequested])
+  await shutdownRequested
+  node.isDraining = true
+  parts.announce?.()
+  log('leaving', { inProgress: node.requestsInProgress, hasStarted })
+  parts.stopDiscovery?.()
+  void store.unregister(settings.name)
+  // An instance that never was ready has not been sent requests by the balancer.
+  const readinessGraceMs = hasStarted
+    ? Math.min(READINESS_GRACE_MS, settings.graceMs * MAX_READINESS_SHARE)
+    : 0
+  await new Promise((resolve) => setTimeout(resolve, readinessGraceMs))
+  const drainMs = settings.graceMs * GRACE_RATIO - readinessGraceMs
+  node.stopsAtMs = node.opts.clock() + drainMs
+  await stopParts(parts, drainMs)
+  // What a start opens that was not complete is closed once it is.
+  if (!hasStarted) void started.then(() => stopParts(parts, 0))
+  store.close()
+  node.opts.connections.close()
+  node.opts.dialer.close()
+  log('stop', { inProgress: node.requestsInProgress })
+}
+
+/** Waits for the requests in progress and closes what has been started so far. */
+async function stopParts(parts: StartedParts, drainMs: number): Promise<void> {
+  parts.stopDiscovery?.()
+  await Promise.all([parts.callerServer?.drain(drainMs), parts.relayed?.drain(drainMs)])
+  for (const closable of parts.closables.splice(0).toReversed()) closable.close()
+}
+
+async function startParts<T>(
+  opts: GatewayOptions<T>,
+  node: GatewayNode,
+  parts: StartedParts,
+): Promise<void> {
+  const { settings, store, log, metrics } = opts
   const sockets = Sockets.create({
     settingOf: settings.socketSettings,
     maxWaitMs: settings.graceMs + SOCKET_MARGIN_MS,
@@ -80,6 +149,7 @@
     node,
     sockets.required('callers', settings.callerAddress),
   )
+  parts.callerServer = callerServer
   const setLimits = (): void => {
     if (node.activeConfig) callerServer.setLimits(node.activeConfig.cfg.limits)
   }
@@ -109,6 +179,7 @@
       log('feed_pull_failed', { ...failed })
     },
   })
+  parts.closables.push(exchange)
   const rolloutController = createRolloutController(node, store)
   const peerAddress = { host: settings.host, port: settings.peerPort }
   const peerLink = await linkPeers(
@@ -118,24 +189,35 @@
     exchange,
     sockets.required('reports', peerAddress),
   )
+  parts.closables.push(peerLink)
+  parts.announce = () => {
+    peerLink.send()
+  }
   const relayed = await relayConnections(node, sockets.late('relays', peerAddress))
+  parts.relayed = relayed
+  parts.closables.push(relayed)
   const followers = followFeeds(opts, node, feeds, exchange, () => {
     peerLink.send()
   })
+  parts.closables.push(...followers)
   const readinessServer = await PlainServer.create(
     sockets.required('readiness', settings.readinessAddress),
     () =>
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
   )
+  parts.closables.push(readinessServer)
   const metricsServer = await serveMetrics(
     metrics,
+    node.memory,
     sockets.late('metrics', settings.metricsAddress),
     feeds,
     logServeFailed,
   )
+  parts.closables.push(metricsServer)
   const self = { name: settings.name, host: settings.host, port: settings.peerPort }
-  const stopDiscovery = discoverInstances({
+  parts.stopDiscovery = discoverInstances({
+    log,
     self,
     store,
     peers: node.opts.peers,
@@ -149,32 +231,7 @@
     rank: () => node.opts.peers.rank(),
   })
   const stopChecks = startRegularChecks(node, rolloutController)
-
-  await opts.shutdownRequested
-  node.isDraining = true
-  peerLink.send()
-  log('leaving', { inProgress: node.requestsInProgress })
-  stopDiscovery()
-  void store.unregister(settings.name)
-  await new Promise((resolve) => setTimeout(resolve, READINESS_GRACE_MS))
-  const drainMs = settings.graceMs * GRACE_RATIO - READINESS_GRACE_MS
-  node.stopsAtMs = node.opts.clock() + drainMs
-  await Promise.all([callerServer.drain(drainMs), relayed.drain(drainMs)])
-  stopChecks()
-  for (const follower of followers) follower.close()
-  for (const closable of [
-    peerLink,
-    relayed,
-    exchange,
-    quarantineStore,
-    readinessServer,
-    metricsServer,
-    store,
-  ])
-    closable.close()
-  node.opts.connections.close()
-  node.opts.dialer.close()
-  log('stop', { inProgress: node.requestsInProgress })
+  parts.closables.push(quarantineStore, { close: stopChecks })
 }
 
 function isReady(node: GatewayNode): boolean {
@@ -269,6 +326,7 @@
     opts.prefillSpeeds.retainPeers(aliveNames)
     opts.quarantine.refresh(aliveNames)
     opts.limiter.refresh()
+    opts.memory.endStalled()
     rolloutController.advance().catch((err: unknown) => {
       opts.log('rollout_look_failed', { err: String(err) })
     })
@@ -279,7 +337,8 @@
 }
 
 async function serveMetrics<T>(
-  { registry, feedAgeSeconds, storeEra }: GatewayMetrics,
+  { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
+  memory: MemoryBudget,
   listen: Listen,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
@@ -291,6 +350,9 @@
       storeEra.set({ kind }, era)
       feedAgeSeconds.set({ kind }, ageMs / 1_000)
     }
+    for (const [part, bytes] of Object.entries(memory.describe()))
+      memoryBytes.set({ part }, bytes)
+    memoryBytes.set({ part: 'resident' }, process.memoryUsage.rss())
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
--- a/packages/router/src/__tests__/takenSocket.spec.ts
+++ b/packages/router/src/__tests__/takenSocket.spec.ts
@@ -67,7 +67,7 @@
       host: HOST,
       port,
       setting: '--peer-port',
-      log: createLog('n1'),
+      log: createLog('n1').log,
       metrics: RouterMetrics.create(),
       maxWaitMs: 100,
     })
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -76,6 +76,7 @@
       metricsAddress: { host: LOCALHOST, port: metrics ?? 0 },
       socketSettings: SOCKET_SETTINGS,
       linkMbps: 1_000,
+      memoryBytes: 350 * 1_048_576,
       graceMs,
       maxPropagationMs: 2_000,
       bounds: {
