--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -11,7 +11,7 @@
 import { handleRequest } from '../forward/handleRequest.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import type { CallerLimits } from '../model/config.js'
-import { BACKLOG, type Listen } from '../sockets/sockets.js'
+import { LISTEN_BACKLOG, type Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
 
 /**
@@ -131,7 +131,7 @@
 
   /** Accepts the connections that wait; the event loop accepts as few as one in a turn. */
   async #acceptWaiting(): Promise<void> {
-    for (let turn = 0; turn < BACKLOG; turn += 1) {
+    for (let turn = 0; turn < LISTEN_BACKLOG; turn += 1) {
       const countBefore = this.#acceptedCount
       await new Promise((resolve) => setImmediate(resolve))
       if (this.#acceptedCount === countBefore) return
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -76,10 +76,9 @@
 }
 
 /**
- * Runs an entry instance; resolves once it has shut down. A request to shut down ends a start
- * that is not complete.
- * Rejects if a socket that it needs stays taken: that of the callers, the readiness checks,
- * the feeds or the reports.
+ * Runs an entry instance; resolves once it has shut down. Rejects if a socket that it needs
+ * stays taken: that of the callers, the readiness checks, the feeds or the reports. A request
+ * to shut down ends a start that is not complete.
  *
  * @example
  * await runGateway({ settings, cascade: {}, dialect, store, log, metrics, shutdownRequested })
--- a/packages/gateway/src/sockets/sockets.ts
+++ b/packages/gateway/src/sockets/sockets.ts
@@ -13,8 +13,8 @@
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
 
-/** Connections that may wait for being accepted. */
-export const BACKLOG = 1_024
+/** Connections that may wait to be accepted. */
+export const LISTEN_BACKLOG = 1_024
 
 /** Longest pause between two attempts while the start of the instance waits, in milliseconds. */
 const MAX_PAUSE_MS = 200
@@ -212,7 +212,7 @@
   socket: ListeningSocket,
   { host, port }: ListenAddress,
 ): Promise<void> {
-  if (socket instanceof NetServer) socket.listen({ host, port, backlog: BACKLOG })
+  if (socket instanceof NetServer) socket.listen({ host, port, backlog: LISTEN_BACKLOG })
   else socket.bind(port, host)
   // Rejects on `error`.
   await once(socket, 'listening')
