--- a/packages/scenario/src/soak/cli.ts
+++ b/packages/scenario/src/soak/cli.ts
@@ -3,7 +3,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { runSoak } from './runSoak.js'
-import { FAULT_NAMES } from './soakFaults.js'
+import { FAULT_NAMES, MEAN_FAULT_PAUSE_MS } from './soakFaults.js'
 
 /**
  * Runs consecutive seeds one after the other and prints the verdict and findings of each.
@@ -26,6 +26,11 @@
       default: 8,
       describe: 'Duration of the faults, in seconds',
     })
+    .option('pause', {
+      type: 'number',
+      default: MEAN_FAULT_PAUSE_MS,
+      describe: 'Mean pause between two faults, in milliseconds',
+    })
     .option('only', {
       type: 'string',
       array: true,
@@ -50,6 +55,7 @@
       seed,
       gateways: argv.gateways,
       faultsMs,
+      meanPauseMs: argv.pause,
       faults: argv.only,
       ...(argv.program !== undefined && { program: argv.program }),
     })
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -30,6 +30,12 @@
   readonly gateways: number
   /** Duration of the fault injection, in milliseconds. */
   readonly faultsMs: number
+  /**
+   * Mean pause between two faults, in milliseconds.
+   *
+   * @default MEAN_FAULT_PAUSE_MS
+   */
+  readonly meanPauseMs?: number
   /**
    * Names of the faults to inject.
    *
@@ -195,7 +201,8 @@
     )
     callers.push(sendBadRequests(gateways, badTrait, stop))
     callers.push(probeRevokedKeys(gateways, revokedKeys, keyProbes, stop))
-    const plan = planFaults(opts.seed, opts.faults ?? FAULT_NAMES, opts.faultsMs)
+    const { seed, faults: names = FAULT_NAMES, faultsMs, meanPauseMs } = opts
+    const plan = planFaults(seed, names, faultsMs, meanPauseMs)
     for (const { fault, pauseMs, random } of plan) {
       await sleep(pauseMs)
       const undo = fault.inject({ ...context, random })
--- a/packages/scenario/src/soak/soakFaults.ts
+++ b/packages/scenario/src/soak/soakFaults.ts
@@ -217,7 +217,7 @@
 }
 
 /** Mean pause between two faults, in milliseconds; short enough that faults overlap. */
-const MEAN_FAULT_PAUSE_MS = 450
+export const MEAN_FAULT_PAUSE_MS = 450
 
 /** Number of seeds that a fault can have. */
 const SEED_COUNT = 2 ** 31
@@ -233,12 +233,13 @@
   seed: number,
   names: readonly string[],
   faultsMs: number,
+  meanPauseMs = MEAN_FAULT_PAUSE_MS,
 ): PlannedFault[] {
   const random = seededRandom(seed)
   const eligible = FAULTS.filter(({ name }) => names.includes(name))
   const planned: PlannedFault[] = []
   for (let atMs = 0; atMs < faultsMs;) {
-    const pauseMs = MEAN_FAULT_PAUSE_MS * (0.3 + 1.4 * random())
+    const pauseMs = meanPauseMs * (0.3 + 1.4 * random())
     atMs += pauseMs
     const fault = selectRandom(random, eligible)
     const faultSeed = Math.floor(random() * SEED_COUNT)
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -75,7 +75,7 @@
  * Time from a start until a gateway must take requests, in milliseconds; it may have to
  * wait for a socket that another process holds.
  */
-const START_MS = 4_000
+const START_MS = 6_000
 
 /** Time until a process that had been frozen must answer in time again, in milliseconds. */
 const THAW_MS = 1_000
--- a/packages/scenario/src/soak/soakProcess.ts
+++ b/packages/scenario/src/soak/soakProcess.ts
@@ -61,7 +61,8 @@
   readonly started: Promise<void>
   readonly #child: ChildProcess
   readonly #errorLines: string[] = []
-  readonly #startMs = performance.now()
+  /** Time of the start, in milliseconds of `performance.now()`. */
+  readonly startMs = performance.now()
   /** Time of the first SIGTERM; moved by the time in which the process was frozen since. */
   #stopSentAtMs: number | undefined
   #frozenAtMs: number | undefined
@@ -165,7 +166,7 @@
     const isStop = this.#stopSentAtMs !== undefined
     if (isStop && code === 0) return
     if (!isStop) this.opts.onUnaskedEnd()
-    const lifeMs = Math.round(performance.now() - this.#startMs)
+    const lifeMs = Math.round(performance.now() - this.startMs)
     const cause = isStop ? 'at a stop' : 'that nobody asked for'
     setTimeout(() => {
       const lines = this.#errorLines.join(' | ')
--- a/packages/scenario/src/soak/soakProcessFaults.ts
+++ b/packages/scenario/src/soak/soakProcessFaults.ts
@@ -13,7 +13,11 @@
 /** Time for which a restart disturbs a gateway, in milliseconds. */
 const RESTART_MS = 5_000
 
-/** Longest time for which another process holds a socket, in milliseconds. */
+/**
+ * Time for which another process still holds a socket once the program has begun to run, in
+ * milliseconds; at least as long as a gateway takes to open its sockets.
+ */
+const MIN_HOLD_MS = 1_000
 const MAX_HOLD_MS = 1_500
 
 /** Period after a start in which signals come, in milliseconds. */
@@ -51,6 +55,17 @@
   return { name, ms, inject }
 }
 
+type Select = (
+  random: Random,
+  gateways: readonly SoakGateway[],
+) => SoakGateway | undefined
+
+/** Selects the gateway whose process runs for longest, so that starts aren't cut short. */
+const selectOldest: Select = (_, gateways) => {
+  const startMs = ({ process }: SoakGateway): number => process?.startMs ?? 0
+  return [...gateways].sort((a, b) => startMs(a) - startMs(b))[0]
+}
+
 /** A fault of one gateway that is running and wasn't asked to end. */
 function gatewayFault(
   name: string,
@@ -60,10 +75,11 @@
     process: SoakProcess,
     random: Random,
   ) => (() => void) | undefined,
+  select: Select = selectRandom,
 ): Fault {
   return fault(name, ms, ({ random, gateways }) => {
     const settled = gateways.filter(({ isSettled }) => isSettled)
-    const gateway = selectRandom(random, settled)
+    const gateway = select(random, settled)
     return gateway?.process && inject(gateway, gateway.process, random)
   })
 }
@@ -84,11 +100,16 @@
   disturbedMs: number,
   prepare: (gateway: SoakGateway, random: Random) => StartOptions,
 ): Fault {
-  return gatewayFault(name, 0, (gateway, _, random) => {
-    markDisturbed(gateway, RESTART_MS + disturbedMs)
-    gateway.restart('SIGKILL', DOWN_MS, prepare(gateway, random))
-    return undefined
-  })
+  return gatewayFault(
+    name,
+    0,
+    (gateway, _, random) => {
+      markDisturbed(gateway, RESTART_MS + disturbedMs)
+      gateway.restart('SIGKILL', DOWN_MS, prepare(gateway, random))
+      return undefined
+    },
+    selectOldest,
+  )
 }
 
 function startSignalsFault(
@@ -149,14 +170,14 @@
     `socket of ${name} taken at a start`,
     MAX_HOLD_MS,
     ({ opts: { host, ports } }, random) => {
-      const holdMs = MAX_HOLD_MS * random()
+      const holdMs = MIN_HOLD_MS + (MAX_HOLD_MS - MIN_HOLD_MS) * random()
       let free: (() => void) | undefined
       return {
         beforeStart: async () => {
           free = await hold(host, ports[port])
         },
-        afterStart: () => {
-          setTimeout(() => free?.(), holdMs)
+        afterStart: ({ started }) => {
+          void started.then(() => setTimeout(() => free?.(), holdMs))
         },
       }
     },
