--- a/packages/gateway/src/peers/__tests__/peerLink.spec.ts
+++ b/packages/gateway/src/peers/__tests__/peerLink.spec.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { monotonicClock } from '@wagtailway/core'
 import { encodePlaceDatagram } from '../../statements/placeMessage.js'
+import { listenAt } from '../../sockets/sockets.js'
 import { PeerLink, type PeerLinkOptions } from '../peerLink.js'
 import { PeerTable } from '../peerTable.js'
 
@@ -17,8 +18,7 @@
 
 async function createLink(changes: Partial<PeerLinkOptions>): Promise<PeerLink> {
   return PeerLink.create({
-    host: HOST,
-    port: 0,
+    listen: listenAt({ host: HOST, port: 0 }),
     peers: PeerTable.create({ name: 'n1', zone: 'z1', linkMbps: 100 }, monotonicClock),
     createReport: () => {
       throw new Error('no report is due')
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -18,6 +18,7 @@
 import type { GatewayMetrics } from '../observe/metrics.js'
 import { ROLLOUT_POLL_MS, RolloutController } from '../rollout/rolloutController.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
+import { Sockets, type Listen } from '../sockets/sockets.js'
 import { createNode } from './createNode.js'
 import { createFeeds, type Feeds } from './feeds.js'
 import { FeedFollower } from './feedFollower.js'
@@ -40,6 +41,12 @@
 /** Share of the grace period in which requests in progress must complete. */
 const GRACE_RATIO = 0.95
 
+/**
+ * Time for which the start waits for sockets beyond the grace period in which an earlier
+ * process on this machine holds them, in milliseconds.
+ */
+const SOCKET_MARGIN_MS = 2_000
+
 const METRICS_PATH = '/metrics'
 
 export interface GatewayOptions<T> {
@@ -71,6 +78,8 @@
 /**
  * Runs an entry instance; resolves once it has shut down. A request to shut down ends a start
  * that is not complete.
+ * Rejects if a socket that it needs stays taken: that of the callers, the readiness checks,
+ * the feeds or the reports.
  *
  * @example
  * await runGateway({ settings, cascade: {}, dialect, store, log, metrics, shutdownRequested })
@@ -128,7 +137,19 @@
   parts: StartedParts,
 ): Promise<void> {
   const { settings, store, log, metrics } = opts
-  const callerServer = await CallerServer.create(node, settings.callerAddress)
+  const sockets = Sockets.create({
+    settingOf: settings.socketSettings,
+    maxWaitMs: settings.graceMs + SOCKET_MARGIN_MS,
+    log,
+    metrics,
+  })
+  void opts.shutdownRequested.then(() => {
+    sockets.stopWaiting()
+  })
+  const callerServer = await CallerServer.create(
+    node,
+    sockets.required('callers', settings.callerAddress),
+  )
   parts.callerServer = callerServer
   const setLimits = (): void => {
     if (node.activeConfig) callerServer.setLimits(node.activeConfig.cfg.limits)
@@ -142,7 +163,8 @@
   }
   const exchange = await FeedExchange.create({
     onServeFailed: logServeFailed,
-    address: settings.feedAddress,
+    listen: sockets.required('feeds', settings.feedAddress),
+    port: settings.feedAddress.port,
     zone: settings.zone,
     linkMbps: settings.linkMbps,
     clock: monotonicClock,
@@ -160,12 +182,19 @@
   })
   parts.closables.push(exchange)
   const rolloutController = createRolloutController(node, store)
-  const peerLink = await linkPeers(node, settings, rolloutController, exchange)
+  const peerAddress = { host: settings.host, port: settings.peerPort }
+  const peerLink = await linkPeers(
+    node,
+    settings,
+    rolloutController,
+    exchange,
+    sockets.required('reports', peerAddress),
+  )
   parts.closables.push(peerLink)
   parts.announce = () => {
     peerLink.send()
   }
-  const relayed = await relayConnections(node, settings)
+  const relayed = await relayConnections(node, sockets.late('relays', peerAddress))
   parts.relayed = relayed
   parts.closables.push(relayed)
   const followers = followFeeds(opts, node, feeds, exchange, () => {
@@ -173,7 +202,7 @@
   })
   parts.closables.push(...followers)
   const readinessServer = await PlainServer.create(
-    settings.readinessAddress,
+    sockets.required('readiness', settings.readinessAddress),
     () =>
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
@@ -182,7 +211,7 @@
   const metricsServer = await serveMetrics(
     metrics,
     node.memory,
-    settings,
+    sockets.late('metrics', settings.metricsAddress),
     feeds,
     logServeFailed,
   )
@@ -311,7 +340,7 @@
 async function serveMetrics<T>(
   { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
   memory: MemoryBudget,
-  settings: GatewaySettings,
+  listen: Listen,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
 ): Promise<PlainServer> {
@@ -328,5 +357,5 @@
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
-  return PlainServer.create(settings.metricsAddress, respond, onError)
+  return PlainServer.create(listen, respond, onError)
 }
