--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -17,6 +17,8 @@
   readonly #owed = new Map<Socket, Set<ServerResponse>>()
   /** Connections on which no request has come yet. */
   readonly #unused = new Set<Socket>()
+  /** Connections that close once what is owed on them is written. */
+  readonly #ending = new WeakSet<Socket>()
 
   static create(): CallerConnections {
     return new CallerConnections()
@@ -54,9 +56,24 @@
     this.#unused.delete(socket)
     const answers = this.#owed.get(socket)
     if (!answers || !socket.writable) return false
+    if (this.#ending.has(socket)) return false
     if ([...answers].some(({ shouldKeepAlive }) => !shouldKeepAlive)) return false
     answers.add(res)
-    res.once('close', () => answers.delete(res))
+    res.once('close', () => {
+      answers.delete(res)
+      if (answers.size === 0 && this.#ending.has(socket)) socket.end()
+    })
+    return true
+  }
+
+  /**
+   * Reads nothing more from a connection and closes it once what is owed on it is written.
+   * Returns false if nothing is owed.
+   */
+  endOnceAnswered(socket: Socket): boolean {
+    if ((this.#owed.get(socket)?.size ?? 0) === 0) return false
+    this.#ending.add(socket)
+    socket.pause()
     return true
   }
 
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -5,7 +5,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http'
-import { Server as NetServer } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { Caller } from '../forward/caller.js'
 import { handleRequest } from '../forward/handleRequest.js'
@@ -71,7 +71,7 @@
       this.#connections.add(socket)
     })
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      this.#handleClientError(err, socket)
+      this.#handleClientError(err, socket as Socket)
     })
     this.#server.on('connect', (_req, socket: Duplex) => {
       socket.destroy()
@@ -177,14 +177,21 @@
   }
 
   /**
-   * Answers input that is not a valid HTTP request, unless another response may still
-   * be in progress on the connection; then only closes it.
+   * Answers input that is not a valid HTTP request, unless responses are owed on the
+   * connection: then only closes it, after those to requests that are whole.
    */
-  #handleClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
+  #handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
     const response = this.#lastResponses.get(socket)
     const isBetweenResponses = !response || response.writableFinished
     this.node.opts.metrics.refusals.inc({ reason: err.code ?? 'bad_input' })
-    if (!socket.writable || !isBetweenResponses || err.code === 'ECONNRESET') {
+    if (!socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    // What is wrong came behind requests that are whole: they are answered.
+    if (response?.req.complete === true && this.#connections.endOnceAnswered(socket))
+      return
+    if (!isBetweenResponses) {
       socket.destroy()
       return
     }
