--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -1,7 +1,7 @@
 /** Handles one caller request from its arrival to its response. */
 import type { GatewayNode, ActiveConfig } from '../gatewayNode.js'
 import { findInvalidRequestHead } from '../http/validateHead.js'
-import type { MemoryHold } from '../memory/memoryShare.js'
+import type { MemoryHold, MemoryShare } from '../memory/memoryShare.js'
 import type { Route, Workspace } from '../model/config.js'
 import { NO_SERVER_RETRY_AFTER_MS, type Caller, type RefusalReason } from './caller.js'
 import { forwardStream } from './forwardStream.js'
@@ -21,6 +21,13 @@
  */
 const OTHER_INSTANCE_RETRY_AFTER_MS = 20
 
+/**
+ * Size of bodies, in bytes, that are not watched for standing still while no more than a
+ * share of the memory is held.
+ */
+const SMALL_BODY_BYTES = 16_384
+const UNWATCHED_RATIO = 0.25
+
 /** Time between a request's deadline and the stop in which it is told, in milliseconds. */
 const STOP_MARGIN_MS = 100
 
@@ -75,18 +82,20 @@
 ): Promise<readonly Buffer[] | undefined> {
   const { bodies } = node.memory
   let hasStalled = false
-  hold.watch({
-    progress: () => caller.req.socket.bytesRead,
-    end: (stalledMs) => {
-      hasStalled = true
-      const { heldBytes } = hold
-      const { requestId: id } = caller.metadata
-      node.opts.log('body_stalled', { id, stalledMs: Math.round(stalledMs), heldBytes })
-      node.opts.metrics.stalledTransfers.inc({ kind: 'body' })
-      caller.closeOnRefusal()
-      refuse(node, caller, 'no_memory', bodies.returnDelayMs(heldBytes))
-    },
-  })
+  if (isWorthWatching(node.memory.bodies, caller.bodyBytes)) {
+    hold.watch({
+      progress: () => caller.req.socket.bytesRead,
+      end: (stalledMs) => {
+        hasStalled = true
+        const { heldBytes } = hold
+        const { requestId: id } = caller.metadata
+        node.opts.log('body_stalled', { id, stalledMs: Math.round(stalledMs), heldBytes })
+        node.opts.metrics.stalledTransfers.inc({ kind: 'body' })
+        caller.closeOnRefusal()
+        refuse(node, caller, 'no_memory', bodies.returnDelayMs(heldBytes))
+      },
+    })
+  }
   const body = await caller.readBody(maxBytes, hold)
   hold.unwatch()
   if (hasStalled) return undefined
@@ -105,6 +114,12 @@
   return body.blocks
 }
 
+/** Whether a body that stands still could take memory from others. */
+function isWorthWatching(bodies: MemoryShare, bodyBytes = Infinity): boolean {
+  if (bodyBytes > SMALL_BODY_BYTES) return true
+  return bodyBytes > 0 && bodies.heldBytes > bodies.maxBytes * UNWATCHED_RATIO
+}
+
 /** Forwards a request whose body has been read. */
 async function forward(
   node: GatewayNode,
--- a/packages/gateway/src/forward/startAttempt.ts
+++ b/packages/gateway/src/forward/startAttempt.ts
@@ -10,6 +10,9 @@
 import type { RequestContextOptions } from './requestOptions.js'
 import { affinityKey, sharedParts } from './requestPlacement.js'
 
+/** Size up to which a body is taken by its socket at once, in bytes. */
+const SOCKET_BYTES = 65_536
+
 /** An attempt in progress, with what is recorded about it. */
 export interface TrackedAttempt {
   readonly attempt: Attempt
@@ -111,7 +114,7 @@
   model: string | undefined,
   lastEventId: number | undefined,
 ): Attempt {
-  const { node, caller, workspace, body, route, service } = ctx.opts
+  const { node, caller, workspace, body, bodyHold, route, service } = ctx.opts
   const { dialect, connections, limiter, statements, dialer } = node.opts
   // A request that must not run twice gets a connection that was never used before.
   const keepAlive = route.kind !== 'once'
@@ -140,8 +143,8 @@
       dialer.recordResponse(server, attempt.relay)
     },
   })
-  // A server may answer long before it reads the body.
-  if (body.length > 0) attempt.onBodySent(ctx.opts.bodyHold.retain())
+  // A server may answer long before it reads the body; a small one is in the socket by then.
+  if (bodyHold.heldBytes > SOCKET_BYTES) attempt.onBodySent(bodyHold.retain())
   return attempt
 }
 
