--- a/packages/scenario/src/soak/soakProcess.ts
+++ b/packages/scenario/src/soak/soakProcess.ts
@@ -40,6 +40,13 @@
 
 const MAX_ERROR_LINES = 12
 
+const runningChildren = new Set<ChildProcess>()
+
+// A gateway outlives the reader of its output, so it would outlive a soak that fails.
+process.once('exit', () => {
+  for (const child of runningChildren) child.kill('SIGKILL')
+})
+
 /** Number of characters of a finding. */
 const MAX_FINDING_LENGTH = 600
 
@@ -80,6 +87,7 @@
             { stdio },
           )
     this.#child = child
+    runningChildren.add(child)
     this.stdout = child.stdout
     this.stderr = child.stderr
     readLines(child.stdout, (line) => {
@@ -95,6 +103,7 @@
     })
     this.exited = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
+        runningChildren.delete(child)
         this.#checkEnd(code, signal)
         resolve()
       })
