--- a/packages/wagtailway/src/output/openOutput.ts
+++ b/packages/wagtailway/src/output/openOutput.ts
@@ -18,7 +18,7 @@
   try {
     const stats = fstatSync(fd)
     if (stats.isSocket()) return writeToSocket(fd)
-    return writeToFile(stats.isFIFO() ? reopenPipe(fd) : fd)
+    return stats.isFIFO() ? writeToPipe(fd) : writeToFile(fd)
   } catch {
     return writeToFile(fd)
   }
@@ -48,9 +48,15 @@
 }
 
 /**
- * Opens a pipe once more without blocking. The inherited description may be shared with other
- * processes, which expect it as it is.
+ * Opens the pipe once more without blocking: its inherited description may be shared with other
+ * processes, which expect it as it is. A pipe that another user has created can't be opened.
  */
-function reopenPipe(fd: number): number {
-  return openSync(`/proc/self/fd/${fd}`, constants.O_WRONLY | constants.O_NONBLOCK)
+function writeToPipe(fd: number): WriteBytes {
+  const flags = constants.O_WRONLY | constants.O_NONBLOCK
+  try {
+    return writeToFile(openSync(`/proc/self/fd/${fd}`, flags))
+  } catch (err) {
+    const { code } = err as NodeJS.ErrnoException
+    return code === 'EACCES' ? writeToSocket(fd) : writeToFile(fd)
+  }
 }
