--- a/packages/gateway/src/observe/log.ts
+++ b/packages/gateway/src/observe/log.ts
@@ -11,6 +11,27 @@
 /** Lines that may be written in one burst after a period without lines. */
 const MAX_BURST_LINES = 400
 
+/**
+ * Lines about errors per second, beside the rate and after a burst: what a flood of requests
+ * writes must not hide them.
+ */
+const ERROR_LINES_PER_SECOND = 5
+const ERROR_BURST_LINES = 40
+
+const ERROR_EVENTS: ReadonlySet<string> = new Set([
+  'unforeseen_error',
+  'exchange_failed',
+  'loop_failed',
+])
+
+/** Events of the end of a process, which has each of them once; they are always written. */
+const END_EVENTS: ReadonlySet<string> = new Set([
+  'leaving',
+  'answers_cut',
+  'stop',
+  'exit',
+])
+
 const STDOUT_FD = 1
 
 type Fields = Readonly<Record<string, unknown>>
@@ -62,12 +83,13 @@
     hideLogPositionForProduction: true,
     attachedTransports: [
       (line) => {
-        writer.add(JSON.stringify({ ...(line as Fields), _meta: undefined }))
+        const fields = { ...(line as Fields), _meta: undefined }
+        writer.add(JSON.stringify(fields), { isReserved: isReserved(fields) })
       },
     ],
   })
-  let tokens = MAX_BURST_LINES
-  let refilledAtMs = performance.now()
+  const lines = TokenBucket.create(MAX_LINES_PER_SECOND, MAX_BURST_LINES)
+  const errorLines = TokenBucket.create(ERROR_LINES_PER_SECOND, ERROR_BURST_LINES)
   let droppedByRate = 0
   const reportDropped = (t: string): void => {
     const { dropped, err } = writer.takeGap()
@@ -78,20 +100,48 @@
   }
   const log: Log = (event, fields) => {
     const nowMs = performance.now()
-    tokens = Math.min(
-      MAX_BURST_LINES,
-      tokens + ((nowMs - refilledAtMs) / 1_000) * MAX_LINES_PER_SECOND,
-    )
-    refilledAtMs = nowMs
-    if (tokens < 1) {
+    const isWritten =
+      lines.tryTake(nowMs) ||
+      END_EVENTS.has(event) ||
+      (ERROR_EVENTS.has(event) && errorLines.tryTake(nowMs))
+    if (!isWritten) {
       droppedByRate += 1
       onDropped('rate')
       return
     }
-    tokens -= 1
     const t = new Date().toISOString()
     if (!writer.isBlocked) reportDropped(t)
     logger.info({ t, node, event, ...fields })
   }
   return { log, close: (timeoutMs) => writer.close(timeoutMs) }
 }
+
+function isReserved({ event }: Fields): boolean {
+  return typeof event === 'string' && (END_EVENTS.has(event) || ERROR_EVENTS.has(event))
+}
+
+/** Allowance of lines that grows with time up to a burst. */
+class TokenBucket {
+  #tokens: number
+  #refilledAtMs = performance.now()
+
+  private constructor(
+    private readonly perSecond: number,
+    private readonly burst: number,
+  ) {
+    this.#tokens = burst
+  }
+
+  static create(perSecond: number, burst: number): TokenBucket {
+    return new TokenBucket(perSecond, burst)
+  }
+
+  tryTake(nowMs: number): boolean {
+    const earned = ((nowMs - this.#refilledAtMs) / 1_000) * this.perSecond
+    this.#tokens = Math.min(this.burst, this.#tokens + earned)
+    this.#refilledAtMs = nowMs
+    if (this.#tokens < 1) return false
+    this.#tokens -= 1
+    return true
+  }
+}
--- a/packages/wagtailway/src/output/lineWriter.ts
+++ b/packages/wagtailway/src/output/lineWriter.ts
@@ -5,6 +5,9 @@
 /** Limit of the bytes that wait to be written; above it, lines are dropped. */
 const MAX_QUEUED_BYTES = 262_144
 
+/** Further bytes that may wait if they are of lines that must not be lost beside others. */
+const RESERVED_BYTES = 65_536
+
 /** Queued bytes from which a report of lost lines may not find room. */
 const MAX_REPORTING_BYTES = MAX_QUEUED_BYTES / 2
 
@@ -60,10 +63,15 @@
     return this.#cancelRetry !== undefined || this.#queuedBytes > MAX_REPORTING_BYTES
   }
 
-  /** Adds a line, without its line feed. Returns false if the line is dropped. */
-  add(line: string): boolean {
+  /**
+   * Adds a line, without its line feed. Returns false if the line is dropped.
+   *
+   * @param isReserved Whether it may use the room that is kept for such lines.
+   */
+  add(line: string, { isReserved = false } = {}): boolean {
     const bytes = Buffer.from(`${line}\n`)
-    if (this.#isClosed || this.#queuedBytes + bytes.length > MAX_QUEUED_BYTES) {
+    const maxBytes = MAX_QUEUED_BYTES + (isReserved ? RESERVED_BYTES : 0)
+    if (this.#isClosed || this.#queuedBytes + bytes.length > maxBytes) {
       this.#dropped += 1
       this.opts.onDropped()
       return false
