--- a/packages/gateway/src/paths/relayClient.ts
+++ b/packages/gateway/src/paths/relayClient.ts
@@ -54,6 +54,8 @@
       resolve({ type: 'failed', failure })
     }
     req.on('connect', ({ statusCode, headers }, socket: Socket) => {
+      // Node has removed its own, and has none between two requests or after a whole answer.
+      socket.on('error', () => undefined)
       if (statusCode === 200) {
         socket.setNoDelay(true)
         endMarkBySocket.set(socket, endMark)
