Bytes that come with the answer of a relay are not lost

A server that speaks at once (a 408 or 503 before the request) and the relay's answer can come in one read; what stood behind the answer was dropped, so an early answer was lost or began in its middle. connectThrough puts it back. Before: the test received 'late' instead of 'earlylate'.

--- a/packages/gateway/src/paths/__tests__/relayClient.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayClient.spec.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { Attempt, readFullBody } from '../../forward/attempt.js'
@@ -162,4 +163,18 @@
     connections.close()
     await sleep(1)
   })
+
+  it('brings the bytes that come with the answer of the relay', async () => {
+    onAsked = (socket) => {
+      socket.write(`${OPENED}early`)
+      setTimeout(() => socket.end('late'), PART_MS)
+    }
+    const result = await connectToServer()
+    assert.equal(result.type, 'connected')
+    const { connection } = result as { connection: Socket }
+    let received = ''
+    connection.on('data', (chunk: Buffer) => (received += chunk.toString()))
+    await once(connection, 'close')
+    assert.equal(received, 'earlylate')
+  })
 })
--- a/packages/gateway/src/paths/relayClient.ts
+++ b/packages/gateway/src/paths/relayClient.ts
@@ -53,10 +53,11 @@
     const fail = (failure: RelayFailure): void => {
       resolve({ type: 'failed', failure })
     }
-    req.on('connect', ({ statusCode, headers }, socket: Socket) => {
+    req.on('connect', ({ statusCode, headers }, socket: Socket, head: Buffer) => {
       // Node has removed its own, and has none between two requests or after a whole answer.
       socket.on('error', () => undefined)
       if (statusCode === 200) {
+        if (head.length > 0) socket.unshift(head)
         socket.setNoDelay(true)
         endMarkBySocket.set(socket, endMark)
         resolve({ type: 'connected', connection: socket })
