A server whose name can be no header doesn't break a dial

Names come from the store's list as they are. For one outside of Latin-1 the request to a relay threw ERR_INVALID_CHAR: in a timer of the dial, as an uncaught exception, or behind a promise, as an unhandled rejection, at each instance that was slow to reach this server. It is now a relay that isn't available. Before: the test failed with 'Invalid character in header content ["x-relay-server"]'.

--- a/packages/gateway/src/paths/__tests__/relayClient.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayClient.spec.ts
@@ -55,9 +55,9 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
-function connectToServer(): Promise<RelayResult<Socket>> {
+function connectToServer(server = SERVER): Promise<RelayResult<Socket>> {
   const { port } = relay.address() as AddressInfo
-  return connectThrough({ name: 'n2', host: HOST, port }, SERVER).result
+  return connectThrough({ name: 'n2', host: HOST, port }, server).result
 }
 
 function startAttempt(connections: ServerConnections, body: Buffer): Attempt {
@@ -177,4 +177,9 @@
     await once(connection, 'close')
     assert.equal(received, 'earlylate')
   })
+
+  it('fails if the name of the server can be no header', async () => {
+    const result = await connectToServer({ ...SERVER, id: 'ቀበሌ' })
+    assert.deepEqual(result, { type: 'failed', failure: 'unavailable' })
+  })
 })
--- a/packages/gateway/src/paths/relayClient.ts
+++ b/packages/gateway/src/paths/relayClient.ts
@@ -1,6 +1,6 @@
 /** Asks another entry instance for a connection to a backend server. */
 import { randomBytes } from 'node:crypto'
-import { request } from 'node:http'
+import { request, type ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import { incarnationOf, type BackendServer } from '../model/backendServer.js'
 import type { PeerAddress } from '../peers/peerTable.js'
@@ -41,14 +41,21 @@
   server: BackendServer,
 ): PendingConnection<RelayResult<Socket>> {
   const endMark = randomBytes(END_MARK_BYTES).toString('hex')
-  const req = request({
-    host,
-    port,
-    method: 'CONNECT',
-    path: `${server.host}:${server.port}`,
-    headers: { [SERVER_HEADER]: incarnationOf(server), [END_MARK_HEADER]: endMark },
-    agent: false,
-  })
+  let req: ClientRequest
+  try {
+    req = request({
+      host,
+      port,
+      method: 'CONNECT',
+      path: `${server.host}:${server.port}`,
+      headers: { [SERVER_HEADER]: incarnationOf(server), [END_MARK_HEADER]: endMark },
+      agent: false,
+    })
+  } catch {
+    // Names and addresses come from a list that others write; some can be no header.
+    const result = { type: 'failed', failure: 'unavailable' } as const
+    return { result: Promise.resolve(result), cancel: () => undefined }
+  }
   const result = new Promise<RelayResult<Socket>>((resolve) => {
     const fail = (failure: RelayFailure): void => {
       resolve({ type: 'failed', failure })
