--- a/packages/gateway/src/http/__tests__/requestJson.spec.ts
+++ b/packages/gateway/src/http/__tests__/requestJson.spec.ts
@@ -1,15 +1,23 @@
 import assert from 'node:assert/strict'
-import { createServer, type RequestListener, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { Agent, createServer, type RequestListener, type Server } from 'node:http'
+import { createServer as createNetServer, type AddressInfo } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { gzipSync } from 'node:zlib'
 import { requestJson } from '../requestJson.js'
 
+/** Time after which a connection is reset, in milliseconds. */
+const RESET_MS = 20
+
+/** Errors that would have ended a process. */
+const uncaught: unknown[] = []
 let server: Server | undefined
 
+process.on('uncaughtExceptionMonitor', (err) => uncaught.push(err))
+
 afterEach(() => {
   server?.close()
   server?.closeAllConnections()
+  assert.deepEqual(uncaught.splice(0), [])
 })
 
 async function serve(listener: RequestListener): Promise<string> {
@@ -68,4 +76,30 @@
     })
     await assert.rejects(requestJson({ method: 'GET', url, timeoutMs: 5_000 }))
   })
+
+  // Guards against: a failed write behind a whole response ends the process.
+  it('has its response if the connection breaks while the body is still sent', async () => {
+    const rawServer = createNetServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => undefined)
+      socket.once('data', () => {
+        socket.pause()
+        socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
+        setTimeout(() => socket.resetAndDestroy(), RESET_MS)
+      })
+    })
+    await new Promise<void>((resolve) => rawServer.listen(0, '127.0.0.1', resolve))
+    const { port } = rawServer.address() as AddressInfo
+    const agent = new Agent({ keepAlive: true })
+    const { status } = await requestJson({
+      method: 'PUT',
+      url: `http://127.0.0.1:${port}/`,
+      body: 'x'.repeat(20_000_000),
+      timeoutMs: 5_000,
+      agent,
+    })
+    assert.equal(status, 200)
+    await new Promise((resolve) => setTimeout(resolve, 2 * RESET_MS))
+    agent.destroy()
+    await new Promise((resolve) => rawServer.close(resolve))
+  })
 })
--- a/packages/gateway/src/http/requestJson.ts
+++ b/packages/gateway/src/http/requestJson.ts
@@ -89,11 +89,20 @@
       },
     })
     outgoing.on('error', fail)
+    outgoing.once('socket', (socket) => {
+      // Node takes its own off after a whole response, also if the body is still being sent.
+      if (!socket.listeners('error').includes(ignoreError))
+        socket.on('error', ignoreError)
+    })
     readResponse(req, outgoing, timeout).then(resolve, fail)
     outgoing.end(payload)
   })
 }
 
+function ignoreError(): void {
+  // The request has its response, or fails by itself.
+}
+
 function requestHeaders(
   req: JsonRequest,
   payload: string | undefined,
