No request gets an idle connection that is already closed

Callers of unsafe requests got an error although nothing was sent: a request that started in the turn of the event loop in which an idle connection was closed, by this side (a path that was lost, a time-out) or by its server, could get that connection, and its end counted as 'may have run'. Node takes idle connections from the end of its list and skips destroyed ones only at its beginning; one that the server has ended isn't destroyed yet at all.

The agent forgets closed ones before each request.

--- a/packages/gateway/src/forward/serverConnections.ts
+++ b/packages/gateway/src/forward/serverConnections.ts
@@ -116,6 +116,11 @@
  */
 const idleMsBySocket = new WeakMap<Socket, number>()
 
+/** A method of Node's agent that its types leave out. */
+const { addRequest } = Agent.prototype as unknown as {
+  addRequest(this: Agent, req: ClientRequest, options: unknown): void
+}
+
 /** Agent whose connections to one server may be relayed. */
 class ServerAgent extends Agent {
   readonly key: string
@@ -135,6 +140,12 @@
     return countSockets(this.sockets) + countSockets(this.freeSockets) + this.#dialCount
   }
 
+  /** Called by Node for each request; gives it an idle connection or a new one. */
+  addRequest(req: ClientRequest, options: unknown): void {
+    this.#dropClosed()
+    addRequest.call(this, req, options)
+  }
+
   override createConnection(
     _options: unknown,
     callback?: (err: Error | null, socket: Socket) => void,
@@ -179,6 +190,24 @@
       for (const socket of list ?? []) if (isMeant(relayOf(socket))) socket.destroy()
     }
   }
+
+  /**
+   * Forgets idle connections that either side has closed. Node does so at the end of the
+   * turn of the event loop; a request of the same turn would be lost on them.
+   */
+  #dropClosed(): void {
+    for (const list of Object.values(this.freeSockets)) {
+      if (!list || list.every(isOpen)) continue
+      for (const socket of list.splice(0)) {
+        if (isOpen(socket)) list.push(socket)
+        else socket.destroy()
+      }
+    }
+  }
+}
+
+function isOpen({ readable, writable }: Socket): boolean {
+  return readable && writable
 }
 
 function keyOf({ id, startedAtMs, host, port }: BackendServer): string {
