--- a/packages/gateway/src/forward/__tests__/serverConnections.spec.ts
+++ b/packages/gateway/src/forward/__tests__/serverConnections.spec.ts
@@ -135,3 +135,16 @@
     })
   }
 })
+
+describe('a dial that throws', () => {
+  it('fails its request, which was not run', async () => {
+    dial = () => Promise.reject(new Error('no dialer'))
+    assert.equal(await send(), 'not_run: no dialer')
+    assert.equal(connections.count('s1'), 0)
+    dial = () => {
+      throw new Error('odd address')
+    }
+    assert.equal(await send(), 'not_run: odd address')
+    assert.equal(connections.count('s1'), 0)
+  })
+})
--- a/packages/gateway/src/forward/serverConnections.ts
+++ b/packages/gateway/src/forward/serverConnections.ts
@@ -151,17 +151,10 @@
     callback?: (err: Error | null, socket: Socket) => void,
   ): undefined {
     this.#dialCount += 1
-    void this.opts.dial(this.server).then((result) => {
+    void this.#dial().then((result) => {
       this.#dialCount -= 1
-      if (result.type === 'failed') {
-        const { detail, isRefused, isConfirmed } = result
-        const err = new DialError(detail, isRefused, isConfirmed)
-        callback?.(err, undefined as unknown as Socket)
-        return
-      }
-      const { connection, relay } = result
-      if (relay !== undefined) relayBySocket.set(connection, relay)
-      callback?.(null, connection)
+      if (result instanceof Error) callback?.(result, undefined as unknown as Socket)
+      else callback?.(null, result)
     })
   }
 
@@ -191,6 +184,22 @@
     }
   }
 
+  /** A connection to the server, or why there is none; never rejects. */
+  async #dial(): Promise<Socket | Error> {
+    try {
+      const result = await this.opts.dial(this.server)
+      if (result.type === 'failed') {
+        const { detail, isRefused, isConfirmed } = result
+        return new DialError(detail, isRefused, isConfirmed)
+      }
+      const { connection, relay } = result
+      if (relay !== undefined) relayBySocket.set(connection, relay)
+      return connection
+    } catch (err) {
+      return err instanceof Error ? err : new Error(String(err))
+    }
+  }
+
   /**
    * Forgets idle connections that either side has closed. Node does so at the end of the
    * turn of the event loop; a request of the same turn would be lost on them.
