--- a/packages/gateway/src/paths/__tests__/dial.spec.ts
+++ b/packages/gateway/src/paths/__tests__/dial.spec.ts
@@ -6,6 +6,7 @@
   type DialOptions,
   type DialResult,
   type DirectResult,
+  type PendingConnection,
   type RelayFailure,
   type RelayResult,
 } from '../dial.js'
@@ -256,3 +257,74 @@
     assert.ok(played.atMs <= 500)
   })
 })
+
+describe('a dial whose parts throw', () => {
+  const throwing = (): never => {
+    throw new Error('odd')
+  }
+  const cancel = (): void => undefined
+  const relay: RelayCandidate = {
+    address: { name: 'n2', host: 'n2', port: 1 },
+    zone: 'z2',
+    linkMbps: 100,
+  }
+  const refused: DirectResult<string> = { type: 'failed', failure: 'refused' }
+  const options: DialOptions<string> = {
+    server: SERVER,
+    plan: 'direct',
+    ownZone: 'z1',
+    isAlone: false,
+    connect: () => ({ result: Promise.resolve(refused), cancel }),
+    connectThrough: throwing,
+    nextRelay: ({ tried }) => (tried.size === 0 ? relay : undefined),
+    discard: () => undefined,
+    after: (ms, action) => {
+      const timer = setTimeout(action, ms / 10)
+      return () => {
+        clearTimeout(timer)
+      }
+    },
+    onSlow: () => undefined,
+    onDirect: () => undefined,
+    onLost: () => undefined,
+  }
+  /** A connection that is never there. */
+  const pending = { result: new Promise<never>(() => undefined), cancel }
+
+  // Guards against: the process ends for a connection that can't even be tried.
+  it('fails if a connection throws, at once, in a timer or behind a promise', async () => {
+    const results = await Promise.all([
+      dial({ ...options, connect: throwing }),
+      dial(options),
+      dial({ ...options, connect: () => pending }),
+      dial({ ...options, plan: 'relay' }),
+      dial({
+        ...options,
+        connectThrough: () => ({ result: Promise.reject(new Error('odd')), cancel }),
+      }),
+    ])
+    assert.deepEqual(
+      results.map(({ type }) => type),
+      results.map(() => 'failed'),
+    )
+  })
+
+  it('rejects if a decision throws, and discards its connection', async () => {
+    const discarded: string[] = []
+    const discard = (connection: string): void => void discarded.push(connection)
+    await assert.rejects(dial({ ...options, nextRelay: throwing }), /odd/)
+    await assert.rejects(dial({ ...options, onLost: throwing }), /odd/)
+    const connected = Promise.resolve({ type: 'connected', connection: 'c' } as const)
+    const connect = (): PendingConnection<DirectResult<string>> => ({
+      result: connected,
+      cancel,
+    })
+    await assert.rejects(
+      dial({ ...options, connect, discard, onDirect: throwing }),
+      /odd/,
+    )
+    assert.deepEqual(discarded, ['c'])
+    const slow = { ...options, connect: () => pending, onSlow: throwing }
+    await assert.rejects(dial(slow), /odd/)
+  })
+})
--- a/packages/gateway/src/paths/dial.ts
+++ b/packages/gateway/src/paths/dial.ts
@@ -83,15 +83,16 @@
 }
 
 /**
- * Dials a server.
+ * Dials a server. A connection that throws or rejects counts as failed; rejects if one of the
+ * other functions throws.
  *
  * @example
  * const result = await dial(options)
  * if (result.type === 'connected') use(result.connection, result.relay)
  */
 export function dial<C>(opts: DialOptions<C>): Promise<DialResult<C>> {
-  return new Promise((resolve) => {
-    new Dial(opts, resolve).start()
+  return new Promise((resolve, reject) => {
+    new Dial(opts, resolve, reject).start()
   })
 }
 
@@ -107,15 +108,24 @@
   /** Relay that reached the server. */
   #usedRelay: string | undefined
   #isDone = false
+  /** Whether the caller has a result or an error. */
+  #isSettled = false
 
   constructor(
     private readonly opts: DialOptions<C>,
     private readonly resolve: (result: DialResult<C>) => void,
+    private readonly reject: (err: unknown) => void,
   ) {
     this.#direct = opts.directFailure ?? 'unused'
   }
 
   start(): void {
+    this.#guard(() => {
+      this.#start()
+    })
+  }
+
+  #start(): void {
     const { plan } = this.opts
     if (plan === 'none') {
       this.#finish('no instance reached it a moment ago')
@@ -140,9 +150,14 @@
 
   #startDirect(): void {
     this.#direct = 'pending'
-    this.#pendingDirect = this.opts.connect()
+    this.#pendingDirect = startConnection(this.opts.connect, {
+      type: 'failed',
+      failure: 'no_response',
+    })
     void this.#pendingDirect.result.then((result) => {
-      this.#handleDirect(result)
+      this.#guard(() => {
+        this.#handleDirect(result)
+      }, result)
     })
   }
 
@@ -175,11 +190,16 @@
     const { name } = relay.address
     this.#tried.add(name)
     this.#lastRelay = name
-    const pending = this.opts.connectThrough(relay)
+    const pending = startConnection<RelayResult<C>>(
+      () => this.opts.connectThrough(relay),
+      { type: 'failed', failure: 'unavailable' },
+    )
     this.#pendingRelays.add(pending)
     void pending.result.then((result) => {
       this.#pendingRelays.delete(pending)
-      this.#handleRelay(relay, result)
+      this.#guard(() => {
+        this.#handleRelay(relay, result)
+      }, result)
     })
     this.#startTimer(SLOW_RELAY_MS, () => {
       if (this.#pendingRelays.has(pending)) this.#startRelay()
@@ -235,7 +255,7 @@
     this.#isDone = true
     if (this.#direct !== 'pending') this.#cancelTimers()
     this.#cancelRelays()
-    this.resolve(result)
+    this.#settle(result)
   }
 
   #finish(detail: string): void {
@@ -256,7 +276,7 @@
     const relaysRefused = this.#relayFailures.every((failure) => failure === 'refused')
     const hasWitness = this.opts.isAlone || this.#relayFailures.length > 0
     const isRefused = this.#direct === 'refused' && relaysRefused && hasWitness
-    this.resolve({ type: 'failed', isRefused, isConfirmed, detail })
+    this.#settle({ type: 'failed', isRefused, isConfirmed, detail })
   }
 
   /**
@@ -271,7 +291,35 @@
   }
 
   #startTimer(ms: number, action: () => void): void {
-    this.#timers.push(this.opts.after(ms, action))
+    const guarded = (): void => {
+      this.#guard(action)
+    }
+    this.#timers.push(this.opts.after(ms, guarded))
+  }
+
+  #settle(result: DialResult<C>): void {
+    this.#isSettled = true
+    this.resolve(result)
+  }
+
+  /**
+   * Makes an error that `action` throws one of the dial, unless that has its result.
+   *
+   * @param result What `action` handles; its connection is discarded.
+   */
+  #guard(action: () => void, result?: DirectResult<C> | RelayResult<C>): void {
+    try {
+      action()
+    } catch (err) {
+      if (this.#isSettled) throw err
+      this.#isSettled = true
+      this.#isDone = true
+      this.#cancelTimers()
+      this.#cancelRelays()
+      this.#pendingDirect?.cancel()
+      if (result?.type === 'connected') this.opts.discard(result.connection)
+      this.reject(err)
+    }
   }
 
   #cancelTimers(): void {
@@ -284,6 +332,24 @@
   }
 }
 
+/** Starts a connection; one that throws or rejects has failed. */
+function startConnection<R>(
+  start: () => PendingConnection<R>,
+  failed: R,
+): PendingConnection<R> {
+  try {
+    const pending = start()
+    return {
+      result: pending.result.catch(() => failed),
+      cancel: () => {
+        pending.cancel()
+      },
+    }
+  } catch {
+    return { result: Promise.resolve(failed), cancel: () => undefined }
+  }
+}
+
 function isFailure(state: string): state is PathFailure {
   return state !== 'unused' && state !== 'pending' && state !== 'connected'
 }
