Reports of other instances: every value is checked where it is decoded

Seen: decodeReport cast JSON to its type. A datagram of another kind could put texts, null, or numbers without bounds into tables that timers read later. null and texts made encodeReport and LoadTable throw. A class of durations far above any duration made judgeVersion loop over all classes below it: 0.1 s for 1,000,000, 3.6 s for 30,000,000, not done after 50 s for 4,294,967,290.

Cause: the shape was asserted, not checked.

Change: readers in peers/wireValues.ts, written by hand, as the gateway has no schema library. A wrong type makes the report unreadable, so no table takes a part of it; a number out of bounds counts as the bound, so that an instance of an earlier build with an odd wait stays alive; a position in the store or a sequence that is no whole number makes it unreadable, as another one would be wrong. A level without a wait is null in reports of earlier builds and stays zero; it is no longer sent. Reports with absent fields are read as before.

--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -1,11 +1,29 @@
 /** Reports that entry instances send each other several times a second. */
 import type { FeedMark } from '../feed/feedState.js'
-import type { Observation, Outcome, RolloutObservations } from '../rollout/observation.js'
-import type { SpeedsByContextLength } from '../placement/prefillSpeeds.js'
+import { LOWEST_URGENCY } from '../model/urgency.js'
+import {
+  MAX_MS_PER_TOKEN,
+  type SpeedsByContextLength,
+} from '../placement/prefillSpeeds.js'
 import type { CrashReport } from '../quarantine/crashQuarantine.js'
 import type { ReportedLimit } from '../limits/serverLimits.js'
 import type { ReportedStatement, StatementType } from '../statements/serverStatement.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
+import {
+  MAX_DURATION_CLASS,
+  type Observation,
+  type Outcome,
+  type RolloutObservations,
+} from '../rollout/observation.js'
+import {
+  MAX_AMOUNT,
+  readAmount,
+  readList,
+  readNumber,
+  readOptional,
+  readOrdinal,
+  readText,
+} from './wireValues.js'
 
 /** A running rollout as one entry instance knows it. */
 export interface ReportedRollout {
@@ -147,7 +165,7 @@
       id,
       running,
       Math.round(waitingMs.reduce((sum, ms) => sum + ms, 0)),
-      waitingMs.map(Math.round),
+      Array.from(waitingMs, (ms) => Math.round(ms ?? 0)),
     ]),
     [],
     report.rollouts.map(({ service, target, elapsedMs, isWithdrawn }) => [
@@ -201,83 +219,121 @@
  * const report = decodeReport(datagram)
  */
 export function decodeReport(datagram: Buffer): PeerReport | undefined {
-  let decoded: WireReport
   try {
-    decoded = JSON.parse(datagram.toString()) as WireReport
-    const [name, sequence, isDraining, loads, , rollouts, ...rest] = decoded
-    const [sessionHashes, zone, feedMarks, unreachableServers, ...last] = rest
-    const [prefillSpeeds, linkMbps = 0, crashReport, evidence = [], limits, ...latest] =
-      last
-    const [cutOffServices, statements = []] = latest
-    return {
-      name,
-      sequence,
-      isDraining: isDraining === 1,
-      loads: new Map(
-        loads.map(([id, running, waitingMs, byUrgency = [waitingMs]]) => [
-          id,
-          { running, waitingMs: byUrgency },
-        ]),
-      ),
-      evidence: evidence.map(decodeEvidence),
-      rollouts: rollouts.map(([service, target, elapsedMs, isWithdrawn]) => ({
-        service,
-        target,
-        elapsedMs,
-        isWithdrawn: isWithdrawn === 1,
-      })),
-      sessionHashes,
-      zone,
-      linkMbps,
-      unreachableServers,
-      prefillSpeeds: new Map(
-        prefillSpeeds.map(([model, byLength]) => [
-          model,
-          byLength.map((ms) => ms ?? undefined),
-        ]),
-      ),
-      feedMarks: feedMarks.map(([kind, changedAt, asOf, ageMs, era, hops]) => ({
-        kind,
-        era,
-        changedAt,
-        asOf,
-        ageMs,
-        hops,
-      })),
-      crashReport: crashReport ? decodeCrashReport(crashReport) : NO_CRASH_REPORT,
-      limits: limits?.map(([incarnation, requestsPerS, ageMs]) => ({
-        incarnation,
-        requestsPerS: requestsPerS ?? undefined,
-        ageMs,
-      })),
-      cutOffServices,
-      statements: statements.flatMap(decodeStatement),
-    }
+    return readReport(readList(JSON.parse(datagram.toString())))
   } catch {
     // Any data may arrive on an open port; the calling code counts undecodable datagrams.
     return undefined
   }
 }
 
+function readReport(wire: readonly unknown[]): PeerReport {
+  const [name, sequence, isDraining, loads, , rollouts, ...rest] = wire
+  const [sessionHashes, zone, feedMarks, unreachableServers, ...last] = rest
+  const [prefillSpeeds, linkMbps, crashReport, evidence, limits, ...latest] = last
+  const [cutOffServices, statements] = latest
+  return {
+    name: readText(name),
+    sequence: readOrdinal(sequence),
+    isDraining: isDraining === 1,
+    loads: new Map(readList(loads).map(readLoad)),
+    evidence: readOptional(evidence, readList)?.map(readEvidence) ?? [],
+    rollouts: readList(rollouts).map(readRollout),
+    sessionHashes: readList(sessionHashes).map((hash) => readAmount(hash)),
+    zone: readText(zone),
+    linkMbps: readOptional(linkMbps, readLinkMbps) ?? 0,
+    unreachableServers: readList(unreachableServers).map(readText),
+    prefillSpeeds: new Map(readList(prefillSpeeds).map(readSpeeds)),
+    feedMarks: readList(feedMarks).map(readFeedMark),
+    crashReport: readOptional(crashReport, readCrashReport) ?? NO_CRASH_REPORT,
+    limits: readOptional(limits, readList)?.map(readLimit),
+    cutOffServices: readOptional(cutOffServices, readList)?.map(readText),
+    statements: readOptional(statements, readList)?.flatMap(readStatement) ?? [],
+  }
+}
+
+function readLinkMbps(value: unknown): number {
+  return readNumber(value, MAX_AMOUNT)
+}
+
+function readLoad(row: unknown): [string, ServerLoad] {
+  const [id, running, waitingMs, byUrgency] = readList(row)
+  return [
+    readText(id),
+    {
+      running: readAmount(running),
+      waitingMs: readOptional(byUrgency, readWaits) ?? [readAmount(waitingMs)],
+    },
+  ]
+}
+
+/** A level without any wait is null. */
+function readWaits(value: unknown): number[] {
+  const waits = readList(value)
+  return waits.slice(0, LOWEST_URGENCY + 1).map((ms) => readAmount(ms ?? 0))
+}
+
+function readRollout(row: unknown): ReportedRollout {
+  const [service, target, elapsedMs, isWithdrawn] = readList(row)
+  return {
+    service: readText(service),
+    target: readText(target),
+    elapsedMs: readAmount(elapsedMs),
+    isWithdrawn: isWithdrawn === 1,
+  }
+}
+
+function readSpeeds(row: unknown): [string, SpeedsByContextLength] {
+  const [model, byLength] = readList(row)
+  return [readText(model), readList(byLength).map((ms) => readOptional(ms, readSpeed))]
+}
+
+function readSpeed(value: unknown): number {
+  return readNumber(value, MAX_MS_PER_TOKEN)
+}
+
+function readFeedMark(row: unknown): FeedMark {
+  const [kind, changedAt, asOf, ageMs, era, hops] = readList(row)
+  return {
+    kind: readText(kind),
+    era: readOptional(era, readUint32),
+    changedAt: readOrdinal(changedAt),
+    asOf: readOrdinal(asOf),
+    ageMs: readAmount(ageMs),
+    hops: readOptional(hops, readUint32),
+  }
+}
+
+function readUint32(value: unknown): number {
+  return readOrdinal(value, MAX_AMOUNT)
+}
+
+function readLimit(row: unknown): ReportedLimit {
+  const [incarnation, requestsPerS, ageMs] = readList(row)
+  return {
+    incarnation: readText(incarnation),
+    requestsPerS: readOptional(requestsPerS, readRate),
+    ageMs: readAmount(ageMs),
+  }
+}
+
+function readRate(value: unknown): number {
+  return readNumber(value, MAX_AMOUNT)
+}
+
 /** A type that only later builds know is left out. */
-function decodeStatement([
-  incarnation,
-  service,
-  typeNumber,
-  value,
-  ageMs,
-  relay,
-]: WireStatement): ReportedStatement[] {
-  const type = STATEMENT_TYPES[typeNumber]
+function readStatement(row: unknown): ReportedStatement[] {
+  const [incarnation, service, typeNumber, value, ageMs, relay] = readList(row)
+  const type = STATEMENT_TYPES[readOrdinal(typeNumber)]
   if (!type) return []
   return [
     {
-      incarnation,
-      service,
+      incarnation: readText(incarnation),
+      service: readText(service),
       type,
-      value: value ?? undefined,
-      ageMs,
-      relay: relay ?? undefined,
+      value: readOptional(value, readRate),
+      ageMs: readAmount(ageMs),
+      relay: readOptional(relay, readText),
     },
   ]
 }
@@ -299,28 +355,22 @@
   return [service, target, groups, servers, rows]
 }
 
-function decodeEvidence([
-  service,
-  target,
-  groups,
-  servers,
-  rows,
-]: WireEvidence): RolloutObservations {
+function readEvidence(row: unknown): RolloutObservations {
+  const [service, target, groups, servers, rows] = readList(row)
+  const groupNames = readList(groups).map(readText)
+  const serverIds = readList(servers).map(readText)
+  const numbers = readList(rows)
   const observations: Observation[] = []
-  for (let i = 0; i < rows.length; i += NUMBERS_PER_ROW) {
-    const [group = 0, server = -1, outcome = 0, ageS = 0, count = 0] = rows.slice(
-      i,
-      i + NUMBERS_PER_ROW,
-    )
+  for (let i = 0; i < numbers.length; i += NUMBERS_PER_ROW) {
     observations.push({
-      group: groups[group] ?? '',
-      server: servers[server],
-      outcome: decodeOutcome(outcome),
-      ageMs: ageS * MS_PER_SECOND,
-      count,
+      group: groupNames[Number(numbers[i])] ?? '',
+      server: serverIds[Number(numbers[i + 1])],
+      outcome: readOutcome(numbers[i + 2]),
+      ageMs: readAmount(numbers[i + 3]) * MS_PER_SECOND,
+      count: readAmount(numbers[i + 4]),
     })
   }
-  return { service, target, observations }
+  return { service: readText(service), target: readText(target), observations }
 }
 
 function encodeOutcome(outcome: Outcome): number {
@@ -328,9 +378,9 @@
   return outcome === 'ok' ? WIRE_OK : WIRE_FAILED
 }
 
-function decodeOutcome(outcome: number): Outcome {
-  if (outcome === WIRE_OK) return 'ok'
-  return outcome === WIRE_FAILED ? 'failed' : outcome
+function readOutcome(value: unknown): Outcome {
+  if (value === WIRE_OK) return 'ok'
+  return value === WIRE_FAILED ? 'failed' : readAmount(value, MAX_DURATION_CLASS)
 }
 
 function encodeCrashReport({
@@ -355,19 +405,42 @@
   ]
 }
 
-function decodeCrashReport([crashes, sound, traits]: WireCrashReport): CrashReport {
+function readCrashReport(value: unknown): CrashReport {
+  const [crashes, sound, traits] = readList(value)
   return {
-    crashes: crashes.map(([incarnation, ageMs, inFlight]) => ({
-      incarnation,
-      ageMs,
-      traits: new Map(inFlight),
-    })),
-    sound: sound.map(([trait, ageMs, count]) => ({ trait, ageMs, count })),
-    traits: traits.map(([trait, generation, probes, refusedAgeMs]) => ({
-      trait,
-      generation,
-      probes,
-      refusedAgeMs: refusedAgeMs ?? undefined,
-    })),
+    crashes: readList(crashes).map((row) => {
+      const [incarnation, ageMs, inFlight] = readList(row)
+      return {
+        incarnation: readText(incarnation),
+        ageMs: readAmount(ageMs),
+        traits: new Map(readList(inFlight).map(readTraitPosition)),
+      }
+    }),
+    sound: readList(sound).map((row) => {
+      const [trait, ageMs, count] = readList(row)
+      return {
+        trait: readText(trait),
+        ageMs: readAmount(ageMs),
+        count: readAmount(count),
+      }
+    }),
+    traits: readList(traits).map((row) => {
+      const [trait, generation, probes, refusedAgeMs] = readList(row)
+      return {
+        trait: readText(trait),
+        generation: readOrdinal(generation),
+        probes: readOrdinal(probes),
+        refusedAgeMs: readOptional(refusedAgeMs, readAge),
+      }
+    }),
   }
 }
+
+function readTraitPosition(row: unknown): [string, number] {
+  const [trait, position] = readList(row)
+  return [readText(trait), readAmount(position)]
+}
+
+function readAge(value: unknown): number {
+  return readAmount(value)
+}
--- a/packages/gateway/src/placement/prefillSpeeds.ts
+++ b/packages/gateway/src/placement/prefillSpeeds.ts
@@ -5,6 +5,9 @@
 /** Prefill time per token before any observation, in milliseconds: 64 tokens per millisecond. */
 const DEFAULT_MS_PER_TOKEN = 1 / 64
 
+/** Slowest speed that counts, in milliseconds per token. */
+export const MAX_MS_PER_TOKEN = 1_000
+
 /** Weight of an observation below the moving average: no queue delayed it. */
 const FASTER_WEIGHT = 0.3
 
--- a/packages/gateway/src/rollout/observation.ts
+++ b/packages/gateway/src/rollout/observation.ts
@@ -6,6 +6,9 @@
 /** Index of a class of durations; see `durationClass`. */
 export type DurationClass = number
 
+/** Class of the longest durations that are told apart. */
+export const MAX_DURATION_CLASS = 64
+
 /** A number of equal observations. */
 export interface Observation {
   /**
@@ -50,7 +53,8 @@
  * durationClass(128) // 14
  */
 export function durationClass(ms: number): DurationClass {
-  return Math.max(0, Math.floor(Math.log2(Math.max(1, ms)) * CLASSES_PER_DOUBLING))
+  const doublings = Math.log2(Math.max(1, ms))
+  return Math.min(MAX_DURATION_CLASS, Math.floor(doublings * CLASSES_PER_DOUBLING))
 }
 
 /** Number of classes between durations that differ by a factor, rounded to the nearest. */
