Load messages hold any number as the nearest that their fields can

Seen: encodeLoadMessage throws 'invalid uint32' for a wait of 5,000,000,000 ms, a fractional count or era, or NaN. It is called in an interval that nothing guards, in fleets of more than ten.

Cause: the fields have 32 bits, and what goes into them has no bound: waits come from counts of tokens that callers name, of up to 15 digits; eras from a header of the store; urgencies from the priorities of a configuration, which may be negative or fractional and reached an array index.

Change: the encoder clamps every number and knows no level beyond the lowest urgency; LoadTable counts at most an hour for each request, at a whole level. The decoder leaves out messages with a position in the store that is no whole number or with more levels than there are, and believes no interval above a minute: a sender with 4e9 ms would have counted as present for half a year.

--- a/packages/gateway/src/loads/__tests__/loadMessage.spec.ts
+++ b/packages/gateway/src/loads/__tests__/loadMessage.spec.ts
@@ -7,6 +7,7 @@
   decodeLoadMessage,
   encodeLoadMessage,
   splitReport,
+  type LoadMessage,
   type LoadReport,
 } from '../loadMessage.js'
 
@@ -34,6 +35,13 @@
   }
 }
 
+/** The first message of a report on one server, after encoding and decoding. */
+function exchanged(changes: Partial<LoadReport>): LoadMessage | undefined {
+  const [message] = splitReport({ ...reportOf(1), ...changes })
+  assert.ok(message)
+  return decodeLoadMessage(encodeLoadMessage(message))
+}
+
 describe('load messages', () => {
   it('are the same after encoding and decoding', () => {
     const [message] = splitReport(reportOf(55))
@@ -76,4 +84,46 @@
     assert.equal(decodeLoadMessage(datagram.subarray(0, 20)), undefined)
     assert.equal(decodeLoadMessage(Buffer.of(0x4c, 0xff, 0xff, 0xff)), undefined)
   })
+
+  // Guards against: an encoder that throws in an interval, at each instance of a large fleet.
+  it('hold numbers beyond their fields as the nearest ones', () => {
+    const odd = [5e9, -1, 0.5, Number.NaN, Number.POSITIVE_INFINITY]
+    for (const number of odd) {
+      const message = exchanged({
+        intervalMs: number,
+        instances: number,
+        loads: new Map([[7, { running: number, waitingMs: [number, 1] }]]),
+        speeds: new Map([['large', [{ msPerToken: number, instances: number }]]]),
+        marks: [{ kind: 'config', era: number, changedAt: 4, asOf: 9, ageMs: number }],
+      })
+      assert.ok(message, String(number))
+      const { running, waitingMs } = message.loads.get(7) ?? {
+        running: -1,
+        waitingMs: [],
+      }
+      for (const value of [running, ...waitingMs, message.marks[0]?.ageMs ?? -1])
+        assert.ok(Number.isInteger(value) && value >= 0 && value < 2 ** 32)
+    }
+  })
+
+  it('hold only the levels that engines know', () => {
+    const waitingMs = [1, 2]
+    waitingMs[4_000] = 3
+    const message = exchanged({ loads: new Map([[7, { running: 1, waitingMs }]]) })
+    assert.deepEqual(message?.loads.get(7)?.waitingMs, [1, 2])
+  })
+
+  it('with a position that is no whole number are not read', () => {
+    for (const position of [0.5, -1, Number.NaN, 2 ** 53]) {
+      for (const name of ['changedAt', 'asOf']) {
+        const mark = { kind: 'config', era: 1, changedAt: 4, asOf: 9, ageMs: 0 }
+        const marks = [{ ...mark, [name]: position }]
+        assert.equal(exchanged({ marks }), undefined, `${name} ${position}`)
+      }
+    }
+  })
+
+  it('do not keep a sender known for longer than a minute at a time', () => {
+    assert.equal(exchanged({ intervalMs: 4e9 })?.intervalMs, 60_000)
+  })
 })
--- a/packages/gateway/src/loads/loadMessage.ts
+++ b/packages/gateway/src/loads/loadMessage.ts
@@ -6,6 +6,8 @@
 import { LoadReportSchema, LoadReport_Scope } from '@wagtailway/protocol'
 import type { FeedMark } from '../feed/feedState.js'
 import { LOWEST_URGENCY } from '../model/urgency.js'
+import { MAX_AMOUNT, readOrdinal } from '../peers/wireValues.js'
+import { MAX_MS_PER_TOKEN } from '../placement/prefillSpeeds.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
 import type { LoadsByHash, SharedSpeed, SharedSpeeds } from './loadSums.js'
 
@@ -46,6 +48,9 @@
 
 const MAX_HASH = 0xffffffff
 
+/** Longest interval between two reports of a sender that is believed, in milliseconds. */
+const MAX_INTERVAL_MS = 60_000
+
 const SCOPES: Readonly<Record<LoadScope, LoadReport_Scope>> = {
   instance: LoadReport_Scope.INSTANCE,
   zone: LoadReport_Scope.ZONE,
@@ -93,27 +98,27 @@
       scope: SCOPES[message.scope],
       sender: message.sender,
       zone: message.zone,
-      intervalMs: Math.round(message.intervalMs),
+      intervalMs: toUint32(message.intervalMs),
       wantsFleet: message.wantsFleet,
-      instances: message.instances,
+      instances: toUint32(message.instances),
       firstHash: message.firstHash,
       lastHash: message.lastHash,
       servers: [...message.loads.keys()],
-      running: allLoads.map(({ running }) => Math.max(0, running)),
+      running: allLoads.map(({ running }) => toUint32(running)),
       levels,
       waitingMs: allLoads.flatMap(({ waitingMs }) =>
-        levels.map((level) => Math.max(0, Math.round(waitingMs[level] ?? 0))),
+        levels.map((level) => toUint32(waitingMs[level] ?? 0)),
       ),
       speeds: [...message.speeds].map(([model, byLength]) => ({
         model,
-        msPerToken: byLength.map((speed) => speed?.msPerToken ?? 0),
-        instances: byLength.map((speed) => speed?.instances ?? 0),
+        msPerToken: byLength.map((speed) => toSpeed(speed?.msPerToken ?? 0)),
+        instances: byLength.map((speed) => toUint32(speed?.instances ?? 0)),
       })),
       marks: message.marks.map(({ era = 0, ageMs, hops = 0, ...mark }) => ({
         ...mark,
-        era,
-        ageMs: Math.max(0, Math.round(ageMs)),
-        hops,
+        era: toUint32(era),
+        ageMs: toUint32(ageMs),
+        hops: toUint32(hops),
       })),
     }),
   )
@@ -135,6 +140,7 @@
     const { sender, zone, intervalMs, wantsFleet, instances, firstHash, lastHash } =
       decoded
     const { levels, running, waitingMs } = decoded
+    if (levels.length > LOWEST_URGENCY + 1) return undefined
     if (levels.some((level) => level > LOWEST_URGENCY)) return undefined
     const loads = new Map<number, ServerLoad>(
       decoded.servers.map((hash, row) => {
@@ -149,7 +155,7 @@
         model,
         msPerToken.map((ms, i): SharedSpeed | undefined =>
           ms > 0 && Number.isFinite(ms)
-            ? { msPerToken: ms, instances: counts[i] ?? 0 }
+            ? { msPerToken: toSpeed(ms), instances: counts[i] ?? 0 }
             : undefined,
         ),
       ]),
@@ -158,7 +164,7 @@
       scope,
       sender,
       zone,
-      intervalMs,
+      intervalMs: Math.min(MAX_INTERVAL_MS, intervalMs),
       wantsFleet,
       instances,
       firstHash,
@@ -168,8 +174,8 @@
       marks: decoded.marks.map(({ kind, era, changedAt, asOf, ageMs, hops }) => ({
         kind,
         era,
-        changedAt,
-        asOf,
+        changedAt: readOrdinal(changedAt),
+        asOf: readOrdinal(asOf),
         ageMs,
         hops,
       })),
@@ -180,11 +186,21 @@
   }
 }
 
+/** The nearest number that a field of 32 bits holds; any other makes the encoder throw. */
+function toUint32(value: number): number {
+  return value > 0 ? Math.min(MAX_AMOUNT, Math.round(value)) : 0
+}
+
+function toSpeed(msPerToken: number): number {
+  return msPerToken > 0 ? Math.min(MAX_MS_PER_TOKEN, msPerToken) : 0
+}
+
 /** Urgency levels at which requests wait. */
 function levelsOf(loads: readonly ServerLoad[]): number[] {
   const levels = new Set<number>()
   for (const { waitingMs } of loads)
-    for (const [level, ms] of waitingMs.entries()) if (ms > 0) levels.add(level)
+    for (let level = 0; level <= LOWEST_URGENCY; level += 1)
+      if ((waitingMs[level] ?? 0) > 0) levels.add(level)
   return [...levels]
 }
 
--- a/packages/gateway/src/peers/__tests__/reportValues.spec.ts
+++ b/packages/gateway/src/peers/__tests__/reportValues.spec.ts
@@ -1,7 +1,6 @@
 /** Reports with values that no build of ours sends, and how they are read. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { LoadTable } from '../../placement/serverLoad.js'
 import { judgeVersion } from '../../rollout/judgeVersion.js'
 import {
   NO_CRASH_REPORT,
@@ -117,10 +116,10 @@
 
   // Guards against: null on the wire for a level between those at which requests wait.
   it('has no empty level among the waits', () => {
-    const load = LoadTable.create(() => 0)
-    load.begin('s1', 60, 0)
-    load.prefillDone('s1', 5, 2)
-    const wire = encodeReport({ ...REPORT, loads: load.localLoads }).toString()
-    assert.match(wire, /\[60,0,0\]/)
+    const waitingMs = [60]
+    waitingMs[2] = 5
+    const loads = new Map([['s1', { running: 1, waitingMs }]])
+    const wire = encodeReport({ ...REPORT, loads }).toString()
+    assert.match(wire, /\[60,0,5\]/)
   })
 })
--- a/packages/gateway/src/placement/__tests__/serverLoad.spec.ts
+++ b/packages/gateway/src/placement/__tests__/serverLoad.spec.ts
@@ -15,6 +15,26 @@
 const REPORTED = new Map([['s1', { running: 2, waitingMs: [0, 50] }]])
 
 describe('LoadTable', () => {
+  // Guards against: waits beyond what messages hold, from counts of tokens that callers name.
+  it('counts at most an hour for each request', () => {
+    const { table } = setUp()
+    table.begin('s1', 1e15, 0)
+    table.begin('s1', 40, 0)
+    assert.deepEqual(table.total('s1').waitingMs, [3_600_040])
+    table.prefillDone('s1', 1e15, 0)
+    assert.deepEqual(table.total('s1').waitingMs, [40])
+  })
+
+  it('counts waits of an odd urgency at the nearest level', () => {
+    const { table } = setUp()
+    table.begin('s1', 30, -2)
+    table.begin('s1', 20, 1.5)
+    assert.deepEqual(table.total('s1').waitingMs, [30, 20])
+    table.prefillDone('s1', 30, -2)
+    table.prefillDone('s1', 20, 1.5)
+    assert.deepEqual(table.total('s1').waitingMs, [0, 0])
+  })
+
   it('adds up the loads of this process and of all reports', () => {
     const { table } = setUp()
     table.begin('s1', 30, 2)
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -1,6 +1,7 @@
 /** Load of each backend server, as far as this process knows. */
 import { hash32, type Clock } from '@wagtailway/core'
 import type { LoadsByHash } from '../loads/loadSums.js'
+import { LOWEST_URGENCY } from '../model/urgency.js'
 
 /** Least age at which load reports of other entry instances expire, in milliseconds. */
 const MIN_REPORT_TTL_MS = 4_000
@@ -8,6 +9,9 @@
 /** Interval of looking for expired reports, in milliseconds. */
 const EXPIRY_CHECK_MS = 250
 
+/** Longest prefill time of one request that counts, in milliseconds: no caller waits longer. */
+const MAX_PREFILL_MS = 3_600_000
+
 /** Load of one backend server. */
 export interface ServerLoad {
   /** Requests in progress. */
@@ -52,6 +56,15 @@
     sum.waitingMs[level] = Math.max(0, (sum.waitingMs[level] ?? 0) - ms)
 }
 
+/** Index of an urgency that a configuration may have made negative or fractional. */
+function levelOf(urgency: number): number {
+  return urgency > 0 ? Math.min(LOWEST_URGENCY, Math.floor(urgency)) : 0
+}
+
+function boundedPrefillMs(prefillMs: number): number {
+  return prefillMs > 0 ? Math.min(MAX_PREFILL_MS, prefillMs) : 0
+}
+
 function copyLoad({ running, waitingMs }: ServerLoad): ServerLoad {
   return { running, waitingMs: [...waitingMs] }
 }
@@ -102,9 +115,9 @@
   /** Records that a request was sent, with its expected prefill time and its urgency. */
   begin(serverId: string, prefillMs: number, urgency: number): void {
     const load = this.#localLoads.get(serverId) ?? { running: 0, waitingMs: [] }
-    const waitingMs: number[] = []
-    waitingMs[urgency] = prefillMs
-    addLoad(load, { running: 1, waitingMs: Array.from(waitingMs, (ms) => ms ?? 0) })
+    const waitingMs = new Array<number>(levelOf(urgency)).fill(0)
+    waitingMs.push(boundedPrefillMs(prefillMs))
+    addLoad(load, { running: 1, waitingMs })
     this.#localLoads.set(serverId, load)
   }
 
@@ -112,7 +125,10 @@
   prefillDone(serverId: string, prefillMs: number, urgency: number): void {
     const load = this.#localLoads.get(serverId)
     if (!load) return
-    load.waitingMs[urgency] = Math.max(0, (load.waitingMs[urgency] ?? 0) - prefillMs)
+    const level = levelOf(urgency)
+    const waitingMs = load.waitingMs[level]
+    if (waitingMs !== undefined)
+      load.waitingMs[level] = Math.max(0, waitingMs - boundedPrefillMs(prefillMs))
   }
 
   end(serverId: string): void {
