Messages about permits and places: whole and bounded numbers only

Seen: an ask with 1e999 requests a second (Infinity after JSON.parse) makes the bucket of its server NaN, which then issues no permit to anyone. A message that tells -5 requests in progress, or 1e999 slots, makes the issuer grant more places than a brittle server has.

Cause: any number from 0 passed in the messages about permits, any at all in those about places.

Change: both read their fields as reports do; ids and sequence numbers must be whole. The places of a server are never more than the slots that the last message tells.

--- a/packages/gateway/src/peers/permitMessage.ts
+++ b/packages/gateway/src/peers/permitMessage.ts
@@ -1,6 +1,15 @@
 /** Messages between entry instances about permits of rate-limited backend servers. */
 import type { PermitGrant } from '../limits/permitIssuer.js'
 import type { RemoteAsk } from '../limits/serverLimiter.js'
+import { LOWEST_URGENCY } from '../model/urgency.js'
+import {
+  MAX_AMOUNT,
+  readAmount,
+  readList,
+  readNumber,
+  readOrdinal,
+  readText,
+} from './wireValues.js'
 
 /** First elements of the messages; that of a report is a name. */
 const ASK = 1
@@ -61,38 +70,43 @@
  */
 export function decodePermitMessage(datagram: Buffer): PermitMessage | undefined {
   if (!MESSAGE_START.test(datagram.toString('latin1', 0, 3))) return undefined
-  let wire: unknown[]
   try {
-    wire = JSON.parse(datagram.toString()) as unknown[]
+    const [kind, ...fields] = readList(JSON.parse(datagram.toString()))
+    return kind === GRANT ? readGrant(fields) : readAsk(fields)
   } catch {
     // Any data may arrive on an open port; the calling code counts undecodable datagrams.
     return undefined
   }
-  if (isWireGrant(wire)) {
-    const [, id, count, retryAfterMs] = wire
-    return { type: 'grant', id, grant: { count, retryAfterMs } }
-  }
-  if (!isWireAsk(wire)) return undefined
-  const [, asker, id, incarnation, requestsPerS, ageMs, count, urgency] = wire
-  const ask = { id, incarnation, requestsPerS, ageMs, count, urgency }
-  return { type: 'ask', asker, ask }
 }
 
-function isWireGrant(wire: unknown[]): wire is WireGrant {
-  return wire[0] === GRANT && wire.length === 4 && wire.every(isNonNegative)
+function readGrant(fields: readonly unknown[]): PermitMessage | undefined {
+  if (fields.length !== 3 || !fields.every(isNonNegative)) return undefined
+  const [id, count, retryAfterMs] = fields
+  return {
+    type: 'grant',
+    id: readOrdinal(id),
+    grant: { count: readAmount(count), retryAfterMs: readAmount(retryAfterMs) },
+  }
 }
 
-function isWireAsk(wire: unknown[]): wire is WireAsk {
-  const [kind, asker, id, incarnation, ...numbers] = wire
-  return (
-    kind === ASK &&
-    typeof asker === 'string' &&
-    typeof incarnation === 'string' &&
-    numbers.length === 4 &&
-    [id, ...numbers].every(isNonNegative)
-  )
+function readAsk(fields: readonly unknown[]): PermitMessage | undefined {
+  const [asker, id, incarnation, ...numbers] = fields
+  if (numbers.length !== 4 || !numbers.every(isNonNegative)) return undefined
+  const [requestsPerS, ageMs, count, urgency] = numbers
+  return {
+    type: 'ask',
+    asker: readText(asker),
+    ask: {
+      id: readOrdinal(id),
+      incarnation: readText(incarnation),
+      requestsPerS: readNumber(requestsPerS, MAX_AMOUNT),
+      ageMs: readAmount(ageMs),
+      count: readAmount(count),
+      urgency: readAmount(urgency, LOWEST_URGENCY),
+    },
+  }
 }
 
 function isNonNegative(value: unknown): boolean {
-  return typeof value === 'number' && value >= 0
+  return Number.isFinite(value) && Number(value) >= 0
 }
--- a/packages/gateway/src/statements/placeIssuer.ts
+++ b/packages/gateway/src/statements/placeIssuer.ts
@@ -183,6 +183,8 @@
 
   #adapt(issued: Issued, slots: number, refusals: number): void {
     const nowMs = this.opts.clock()
+    // Another instance may have told more.
+    issued.places = Math.min(issued.places, slots)
     if (refusals > 0) {
       const inUse = Math.min(issued.places, this.#inUse(issued) + refusals)
       issued.places = Math.max(1, inUse * REFUSAL_FACTOR)
--- a/packages/gateway/src/statements/placeMessage.ts
+++ b/packages/gateway/src/statements/placeMessage.ts
@@ -1,10 +1,14 @@
 /** Messages between entry instances about places of brittle backend servers. */
+import { readAmount, readList, readOrdinal, readText } from '../peers/wireValues.js'
 import type { PlaceMessage } from './placeLimiter.js'
 
 /** First elements of the messages; that of a report is a name. */
 const USE = 3
 const ANSWER = 4
 
+/** Id on the wire in a message that asks for nothing. */
+const NO_ASK = -1
+
 /** Begin of the text of all messages. */
 const MESSAGE_START = /^\[[34],/
 
@@ -22,7 +26,7 @@
   if (datagram.type === 'answer')
     return Buffer.from(JSON.stringify([ANSWER, datagram.askId, datagram.granted ? 1 : 0]))
   const { sender, message } = datagram
-  const { incarnation, running, slots, refusals, askId = -1, isDeputy } = message
+  const { incarnation, running, slots, refusals, askId = NO_ASK, isDeputy } = message
   const { resolvedAskId, sequence } = message
   const numbers = [running, slots, refusals, askId, isDeputy ? 1 : 0]
   numbers.push(resolvedAskId, sequence)
@@ -37,42 +41,32 @@
  */
 export function decodePlaceDatagram(bytes: Buffer): PlaceDatagram | undefined {
   if (!MESSAGE_START.test(bytes.toString('latin1', 0, 3))) return undefined
-  let wire: unknown
   try {
-    wire = JSON.parse(bytes.toString())
+    const [kind, ...fields] = readList(JSON.parse(bytes.toString()))
+    return kind === ANSWER ? readAnswer(fields) : readUse(fields)
   } catch {
     // Any data may arrive on an open port; the calling code counts undecodable datagrams.
     return undefined
   }
-  if (!Array.isArray(wire)) return undefined
-  const [kind, ...rest] = wire as unknown[]
-  return kind === ANSWER ? decodeAnswer(rest) : decodeUse(rest)
 }
 
-function decodeAnswer([askId, granted]: unknown[]): PlaceDatagram | undefined {
-  if (typeof askId !== 'number') return undefined
-  return { type: 'answer', askId, granted: granted === 1 }
+function readAnswer([askId, granted]: readonly unknown[]): PlaceDatagram {
+  return { type: 'answer', askId: readOrdinal(askId), granted: granted === 1 }
 }
 
-function decodeUse([sender, incarnation, ...numbers]: unknown[]):
-  PlaceDatagram | undefined {
-  if (typeof sender !== 'string' || typeof incarnation !== 'string') return undefined
-  if (numbers.length !== 7 || !numbers.every(isNumber)) return undefined
-  const [running = 0, slots = 0, refusals = 0, askId = -1, isDeputy = 0] = numbers
-  const [resolvedAskId = 0, sequence = 0] = numbers.slice(5)
+function readUse(fields: readonly unknown[]): PlaceDatagram | undefined {
+  const [sender, incarnation, running, slots, refusals, askId, ...rest] = fields
+  const [isDeputy, resolvedAskId, sequence] = rest
+  if (rest.length !== 3) return undefined
   const message = {
-    incarnation,
-    running,
-    slots,
-    refusals,
-    askId: askId < 0 ? undefined : askId,
+    incarnation: readText(incarnation),
+    running: readAmount(running),
+    slots: Math.max(1, readAmount(slots)),
+    refusals: readAmount(refusals),
+    askId: askId === NO_ASK ? undefined : readOrdinal(askId),
     isDeputy: isDeputy === 1,
-    resolvedAskId,
-    sequence,
+    resolvedAskId: readOrdinal(resolvedAskId),
+    sequence: readOrdinal(sequence),
   }
-  return { type: 'use', sender, message }
-}
-
-function isNumber(value: unknown): value is number {
-  return typeof value === 'number'
+  return { type: 'use', sender: readText(sender), message }
 }
