Pulled updates are checked before a feed takes them

Seen: an answer of another instance with its events in no list moves the feed on to the revision of the answer (5 to 14 in the test), then throws: the changes between are lost here for good, as later updates start at 14. Objects that are null reach the decoders of servers and configurations.

Cause: the body was cast to an update.

Change: pullMessage.ts reads the mark, the events and the hosts that a pull is referred to; anything else counts as a failed pull, and the next instance that is ahead is asked.

Measured: the test fails on the old code and passes now.

--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -15,7 +15,8 @@
   type ReportSource,
 } from './feedPuller.js'
 import { FeedServer, type FeedResponse } from './feedServer.js'
-import type { FeedMark, FeedUpdate, FeedState, StorePosition } from './feedState.js'
+import type { FeedMark, FeedState, StorePosition } from './feedState.js'
+import { readHolders, readUpdate } from './pullMessage.js'
 
 /**
  * Time without data after which a pull has failed, in milliseconds; the feed can then be
@@ -125,9 +126,9 @@
       acceptsGzip: true,
       maxBytes: MAX_UPDATE_BYTES,
     })
-    if (status === STATUS_BUSY) return { type: 'busy', ...(body as BusyBody) }
+    if (status === STATUS_BUSY) return { type: 'busy', holders: readHolders(body) }
     if (status !== 200) throw new Error(`status ${status}`)
-    return { type: 'update', update: body as FeedUpdate<unknown> }
+    return { type: 'update', update: readUpdate(body) }
   }
 }
 
