Generations of quarantined traits are believed up to a billion

Seen: a report, or the stored object, with a generation that a number can't raise by one (2^53 - 2, 1e300, 0.5) makes the process loop without end at the next crash under that trait: the trait is quarantined by a generation that is odd, and that number never becomes odd.

Cause: CrashQuarantine goes on until no trait explains the crashes, and quarantine() didn't take.

Change: TraitQuarantine leaves out states with a generation that is not whole, below zero or above 1e9, from reports and from the store.

--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -428,8 +428,8 @@
       const [trait, generation, probes, refusedAgeMs] = readList(row)
       return {
         trait: readText(trait),
-        generation: readOrdinal(generation),
-        probes: readOrdinal(probes),
+        generation: readAmount(generation),
+        probes: readAmount(probes),
         refusedAgeMs: readOptional(refusedAgeMs, readAge),
       }
     }),
--- a/packages/gateway/src/quarantine/__tests__/crashQuarantine.spec.ts
+++ b/packages/gateway/src/quarantine/__tests__/crashQuarantine.spec.ts
@@ -83,6 +83,17 @@
     assert.equal(isQuarantined(quarantine, 'first'), false)
   })
 
+  // Guards against: a loop without end, as a trait of such a generation is never quarantined.
+  it('is quarantined whatever generation another instance tells of it', async () => {
+    for (const generation of [1e300, 2 ** 53, 2 ** 53 - 2, 0.5, -3, Number.NaN]) {
+      const quarantine = createQuarantine()
+      const told = { trait: 'bad', generation, probes: 0, refusedAgeMs: 5 }
+      quarantine.applyReport('n2', { crashes: [], sound: [], traits: [told] })
+      await crashServers(quarantine, ['s1', 's2', 's3'])
+      assert.equal(isQuarantined(quarantine, 'bad'), true, String(generation))
+    }
+  })
+
   it('is told by several instances that each saw one crash', async () => {
     const instances = ['n1', 'n2', 'n3'].map((name) => ({
       name,
--- a/packages/gateway/src/quarantine/traitQuarantine.ts
+++ b/packages/gateway/src/quarantine/traitQuarantine.ts
@@ -24,6 +24,12 @@
 /** Time within which a claimed probe must be sent, in milliseconds. */
 const PROBE_TTL_MS = 10_000
 
+/**
+ * Highest generation that is believed. Far above it a number no longer changes by one, and a trait
+ * could be neither quarantined nor released.
+ */
+const MAX_GENERATION = 1_000_000_000
+
 /** State of one trait, as instances and the store exchange it. */
 export interface TraitState {
   readonly trait: string
@@ -154,6 +160,7 @@
   merge(states: readonly (TraitState & Partial<ReportedTraitState>)[]): void {
     const nowMs = this.clock()
     for (const { trait, generation, probes, refusedAgeMs } of states) {
+      if (!isBelievable(generation)) continue
       const known = this.#known.get(trait)
       if (isNewer({ trait, generation, probes }, known?.state)) {
         this.#set({ trait, generation, probes })
@@ -209,6 +216,10 @@
   }
 }
 
+function isBelievable(generation: number): boolean {
+  return Number.isInteger(generation) && generation >= 0 && generation <= MAX_GENERATION
+}
+
 /** Whether a state means that the trait is quarantined. */
 export function isQuarantined({ generation }: TraitState): boolean {
   return generation % 2 === 1
