--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
+import { bindOwner, runOwned } from '@wagtailway/core'
 import { ResetDetector } from '../http/resetDetector.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { Listen } from '../sockets/sockets.js'
@@ -74,10 +75,14 @@
     this.#server.on('connect', (req: IncomingMessage, socket: Socket, head: Buffer) => {
       // A requester that has gone is noticed by the close that follows.
       socket.on('error', () => undefined)
-      if (head.length > 0) socket.unshift(head)
-      this.#relay(req, socket).catch((err: unknown) => {
-        this.opts.onError(err, socket.remoteAddress ?? '')
+      const host = socket.remoteAddress ?? ''
+      const end = (err: unknown): void => {
+        this.opts.onError(err, host)
         socket.destroy()
+      }
+      runOwned({ work: 'relayed connection', id: host, end }, () => {
+        if (head.length > 0) socket.unshift(head)
+        this.#relay(req, socket).catch(end)
       })
     })
   }
@@ -96,6 +101,8 @@
 
   /** Number of connections that are relayed now. */
   get openCount(): number {
+    // An error may have swallowed the event of a close.
+    for (const socket of this.#open) if (socket.destroyed) this.#open.delete(socket)
     return this.#open.size
   }
 
@@ -108,7 +115,7 @@
   async #relay(req: IncomingMessage, socket: Socket): Promise<void> {
     const host = socket.remoteAddress ?? ''
     const incarnation = String(req.headers[SERVER_HEADER] ?? '')
-    const admitted = this.opts.admit(host, incarnation, this.#open.size)
+    const admitted = this.opts.admit(host, incarnation, this.openCount)
     const report = (result: RelayRequest['result']): void => {
       this.opts.onRequest({ server: incarnation, host, result })
     }
@@ -162,20 +169,30 @@
   #join(socket: Socket, upstream: Socket, endMark: string | string[] | undefined): void {
     this.#open.add(socket)
     this.opts.onOpenCount(this.#open.size)
-    socket.once('close', () => {
-      this.#open.delete(socket)
-      this.opts.onOpenCount(this.#open.size)
-    })
+    socket.once(
+      'close',
+      bindOwner(() => {
+        this.#open.delete(socket)
+        this.opts.onOpenCount(this.#open.size)
+        upstream.destroy()
+      }),
+    )
     for (const end of [socket, upstream]) {
       end.setNoDelay(true)
       end.setKeepAlive(true, KEEP_ALIVE_MS)
-      end.setTimeout(IDLE_TIMEOUT_MS, () => end.destroy())
+      end.setTimeout(
+        IDLE_TIMEOUT_MS,
+        bindOwner(() => end.destroy()),
+      )
     }
     socket.write('HTTP/1.1 200 OK\r\n\r\n')
     passBytes(socket, upstream)
     passBytes(upstream, socket, endMark?.toString())
     // The server stops working on a request once its connection has closed.
-    socket.on('end', () => upstream.destroy())
+    socket.on(
+      'end',
+      bindOwner(() => upstream.destroy()),
+    )
   }
 }
 
@@ -187,21 +204,25 @@
  */
 function passBytes(from: Socket, to: Socket, endMark?: string): void {
   const detector = ResetDetector.create(from)
-  from.on('data', (chunk: Buffer) => {
+  const onData = bindOwner((chunk: Buffer) => {
     if (to.destroyed || to.write(chunk)) return
     from.pause()
-    to.once('drain', () => from.resume())
+    to.once(
+      'drain',
+      bindOwner(() => from.resume()),
+    )
   })
-  from.on('end', () => {
+  const onEnd = bindOwner(() => {
     if (endMark === undefined || detector.mayBeReset) to.end()
     else to.end(endMark)
   })
-  from.on('error', () => {
+  const onError = bindOwner(() => {
     if (!to.destroyed) to.resetAndDestroy()
   })
-  from.on('close', () => {
+  const onClose = bindOwner(() => {
     if (!to.writableEnded) to.destroy()
   })
+  from.on('data', onData).on('end', onEnd).on('error', onError).on('close', onClose)
 }
 
 function refuse(socket: Socket, reason: string): void {
