--- a/packages/gateway/src/observe/log.ts
+++ b/packages/gateway/src/observe/log.ts
@@ -22,6 +22,7 @@
   'unforeseen_error',
   'exchange_failed',
   'loop_failed',
+  'late_error',
 ])
 
 /** Events of the end of a process, which has each of them once; they are always written. */
--- a/packages/router/src/http/callerServer.ts
+++ b/packages/router/src/http/callerServer.ts
@@ -7,7 +7,15 @@
 } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { Err, Ok, flagOf, notRun, type Refusal, type Result } from '@wagtailway/core'
+import {
+  Err,
+  Ok,
+  callOwned,
+  flagOf,
+  notRun,
+  type Refusal,
+  type Result,
+} from '@wagtailway/core'
 import { handleCompletion } from '../request/completion.js'
 import { handleServiceRequest } from '../request/serviceRequest.js'
 import type { RouterNode } from '../routerNode.js'
@@ -126,7 +134,9 @@
     node.inProgress += 1
     node.metrics.inProgress.set(node.inProgress)
     try {
-      const outcome = await this.#route(req, res)
+      const outcome = await callOwned('request', req.url ?? '', () =>
+        this.#route(req, res),
+      )
       if (outcome.err) this.#refuse(res, outcome.val)
     } catch (err) {
       node.log.error('request failed inside the router', err)
--- a/packages/wagtailway/src/process/errorOwner.ts
+++ b/packages/wagtailway/src/process/errorOwner.ts
@@ -12,8 +12,11 @@
   readonly work: string
   /** Tells it from other work of its kind. */
   readonly id?: string | undefined
-  /** Ends the work; called for each error, also after the work has ended. */
-  readonly end: (err: unknown) => void
+  /**
+   * Ends the work; called for each error. Returns `false` if nobody learns of the error, as the
+   * work had ended before: then it is logged for the process.
+   */
+  readonly end: (err: unknown) => unknown
 }
 
 const owners = new AsyncLocalStorage<ErrorOwner>()
@@ -68,9 +71,18 @@
   call: () => Promise<T>,
 ): Promise<T> {
   return new Promise((resolve, reject) => {
-    const owner = { work, id, end: reject }
-    runOwned(owner, () => {
-      call().then(resolve, reject)
+    let isSettled = false
+    const end = (err: unknown): boolean => {
+      const isFirst = !isSettled
+      isSettled = true
+      reject(err)
+      return isFirst
+    }
+    runOwned({ work, id, end }, () => {
+      call().then((result) => {
+        isSettled = true
+        resolve(result)
+      }, end)
     })
   })
 }
--- a/packages/wagtailway/src/process/processLife.ts
+++ b/packages/wagtailway/src/process/processLife.ts
@@ -180,7 +180,7 @@
   }
 
   #handleUnforeseen(kind: UnforeseenKind, err: unknown): void {
-    if (endOwner(err)) return
+    if (this.#endOwner(err)) return
     this.#unforeseenCount += 1
     const count = this.#unforeseenCount
     this.#log('unforeseen_error', { kind, count, ...reportOf(err) })
@@ -195,6 +195,21 @@
     if (this.#serving) this.#endOnceNothingIsOwed(this.#serving.graceMs)
   }
 
+  /** Ends the work that an error belongs to; returns false if it belongs to none. */
+  #endOwner(err: unknown): boolean {
+    const owner = currentOwner()
+    if (!owner) return false
+    try {
+      const { work, id } = owner
+      if (owner.end(err) === false)
+        this.#log('late_error', { work, id, ...reportOf(err) })
+      return true
+    } catch {
+      // Work that can't be ended may hold something for ever.
+      return false
+    }
+  }
+
   /** Ends a drain that does not complete, a while after the last answer was due. */
   #endOnceNothingIsOwed(graceMs: number): void {
     const owedForMs = Math.max(0, this.#serving?.owedForMs() ?? 0)
@@ -248,19 +263,6 @@
   return err instanceof Error ? err.message : String(err)
 }
 
-/** Ends the work that an error belongs to; returns false if it belongs to none. */
-function endOwner(err: unknown): boolean {
-  const owner = currentOwner()
-  if (!owner) return false
-  try {
-    owner.end(err)
-    return true
-  } catch {
-    // Work that can't be ended may hold something for ever.
-    return false
-  }
-}
-
 const PROCESS: ProcessLifeOptions = {
   process,
   writeError: (line) => {
