--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -37,6 +37,8 @@
   readonly memoryMb?: number
   /** Arguments of Node.js. */
   readonly nodeArgs?: readonly string[]
+  /** Environment variables of its processes beyond those of this one. */
+  readonly env?: Readonly<Record<string, string>>
   /**
    * Whether a process that ended by itself is started again.
    *
@@ -147,13 +149,14 @@
 
   /** Starts the process; throws if it is running. */
   start({ fileLimit }: StartOptions = {}): SoakProcess {
-    const { ports, name, program = PROGRAM, nodeArgs = [] } = this.opts
+    const { ports, name, program = PROGRAM, nodeArgs = [], env } = this.opts
     if (this.isRunning) throw new Error(`${name} is running`)
     this.startCount += 1
     const args = ['--settings', this.#settingsPath, '--metrics-port', `${ports.metrics}`]
     this.process = SoakProcess.create({
       command: [process.execPath, ...nodeArgs, program, ...args],
       ...(fileLimit !== undefined && { fileLimit }),
+      ...(env && { env }),
       stopMs: GRACE_S * 1_000 + STOP_MARGIN_MS,
       onLine: (line) => {
         this.logLines.push(line)
--- a/packages/scenario/src/soak/soakProcess.ts
+++ b/packages/scenario/src/soak/soakProcess.ts
@@ -11,6 +11,8 @@
    * @default that of this process
    */
   readonly fileLimit?: number
+  /** Environment variables beyond those of this process. */
+  readonly env?: Readonly<Record<string, string>>
   /** Time from SIGTERM within which the process must end, in milliseconds. */
   readonly stopMs: number
   /** Called with each line of standard output and standard error. */
@@ -78,13 +80,14 @@
   private constructor(private readonly opts: SoakProcessOptions) {
     const [program = '', ...args] = opts.command
     const stdio: ['ignore', 'pipe', 'pipe'] = ['ignore', 'pipe', 'pipe']
+    const env = { ...process.env, ...opts.env }
     const child =
       opts.fileLimit === undefined
-        ? spawn(program, args, { stdio })
+        ? spawn(program, args, { stdio, env })
         : spawn(
             'bash',
             ['-c', `ulimit -n ${opts.fileLimit}; exec "$@"`, 'bash', program, ...args],
-            { stdio },
+            { stdio, env },
           )
     this.#child = child
     runningChildren.add(child)
