Senders of datagrams without a port are not kept

Seen: UDP allows 0 as the port of a sender, and a socket throws ERR_SOCKET_BAD_PORT when it is to send there. A report from such a sender put it into the table of instances, to which a timer sends; the throw there is nobody's, and the timer, which is started again after it, ends. The same holds for the interval of the sums of loads.

Cause: the address was taken as it came.

Change: PeerTable and LoadExchange leave out what comes from port 0.

No datagram from port 0 was sent to a gateway, which takes a raw socket.

--- a/packages/gateway/src/loads/__tests__/loadExchange.spec.ts
+++ b/packages/gateway/src/loads/__tests__/loadExchange.spec.ts
@@ -5,7 +5,7 @@
 import { PrefillSpeeds } from '../../placement/prefillSpeeds.js'
 import { LoadTable } from '../../placement/serverLoad.js'
 import { LoadExchange, REPORT_INTERVAL_MS } from '../loadExchange.js'
-import { encodeLoadMessage, type LoadMessage } from '../loadMessage.js'
+import { encodeLoadMessage, splitReport, type LoadMessage } from '../loadMessage.js'
 
 /** Bytes a second that control may cost a node, as the users state it. */
 const MAX_BYTES_PER_S = 3_000
@@ -233,6 +233,43 @@
     })
   }
 
+  // Guards against: a socket that throws in the interval of the sums.
+  it('sends nothing to a sender without a port', () => {
+    const { now } = VirtualClock.create(0)
+    const sentTo: PeerAddress[] = []
+    const exchange = LoadExchange.create({
+      name: 'n0',
+      zone: 'z0',
+      clock: now,
+      load: LoadTable.create(now),
+      prefillSpeeds: PrefillSpeeds.create(now),
+      marks: () => [],
+      instancesByZone: () => new Map([['z0', [{ name: 'n0', address: undefined }]]]),
+      send: (_message, addresses) => sentTo.push(...addresses),
+      onChange: () => undefined,
+    })
+    for (const [sender, port] of [
+      ['n1', 0],
+      ['n2', 7_340],
+    ] as const) {
+      const [message] = splitReport({
+        scope: 'instance',
+        sender,
+        zone: 'z0',
+        intervalMs: REPORT_INTERVAL_MS,
+        wantsFleet: true,
+        instances: 1,
+        loads: new Map(),
+        speeds: new Map(),
+        marks: [],
+      })
+      assert.ok(message)
+      exchange.receive(message, { name: sender, host: '10.0.0.2', port })
+    }
+    exchange.advance()
+    assert.deepEqual([...new Set(sentTo.map(({ name }) => name))], ['n2'])
+  })
+
   it('identifies servers by hashes that differ', () => {
     const ids = Array.from({ length: 2_700 }, (_, i) => `i-${i.toString(16)}`)
     assert.equal(new Set(ids.map((id) => hash32(id))).size, ids.length)
--- a/packages/gateway/src/loads/loadExchange.ts
+++ b/packages/gateway/src/loads/loadExchange.ts
@@ -133,10 +133,10 @@
     this.opts.onChange({ isActive, aggregator: aggregators[0]?.name })
   }
 
-  /** Applies a message of another instance. */
+  /** Applies a message of another instance; one without a port could not be sent anything. */
   receive(message: LoadMessage, from: PeerAddress): void {
     const { sender, scope } = message
-    if (sender === this.opts.name) return
+    if (sender === this.opts.name || from.port === 0) return
     const reports = {
       instance: this.#members,
       zone: this.#zoneSums,
--- a/packages/gateway/src/peers/__tests__/reportValues.spec.ts
+++ b/packages/gateway/src/peers/__tests__/reportValues.spec.ts
@@ -8,6 +8,7 @@
   encodeReport,
   type PeerReport,
 } from '../peerReport.js'
+import { PeerTable } from '../peerTable.js'
 import { MAX_AMOUNT } from '../wireValues.js'
 
 /** Positions of the fields of a report on the wire. */
@@ -123,4 +124,12 @@
     const wire = encodeReport({ ...REPORT, loads }).toString()
     assert.match(wire, /\[60,0,5\]/)
   })
+
+  // Guards against: a socket that throws in the timer of the reports, which then end.
+  it('of a sender without a port is not answered, nor is any other sent there', () => {
+    const peers = PeerTable.create({ name: 'n1', zone: 'z1', linkMbps: 10 }, () => 50_000)
+    assert.equal(peers.applyReport(REPORT, { host: '10.0.0.2', port: 0 }), false)
+    assert.deepEqual(peers.addresses(), [])
+    assert.equal(peers.applyReport(REPORT, { host: '10.0.0.2', port: 7_340 }), true)
+  })
 })
--- a/packages/gateway/src/peers/peerTable.ts
+++ b/packages/gateway/src/peers/peerTable.ts
@@ -121,14 +121,14 @@
   }
 
   /**
-   * Applies a report; returns false if it is outdated, repeated or from this instance
-   * itself.
+   * Applies a report; returns false if it is outdated, repeated, from this instance itself or
+   * from a sender without a port, to whom nothing can be sent.
    */
   applyReport(
     report: PeerReport,
     from: { readonly host: string; readonly port: number },
   ): boolean {
-    if (report.name === this.self.name) return false
+    if (report.name === this.self.name || from.port === 0) return false
     const previous = this.#peers.get(report.name)
     if (previous && report.sequence <= previous.sequence) return false
     this.#peers.set(report.name, {
