A check of a server that failed is made again

Seen: a probe that rejects stays the running check of its server: each later question whether that server has ended gets the same rejection, for the life of the process.

Cause: the entry was deleted only when the probe resolved.

Change: it is deleted in any case; the question whose check failed is still answered by the error.

--- a/packages/gateway/src/quarantine/__tests__/crashQuarantine.spec.ts
+++ b/packages/gateway/src/quarantine/__tests__/crashQuarantine.spec.ts
@@ -198,4 +198,23 @@
     }
     assert.equal(isQuarantined(quarantine, 'bad'), false)
   })
+
+  // Guards against: every later check of a server that fails because the first one did.
+  it('is checked again after a check that failed', async () => {
+    const quarantine = CrashQuarantine.create({
+      clock: clock.now,
+      log: () => undefined,
+      metrics: createMetrics(),
+      probe: () => {
+        probes += 1
+        return probes === 1
+          ? Promise.reject(new Error('no descriptor'))
+          : Promise.resolve('refused')
+      },
+      isPlannedEnd: () => false,
+    })
+    let probes = 0
+    await assert.rejects(quarantine.hasEnded(server('s1')), /no descriptor/)
+    assert.equal(await quarantine.hasEnded(server('s1')), true)
+  })
 })
--- a/packages/gateway/src/quarantine/serverEnds.ts
+++ b/packages/gateway/src/quarantine/serverEnds.ts
@@ -40,15 +40,17 @@
     if (this.#ended.has(incarnation)) return Promise.resolve(true)
     const running = this.#checks.get(incarnation)
     if (running) return running
-    const check = this.opts.probe(server).then((result) => {
-      this.#checks.delete(incarnation)
-      if (result === 'refused') this.record(server, 'connection_refused')
-      return result === 'refused'
-    })
+    const check = this.#check(server).finally(() => this.#checks.delete(incarnation))
     this.#checks.set(incarnation, check)
     return check
   }
 
+  async #check(server: BackendServer): Promise<boolean> {
+    const result = await this.opts.probe(server)
+    if (result === 'refused') this.record(server, 'connection_refused')
+    return result === 'refused'
+  }
+
   /** Records that a server has ended. */
   record(server: BackendServer, evidence: EndEvidence): void {
     const incarnation = incarnationOf(server)
