--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -179,6 +179,9 @@
   }
   ctx.retries.recordMayHaveRun(server)
   const hold = ctx.opts.node.memory.answers.open(ctx.memoryHolder)
+  const undoRelease = caller.defer(() => {
+    hold.close()
+  })
   try {
     const limits = { maxBytes: MAX_RESPONSE_BYTES, budget: hold }
     const bodyResult = await readFullBody(tracked.attempt, head, limits)
@@ -188,6 +191,7 @@
       ? await handleUnbuffered(ctx, tracked, { head, blocks: bodyResult.blocks, hold })
       : await handleBody(ctx, tracked, { head, bodyResult, hold })
   } finally {
+    undoRelease()
     hold.close()
   }
 }
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -343,11 +343,15 @@
   head: AttemptResponse,
 ): Promise<StreamAttemptResult> {
   const hold = ctx.opts.node.memory.answers.open(ctx.memoryHolder)
+  const undoRelease = ctx.opts.caller.defer(() => {
+    hold.close()
+  })
   try {
     const limits = { maxBytes: MAX_NON_STREAM_BYTES, budget: hold }
     const bodyResult = await readFullBody(tracked.attempt, head, limits)
     return concludeNonStream(ctx, state, tracked, { head, bodyResult, hold })
   } finally {
+    undoRelease()
     hold.close()
   }
 }
--- a/packages/gateway/src/forward/writeAnswer.ts
+++ b/packages/gateway/src/forward/writeAnswer.ts
@@ -66,18 +66,20 @@
   onStalled: (stalledMs: number) => void,
 ): void {
   const release = hold.retain()
+  const finish = (): void => {
+    hold.unwatch()
+    release()
+  }
   hold.watch({
-    progress,
+    progress: () => {
+      // An error may have swallowed the event.
+      if (res.closed) finish()
+      return progress()
+    },
     end: bindOwner((stalledMs) => {
       onStalled(stalledMs)
       res.destroy()
     }),
   })
-  res.once(
-    'close',
-    bindOwner(() => {
-      hold.unwatch()
-      release()
-    }),
-  )
+  res.once('close', bindOwner(finish))
 }
--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -1,6 +1,7 @@
 /** Connections of callers, and the answers that each of them still owes. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { bindOwner } from '@wagtailway/core'
 
 /**
  * Knows of each open connection which answers are not yet written, also those that were
@@ -49,10 +50,13 @@
   add(socket: Socket): void {
     this.#owed.set(socket, new Set())
     this.#unused.add(socket)
-    socket.once('close', () => {
-      this.#owed.delete(socket)
-      this.#unused.delete(socket)
-    })
+    socket.once(
+      'close',
+      bindOwner(() => {
+        this.#owed.delete(socket)
+        this.#unused.delete(socket)
+      }),
+    )
   }
 
   /**
@@ -67,10 +71,13 @@
     if (this.#ending.has(socket)) return false
     if ([...answers].some(({ shouldKeepAlive }) => !shouldKeepAlive)) return false
     answers.add(res)
-    res.once('close', () => {
-      answers.delete(res)
-      if (answers.size === 0 && this.#ending.has(socket)) socket.end()
-    })
+    res.once(
+      'close',
+      bindOwner(() => {
+        answers.delete(res)
+        if (answers.size === 0 && this.#ending.has(socket)) socket.end()
+      }),
+    )
     return true
   }
 
@@ -96,8 +103,12 @@
    * caller has opened it for a request that may be on its way.
    */
   closeUnowed(): void {
-    for (const [socket, answers] of this.#owed)
-      if (answers.size === 0 && !this.#unused.has(socket)) socket.destroy()
+    for (const [socket, answers] of this.#owed) {
+      // An error may have swallowed the event of a close.
+      for (const res of answers) if (res.closed) answers.delete(res)
+      if (socket.destroyed) this.#owed.delete(socket)
+      else if (answers.size === 0 && !this.#unused.has(socket)) socket.destroy()
+    }
   }
 
   /** Closes all connections. */
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -16,6 +16,7 @@
 import { reportFailure } from '../observe/failures.js'
 import { LISTEN_BACKLOG, type Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
+import { ownConnections } from './ownConnections.js'
 
 /**
  * Maximum size of the headers that the parser accepts, in bytes; the configured limit is
@@ -86,6 +87,9 @@
     this.#server.on('connect', (_req, socket: Duplex) => {
       socket.destroy()
     })
+    ownConnections(this.#server, (err, id) => {
+      reportFailure(node.opts, 'exchange_failed', { work: 'connection', id }, err)
+    })
   }
 
   static async create(node: GatewayNode, listen: Listen): Promise<CallerServer> {
--- a/packages/gateway/src/http/plainServer.ts
+++ b/packages/gateway/src/http/plainServer.ts
@@ -10,6 +10,7 @@
 } from 'node:http'
 import { runOwned } from '@wagtailway/core'
 import type { Listen } from '../sockets/sockets.js'
+import { ownConnections } from './ownConnections.js'
 
 export interface PlainRequest {
   /** Path with the query. */
@@ -58,6 +59,9 @@
         answer(res, () => respond(req)).catch(fail)
       })
     })
+    ownConnections(server, (err, host = '') => {
+      onError(err, { path: '', headers: {}, host })
+    })
     server.keepAliveTimeout = 30_000
     await listen(server)
     return new PlainServer(server)
--- a/packages/gateway/src/http/resetDetector.ts
+++ b/packages/gateway/src/http/resetDetector.ts
@@ -1,5 +1,6 @@
 /** Detects connection resets that are reported as a normal end. */
 import type { Socket } from 'node:net'
+import { bindOwner } from '@wagtailway/core'
 
 /**
  * Watches one connection. If a reset arrives together with data, libuv reports the end in the
@@ -34,15 +35,15 @@
     this.socket.off('end', this.#onEnd)
   }
 
-  readonly #onData = (): void => {
+  readonly #onData = bindOwner(() => {
     if (this.#hasDataThisTurn) return
     this.#hasDataThisTurn = true
     setImmediate(() => {
       this.#hasDataThisTurn = false
     })
-  }
+  })
 
-  readonly #onEnd = (): void => {
+  readonly #onEnd = bindOwner(() => {
     if (this.#hasDataThisTurn) this.#mayBeReset = true
-  }
+  })
 }
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
 import { bindOwner, runOwned } from '@wagtailway/core'
+import { ownConnections } from '../http/ownConnections.js'
 import { ResetDetector } from '../http/resetDetector.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { Listen } from '../sockets/sockets.js'
@@ -85,6 +86,9 @@
         this.#relay(req, socket).catch(end)
       })
     })
+    ownConnections(this.#server, (err, host = '') => {
+      this.opts.onError(err, host)
+    })
   }
 
   static async create(opts: RelayServerOptions): Promise<RelayServer> {
--- a/packages/gateway/src/sockets/sockets.ts
+++ b/packages/gateway/src/sockets/sockets.ts
@@ -7,9 +7,12 @@
   bindWithRetry,
   isTemporaryBindError,
   monotonicClock,
+  runOwned,
   type BindResult,
   type Clock,
+  type ErrorOwner,
 } from '@wagtailway/core'
+import { reportFailure } from '../observe/failures.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
 
@@ -47,7 +50,7 @@
   /** Time for which the start waits for sockets, for all of them together, in milliseconds. */
   readonly maxWaitMs: number
   readonly log: Log
-  readonly metrics: Pick<GatewayMetrics, 'socketErrors' | 'waitingSockets'>
+  readonly metrics: Pick<GatewayMetrics, 'socketErrors' | 'waitingSockets' | 'failures'>
   /** @default monotonicClock */
   readonly clock?: Clock
 }
@@ -136,12 +139,19 @@
     const { name } = plan
     const { signal } = this.#stop
     const about = this.#describe(name, plan.address)
+    // Also that of each connection until it has one of its own.
+    const owner: ErrorOwner = {
+      work: `socket for ${name}`,
+      end: (err) => {
+        reportFailure(this.opts, 'loop_failed', owner, err)
+      },
+    }
     let loggedAtMs: number | undefined
     const result = await bindWithRetry({
       ...plan,
       clock: this.#clock,
       sleep: (ms) => delay(ms, undefined, { signal }).catch(() => undefined),
-      bind: () => bindOnce(socket, plan.address),
+      bind: () => runOwned(owner, () => bindOnce(socket, plan.address)),
       onFailedAttempt: (code, waitedMs) => {
         const nowMs = this.#clock()
         if (loggedAtMs === undefined) {
--- a/packages/wagtailway/src/transfer/readBytes.ts
+++ b/packages/wagtailway/src/transfer/readBytes.ts
@@ -1,6 +1,7 @@
 /** Reads bodies of other parties. */
 import type { Readable } from 'node:stream'
 import { monotonicClock, type Clock } from '../clock.js'
+import { bindOwner } from '../process/errorOwner.js'
 import { ByteCollector } from './byteCollector.js'
 import { ChunkAllowance } from './chunkAllowance.js'
 
@@ -133,7 +134,7 @@
         fail('no_memory')
         return
       }
-      stream.off('data', handleChunk).pause()
+      stream.off('data', onData).pause()
       isFinished = true
       const { byteCount } = collector
       const blocks = [...collector.takeBlocks(), ...(rest ? [rest] : [])]
@@ -144,6 +145,16 @@
       finish({ type, byteCount: collector.byteCount })
       if (!keepOpen) stream.destroy()
     }
+    const onData = bindOwner((chunk: Buffer) => {
+      // Many chunks can come in one read of the socket; they are dropped here.
+      if (isFinished) return
+      onChunk?.()
+      const { byteCount } = collector
+      if (byteCount + chunk.length > maxBytes) fail('too_long')
+      else if (!allowance.tryTake(chunk.length)) fail('too_fragmented')
+      else if (!collector.append(chunk))
+        failForMemory(chunk.subarray(collector.byteCount - byteCount))
+    })
     if (stream.destroyed) {
       fail('closed')
       return
@@ -155,25 +166,17 @@
       }
       aheadBytes = sizeHint
     }
-    function handleChunk(chunk: Buffer): void {
-      // Many chunks can come in one read of the socket; they are dropped here.
-      if (isFinished) return
-      onChunk?.()
-      const { byteCount } = collector
-      if (byteCount + chunk.length > maxBytes) fail('too_long')
-      else if (!allowance.tryTake(chunk.length)) fail('too_fragmented')
-      else if (!collector.append(chunk))
-        failForMemory(chunk.subarray(collector.byteCount - byteCount))
-    }
-    stream.on('data', handleChunk)
-    stream.once('end', () => {
-      if (!isFinished) finish({ type: 'complete', blocks: collector.takeBlocks() })
-    })
-    stream.once('error', () => {
-      fail('closed')
-    })
-    stream.once('close', () => {
+    stream.on('data', onData)
+    stream.once(
+      'end',
+      bindOwner(() => {
+        if (!isFinished) finish({ type: 'complete', blocks: collector.takeBlocks() })
+      }),
+    )
+    const onClose = bindOwner(() => {
       fail('closed')
     })
+    stream.once('error', onClose)
+    stream.once('close', onClose)
   })
 }
