--- a/packages/scenario/src/throwFaults/__tests__/callbackThrower.spec.ts
+++ b/packages/scenario/src/throwFaults/__tests__/callbackThrower.spec.ts
@@ -115,7 +115,12 @@
   it('counts the calls of each place since the last time', () => {
     const { thrower } = create({ mode: 'idle' })
     callOften(thrower.wrap('a.js:1', () => undefined))
-    assert.deepEqual([...thrower.takeCalls()], [['a.js:1', CALLS]])
+    thrower.wrap('a.js:2', () => undefined)
+    const expected = new Map([
+      ['a.js:1', CALLS],
+      ['a.js:2', 0],
+    ])
+    assert.deepEqual(thrower.takeCalls(), expected)
     assert.deepEqual([...thrower.takeCalls()], [])
   })
 })
--- a/packages/scenario/src/throwFaults/__tests__/throwDamage.spec.ts
+++ b/packages/scenario/src/throwFaults/__tests__/throwDamage.spec.ts
@@ -78,6 +78,6 @@
   it('is wrong if events are missing in the middle', () => {
     const body = 'id: 1\ndata: a\n\nid: 3\ndata: a\n\n'
     const response = { status: 200, isWhole: false, headers: {}, body }
-    assert.equal(findWrong(call({ kind: 'stream', response })), 'events out of order')
+    assert.equal(findWrong(call({ path: '/notes/c1', response })), 'events out of order')
   })
 })
--- a/packages/scenario/src/throwFaults/__tests__/wrapRuntime.spec.ts
+++ b/packages/scenario/src/throwFaults/__tests__/wrapRuntime.spec.ts
@@ -16,9 +16,9 @@
 
 /** Places of this file that were called, each without its line. */
 function calledPlaces(): string[] {
-  return [...thrower.takeCalls().keys()]
-    .filter((place) => place.includes('wrapRuntime.spec.js'))
-    .map((place) => place.replace(/^.*:\d+ ?/, ''))
+  return [...thrower.takeCalls()]
+    .filter(([place, calls]) => calls > 0 && place.includes('wrapRuntime.spec.js'))
+    .map(([place]) => place.replace(/^.*:\d+ ?/, ''))
 }
 
 /** Lets the place that is called next by its name throw at its next call. */
--- a/packages/scenario/src/throwFaults/callbackThrower.ts
+++ b/packages/scenario/src/throwFaults/callbackThrower.ts
@@ -65,7 +65,7 @@
     this.#plans.clear()
   }
 
-  /** Returns the calls of each place since the last time. */
+  /** Returns the calls of each place since the last time; 0 if it was registered only. */
   takeCalls(): ReadonlyMap<string, number> {
     const calls = this.#calls
     this.#calls = new Map()
@@ -81,6 +81,7 @@
   wrap(place: string, callback: Callback): Callback {
     // eslint-disable-next-line @typescript-eslint/no-this-alias -- `this` is the callback's
     const thrower = this
+    this.#count(place, 0)
     const wrapped: Callback = function (...args) {
       return thrower.run(place, () => Reflect.apply(callback, this, args))
     }
@@ -95,7 +96,7 @@
 
   /** Calls a function as the callback of a place. */
   run<T>(place: string, callback: () => T): T {
-    this.#calls.set(place, (this.#calls.get(place) ?? 0) + 1)
+    this.#count(place, 1)
     const thrown = this.#decide(place)
     const outer = this.#running
     this.#running = place
@@ -109,6 +110,10 @@
     }
   }
 
+  #count(place: string, calls: number): void {
+    this.#calls.set(place, (this.#calls.get(place) ?? 0) + calls)
+  }
+
   #decide(place: string): Omit<Thrown, 'sequence'> | undefined {
     const order = this.#order
     if (order.mode === 'idle') return undefined
--- a/packages/scenario/src/throwFaults/formatReport.ts
+++ b/packages/scenario/src/throwFaults/formatReport.ts
@@ -12,14 +12,17 @@
   const { findings, answered, calls, throws, places } = report
   const verdict = findings.length === 0 ? 'kept' : 'BROKEN'
   const thrown = places.filter((place) => place.throws > 0)
-  const left = places.length - thrown.length
+  const unreached = places.filter(({ calls }) => calls === 0)
+  const left = places.length - thrown.length - unreached.length
   return [
-    `${verdict}; ${answered} of ${calls} answered; ${throws} throws at ${thrown.length} places, ${left} without one`,
+    `${verdict}; ${answered} of ${calls} answered; ${throws} throws at ${thrown.length} places, ${left} without one, ${unreached.length} never called`,
     ...findings,
     '',
     '| place | calls | throws | lost | failed | ends |',
     '| ----- | ----- | ------ | ---- | ------ | ---- |',
     ...thrown.map(formatPlace),
+    '',
+    ...unreached.map(({ place }) => `never called: ${place}`),
   ].join('\n')
 }
 
--- a/packages/scenario/src/throwFaults/throwFleet.ts
+++ b/packages/scenario/src/throwFaults/throwFleet.ts
@@ -1,8 +1,13 @@
 /** A fleet of real gateways that throw, with stand-ins for its store and servers. */
-import { ReplicaStandin, StoreStandin, fleetConfig } from '@wagtailway/standins'
+import {
+  ReplicaStandin,
+  StoreStandin,
+  fleetConfig,
+  type ReplicaBehaviour,
+} from '@wagtailway/standins'
 import { findFreePorts } from '../fleet/freePorts.js'
 import { waitUntil } from '../fleet/gatewayHarness.js'
-import { LARGE_BYTES, LARGE_PREFIX, STREAM_EVENTS, STREAM_EVENT_MS } from './throwLoad.js'
+import { FAULTY_MARK, LARGE_BYTES, LARGE_PREFIX, STREAM_EVENTS } from './throwLoad.js'
 import { ThrowingGateway } from './throwingGateway.js'
 
 const PLAIN_IDS = ['p1', 'p2', 'p3']
@@ -11,9 +16,19 @@
 const FIRST_VERSION = 1
 const ROUTE_MS = 8_000
 const RESPONSE_MS = 40
+const DEFAULT_STREAM_MS = 5_000
+
+/** How servers fail on purpose, in turn; not so that they are taken for failed themselves. */
+const FAULTS: readonly ReplicaBehaviour[] = ['cut', 'answer', 'error', 'shed']
 
 export interface ThrowFleetOptions {
   readonly gateways: number
+  /**
+   * Duration of a stream, in milliseconds.
+   *
+   * @default DEFAULT_STREAM_MS
+   */
+  readonly streamMs?: number
   /** Program of the gateways. */
   readonly program?: string
 }
@@ -38,7 +53,10 @@
   static async create(opts: ThrowFleetOptions): Promise<ThrowFleet> {
     const store = await StoreStandin.create()
     putConfig(store, FIRST_VERSION)
-    const replicas = await Promise.all([...PLAIN_IDS, ...MODEL_IDS].map(createReplica))
+    const { streamMs = DEFAULT_STREAM_MS } = opts
+    const replicas = await Promise.all(
+      [...PLAIN_IDS, ...MODEL_IDS].map((id) => createReplica(id, streamMs)),
+    )
     for (const replica of replicas) {
       const service = MODEL_IDS.includes(replica.id) ? 'models' : 'plain'
       store.put('servers', replica.id, replica.entry({ service, slots: 40 }))
@@ -79,12 +97,18 @@
   store.put('config', 'main', fleetConfig({ version, timeoutMs: ROUTE_MS }))
 }
 
-function createReplica(id: string): Promise<ReplicaStandin> {
+function createReplica(id: string, streamMs: number): Promise<ReplicaStandin> {
+  let faults = 0
+  const nextFault = (): ReplicaBehaviour => {
+    faults += 1
+    return FAULTS[faults % FAULTS.length] ?? 'answer'
+  }
   return ReplicaStandin.create({
     id,
     events: STREAM_EVENTS,
-    eventMs: STREAM_EVENT_MS,
+    eventMs: streamMs / STREAM_EVENTS,
     responseMs: () => RESPONSE_MS,
+    behaviour: ({ url }) => (url?.includes(FAULTY_MARK) ? nextFault() : 'answer'),
     responseBytes: ({ url }) => (url?.startsWith(LARGE_PREFIX) ? LARGE_BYTES : 0),
   })
 }
--- a/packages/scenario/src/throwFaults/throwLoad.ts
+++ b/packages/scenario/src/throwFaults/throwLoad.ts
@@ -26,13 +26,20 @@
 export const LARGE_PREFIX = '/plain/large-'
 export const LARGE_BYTES = 2_000_000
 
-/** Events of a stream, and the time between two, in milliseconds. */
+/** Events of a stream. */
 export const STREAM_EVENTS = 20
-export const STREAM_EVENT_MS = 250
+
+/** Part of the paths at which servers fail on purpose. */
+export const FAULTY_MARK = '/faulty-'
 
 /** Kind whose callers don't wait for their answer. */
 const LEAVING = 'leaving'
 
+/** Kind of the requests under which servers fail; nothing is promised on their answers. */
+const FAULTY = 'faulty'
+
+const UNCHECKED = [LEAVING, FAULTY]
+
 const KINDS: readonly LoadKind[] = [
   { name: 'safe', path: '/plain/', method: 'GET', callers: 3 },
   { name: 'once', path: '/once/', method: 'POST', bodyBytes: 20, callers: 3 },
@@ -61,6 +68,19 @@
     leaveMs: 400,
     callers: 1,
   },
+  {
+    name: FAULTY,
+    path: `/plain${FAULTY_MARK}`,
+    method: 'GET',
+    callers: 1,
+  },
+  {
+    name: FAULTY,
+    path: `/notes${FAULTY_MARK}`,
+    method: 'GET',
+    isStream: true,
+    callers: 1,
+  },
 ]
 
 const PIECES = 10
@@ -102,9 +122,9 @@
   const calls: LoadCall[] = []
   const stop = { isRequested: false }
   const callers = gateways.flatMap((gateway) =>
-    KINDS.flatMap((kind) =>
+    KINDS.flatMap((kind, k) =>
       Array.from({ length: kind.callers }, (_, i) =>
-        runCaller(gateway, kind, `${kind.name.replace(' ', '-')}-${i}`, calls, stop),
+        runCaller(gateway, kind, `${kind.name.replace(' ', '-')}-${k}-${i}`, calls, stop),
       ),
     ),
   )
@@ -128,7 +148,9 @@
   prefix: string,
 ): Promise<readonly LoadCall[]> {
   return Promise.all(
-    KINDS.map((kind) => call(throwing, kind, `${prefix}-${kind.name.replace(' ', '-')}`)),
+    KINDS.map((kind, k) =>
+      call(throwing, kind, `${prefix}-${kind.name.replace(' ', '-')}-${k}`),
+    ),
   )
 }
 
@@ -224,12 +246,12 @@
 }
 
 /** Returns what a caller received that is not its own whole answer, if anything. */
-export function findWrong({ id, kind, path, response }: LoadCall): string | undefined {
+export function findWrong({ id, path, response }: LoadCall): string | undefined {
   const { status, headers, body, isWhole } = response
   if (status !== 200) return undefined
   const echoed = headers['x-request-id']
   if (echoed !== undefined && echoed !== id) return `answer of ${String(echoed)}`
-  if (kind === 'stream' || kind === LEAVING) {
+  if (path.startsWith('/notes/')) {
     const isInOrder = eventIds(body).every((event, i) => event === i + 1)
     return isInOrder ? undefined : 'events out of order'
   }
@@ -238,14 +260,14 @@
 
 /** Whether a caller that waited got neither a whole answer nor a clear error. */
 export function isLost({ kind, response: { status, isWhole, body } }: LoadCall): boolean {
-  if (kind === LEAVING) return false
+  if (UNCHECKED.includes(kind)) return false
   if (status === 0 || !isWhole) return true
   return kind === 'stream' && status === 200 && eventIds(body).length < STREAM_EVENTS
 }
 
 /** Whether a caller got a clear error instead of its answer. */
 export function isFailed({ kind, response: { status, isWhole } }: LoadCall): boolean {
-  return kind !== LEAVING && isWhole && status !== 200
+  return !UNCHECKED.includes(kind) && isWhole && status !== 200
 }
 
 export function sleep(ms: number): Promise<void> {
--- a/packages/scenario/src/throwFaults/throwOrder.ts
+++ b/packages/scenario/src/throwFaults/throwOrder.ts
@@ -48,7 +48,7 @@
   type: z.literal('calls'),
   pid: z.number(),
   atMs: z.number(),
-  /** Calls of each place since the record before. */
+  /** Calls of each place since the record before; 0 if it was registered only. */
   calls: z.record(z.string(), z.number()),
 })
 
--- a/packages/scenario/src/throwFaults/throwTrial.ts
+++ b/packages/scenario/src/throwFaults/throwTrial.ts
@@ -91,6 +91,9 @@
 
 const POLL_MS = 100
 
+/** Tries until all gateways serve; one takes as long as a stream. */
+const MAX_START_ROUNDS = 5
+
 /** Ids of calls in a finding. */
 const MAX_IDS = 5
 
@@ -107,6 +110,7 @@
   try {
     for (const gateway of gateways) await gateway.order({ mode: 'idle' })
     await fleet.waitUntilReady()
+    await waitUntilServing(gateways)
     const loops = await observeLoops(gateways, opts)
     const load = startLoad(gateways)
     if (opts.plan.mode === 'places') await throwAtPlaces(gateways, opts.seed, opts.plan)
@@ -178,8 +182,9 @@
   const queues = new Map(gateways.map((gateway) => [gateway, [] as string[]]))
   const owners = new Map<string, ThrowingGateway[]>()
   for (const gateway of gateways) {
-    for (const place of sumCalls(await gateway.readRecords()).keys()) {
-      if (isWanted(place)) owners.set(place, [...(owners.get(place) ?? []), gateway])
+    for (const [place, count] of sumCalls(await gateway.readRecords())) {
+      if (count > 0 && isWanted(place))
+        owners.set(place, [...(owners.get(place) ?? []), gateway])
     }
   }
   const fewestFirst = [...owners].sort(([a, x], [b, y]) =>
@@ -227,7 +232,7 @@
   return [...before].flatMap(([name, places]) =>
     [...places]
       .filter(([, calls]) => calls >= LOOP_CALLS)
-      .filter(([place]) => !after.get(name)?.has(place))
+      .filter(([place]) => !after.get(name)?.get(place))
       .map(([place]) => `${name}: no longer called: ${place}`),
   )
 }
@@ -275,12 +280,29 @@
   return findings
 }
 
+/** Waits until the gateways know each other, which the relayed one depends on. */
+async function waitUntilServing(gateways: readonly ThrowingGateway[]): Promise<void> {
+  for (let round = 0; (await findUnserved(gateways, `start-${round}`)).length > 0;) {
+    round += 1
+    if (round === MAX_START_ROUNDS) throw new Error('the gateways do not serve')
+    await sleep(POLL_MS)
+  }
+}
+
 async function checkServing(gateways: readonly ThrowingGateway[]): Promise<string[]> {
-  const calls = await Promise.all(gateways.map((gateway) => probe(gateway, 'final')))
-  return calls
-    .flat()
-    .filter((call) => isLost(call) || isFailed(call))
-    .map(({ id, response }) => `${id}: status ${response.status} after the throws`)
+  const unserved = await findUnserved(gateways, 'final')
+  return unserved.map(
+    ({ id, response }) => `${id}: status ${response.status} after the throws`,
+  )
+}
+
+/** Sends a request of each kind to each gateway; resolves with those that were not served. */
+async function findUnserved(
+  gateways: readonly ThrowingGateway[],
+  prefix: string,
+): Promise<readonly LoadCall[]> {
+  const calls = await Promise.all(gateways.map((gateway) => probe(gateway, prefix)))
+  return calls.flat().filter((call) => isLost(call) || isFailed(call))
 }
 
 async function createReport(
@@ -366,11 +388,14 @@
 }
 
 function checkCall(call: LoadCall, runs: number): string[] {
+  const { id, path, response } = call
+  const isOnce = path.startsWith('/once/')
   const wrong = findWrong(call)
   return [
-    ...(wrong === undefined ? [] : [`${call.id}: ${wrong}`]),
-    ...(call.path.startsWith('/once/') && runs > 1
-      ? [`${call.id}: ran ${runs} times`]
+    ...(wrong === undefined ? [] : [`${id}: ${wrong}`]),
+    ...(isOnce && runs > 1 ? [`${id}: ran ${runs} times`] : []),
+    ...(isOnce && runs > 0 && response.status === 503
+      ? [`${id}: was reported as not run but ran`]
       : []),
   ]
 }
