--- a/packages/gateway/src/observe/log.ts
+++ b/packages/gateway/src/observe/log.ts
@@ -18,7 +18,8 @@
 const ERROR_LINES_PER_SECOND = 5
 const ERROR_BURST_LINES = 40
 
-const ERROR_EVENTS: ReadonlySet<string> = new Set([
+/** Events of errors of the program itself; tests and the soak fail on each of them. */
+export const ERROR_EVENTS: ReadonlySet<string> = new Set([
   'unforeseen_error',
   'exchange_failed',
   'loop_failed',
--- a/packages/scenario/src/fleet/gatewayHarness.ts
+++ b/packages/scenario/src/fleet/gatewayHarness.ts
@@ -1,5 +1,7 @@
 /** Runs a gateway inside the test process, with a stand-in for the users' store. */
+import assert from 'node:assert/strict'
 import {
+  ERROR_EVENTS,
   createMetrics,
   runGateway,
   type GatewayBounds,
@@ -110,6 +112,8 @@
     close: async () => {
       requestShutdown()
       await exited
+      const failures = lines.filter(({ event }) => ERROR_EVENTS.has(event))
+      assert.deepEqual(failures, [])
     },
     isReady: async () => {
       const response = await sendToFleet({ port: readiness ?? 0, path: '/-/readiness' })
--- a/packages/scenario/src/soak/soakProcess.ts
+++ b/packages/scenario/src/soak/soakProcess.ts
@@ -2,6 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { readFileSync } from 'node:fs'
 import type { Readable } from 'node:stream'
+import { ERROR_EVENTS } from '@wagtailway/gateway'
 
 export interface SoakProcessOptions {
   readonly command: readonly string[]
@@ -191,7 +192,7 @@
   #checkLine(line: string): void {
     try {
       const { event } = JSON.parse(line) as { event?: unknown }
-      if (event === 'unforeseen_error') this.#find(line)
+      if (typeof event === 'string' && ERROR_EVENTS.has(event)) this.#find(line)
     } catch {
       this.#find(`a line is no JSON: ${line}`)
     }
