--- a/packages/scenario/src/throwFaults/cutPaths.ts
+++ b/packages/scenario/src/throwFaults/cutPaths.ts
@@ -2,7 +2,7 @@
 import { Socket, type TcpSocketConnectOpts } from 'node:net'
 
 /** Environment variable with the ports, separated by commas. */
-const CUT_PORTS = 'WAGTAILWAY_CUT_PORTS'
+const CUT_PORTS = 'THROW_FAULTS_CUT_PORTS'
 
 /** Port on which nothing listens. */
 const REFUSING_PORT = 1
--- a/packages/scenario/src/throwFaults/throwingGateway.ts
+++ b/packages/scenario/src/throwFaults/throwingGateway.ts
@@ -54,9 +54,9 @@
         new URL(`./${name}.js`, import.meta.url).href,
       ]),
       env: {
-        ...(cutPorts !== undefined && { WAGTAILWAY_CUT_PORTS: cutPorts }),
-        WAGTAILWAY_THROW_ORDER: orderPath(folder),
-        WAGTAILWAY_THROW_RECORDS: recordPath(folder),
+        ...(cutPorts !== undefined && { THROW_FAULTS_CUT_PORTS: cutPorts }),
+        THROW_FAULTS_ORDER: orderPath(folder),
+        THROW_FAULTS_RECORDS: recordPath(folder),
       },
     })
     return new ThrowingGateway(gateway, folder)
