--- a/packages/gateway/src/leave/leavePermission.ts
+++ b/packages/gateway/src/leave/leavePermission.ts
@@ -216,7 +216,8 @@
       // One of a group too small for a third goes all the same: the turn bounds the groups.
       const heardCount = fleet.size - fleet.silentCount
       const mayBeOut = Math.max(1, Math.floor(heardCount / OUT_DIVISOR))
-      if (fleet.drainingCount + fleet.firstCount >= mayBeOut) return refuse('others_out')
+      const firstCount = Math.min(fleet.firstCount, countBeforeInTurn(fleet))
+      if (fleet.drainingCount + firstCount >= mayBeOut) return refuse('others_out')
     } else {
       const outCount = fleet.drainingCount + fleet.unsureCount
       const mayBeOut = Math.floor(fleet.size / OUT_DIVISOR)
@@ -243,7 +244,7 @@
 
   /** Time until a drain may begin by the turns; zero if now. */
   #turnInMs({ rank, size }: Fleet): number {
-    const startsAtMs = Math.floor((rank * TURNS) / size) * TURN_MS
+    const startsAtMs = turnOf(rank, size) * TURN_MS
     const passedMs = modulo(this.opts.wallClock() - startsAtMs, CYCLE_MS)
     return passedMs < ENTRY_MS ? 0 : CYCLE_MS - passedMs
   }
@@ -295,6 +296,16 @@
   return !isDraining && heardAtMs < beforeMs
 }
 
+/** Number of the turn of an instance, from zero. */
+function turnOf(rank: number, size: number): number {
+  return Math.floor((rank * TURNS) / size)
+}
+
+/** Number of those with the same turn that come before this one in the shared order. */
+function countBeforeInTurn({ rank, size }: Fleet): number {
+  return rank - Math.ceil((turnOf(rank, size) * size) / TURNS)
+}
+
 function refuse(obstacle: LeaveObstacle, askAgainMs = ASK_AGAIN_MS): LeaveDecision {
   return { mayLeave: false, obstacle, askAgainMs }
 }
--- a/packages/scenario/src/leaveFleet/leavePlay.ts
+++ b/packages/scenario/src/leaveFleet/leavePlay.ts
@@ -1,5 +1,6 @@
 /** Random plays of errors, planned stops, cuts and lost reports on a fleet, by a seed. */
 import { seededRandom, type Random } from '@wagtailway/core'
+import { longestReportIntervalMs } from '@wagtailway/gateway'
 import { LeaveFleet, type LeaveFleetResult } from './leaveFleet.js'
 import type { LeavePolicy } from './leavePolicies.js'
 
@@ -78,6 +79,7 @@
     clockErrorMs: 1_000,
     loss: LOSSES[network] ?? 0,
     errorAtEachStart: errors === 'at each start',
+    minPlannedAgeMs: network === 'whole' ? 0 : unnoticedMs(instances),
   })
   // Apart from the fleet's own numbers, so that all policies get the same play.
   const random = seededRandom(seed + 1)
@@ -88,6 +90,14 @@
   return fleet.run(MAX_PLAY_MS, () => fleet.nowMs > ERROR_AT_MS && fleet.isCalm)
 }
 
+/**
+ * Time after a planned stop in which an instance that has not heard of it may leave without
+ * the others noticing, if reports are lost: two silences.
+ */
+export function unnoticedMs(instances: number): number {
+  return 2 * Math.max(4_500, 3 * longestReportIntervalMs(instances - 1))
+}
+
 function scheduleErrors(fleet: LeaveFleet, play: LeavePlay, random: Random): void {
   const { errors, instances } = play
   const failAt = (atMs: number, index: number): void => {
