A position that can't be compared costs its mark, not the whole message

Seen: an instance of an earlier build passes on what its store answered, such as an asOf of 9.5.

Change: reports and load messages lose the one mark; a text in place of a number still makes a report unreadable. The part of a report on crashes is in a file of its own.

--- a/packages/gateway/src/feed/feedState.ts
+++ b/packages/gateway/src/feed/feedState.ts
@@ -68,6 +68,22 @@
   readonly hops?: number | undefined
 }
 
+/** Highest era that messages between instances hold. */
+const MAX_ERA = 4_294_967_295
+
+/**
+ * Whether the era and the revisions of a mark are whole numbers, so that they can be compared.
+ *
+ * @example
+ * isComparable({ kind: 'config', era: 1, changedAt: 9, asOf: 9.5, ageMs: 0 }) // false
+ */
+export function isComparable({ era = 0, changedAt, asOf }: FeedMark): boolean {
+  const areWhole = [era, changedAt, asOf].every(
+    (position) => Number.isSafeInteger(position) && position >= 0,
+  )
+  return areWhole && era <= MAX_ERA
+}
+
 /** Where an update came from: the store itself, or the host of another instance. */
 export type FeedSource = 'store' | { readonly host: string }
 
--- a/packages/gateway/src/loads/loadMessage.ts
+++ b/packages/gateway/src/loads/loadMessage.ts
@@ -4,9 +4,9 @@
  */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { LoadReportSchema, LoadReport_Scope } from '@wagtailway/protocol'
-import type { FeedMark } from '../feed/feedState.js'
+import { isComparable, type FeedMark } from '../feed/feedState.js'
 import { LOWEST_URGENCY } from '../model/urgency.js'
-import { MAX_AMOUNT, readOrdinal } from '../peers/wireValues.js'
+import { MAX_AMOUNT } from '../peers/wireValues.js'
 import { MAX_MS_PER_TOKEN } from '../placement/prefillSpeeds.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
 import type { LoadsByHash, SharedSpeed, SharedSpeeds } from './loadSums.js'
@@ -171,14 +171,17 @@
       lastHash,
       loads,
       speeds,
-      marks: decoded.marks.map(({ kind, era, changedAt, asOf, ageMs, hops }) => ({
-        kind,
-        era,
-        changedAt: readOrdinal(changedAt),
-        asOf: readOrdinal(asOf),
-        ageMs,
-        hops,
-      })),
+      // One with a position that can't be compared is left out.
+      marks: decoded.marks
+        .map(({ kind, era, changedAt, asOf, ageMs, hops }) => ({
+          kind,
+          era,
+          changedAt,
+          asOf,
+          ageMs,
+          hops,
+        }))
+        .filter(isComparable),
     }
   } catch {
     // Any data may arrive on an open port; the calling code counts undecodable datagrams.
--- a/packages/gateway/src/peers/peerReport.ts
+++ b/packages/gateway/src/peers/peerReport.ts
@@ -1,11 +1,16 @@
 /** Reports that entry instances send each other several times a second. */
-import type { FeedMark } from '../feed/feedState.js'
+import { isComparable, type FeedMark } from '../feed/feedState.js'
 import { LOWEST_URGENCY } from '../model/urgency.js'
 import {
   MAX_MS_PER_TOKEN,
   type SpeedsByContextLength,
 } from '../placement/prefillSpeeds.js'
 import type { CrashReport } from '../quarantine/crashQuarantine.js'
+import {
+  encodeCrashReport,
+  readCrashReport,
+  type WireCrashReport,
+} from './crashMessage.js'
 import type { ReportedLimit } from '../limits/serverLimits.js'
 import type { ReportedStatement, StatementType } from '../statements/serverStatement.js'
 import type { ServerLoad } from '../placement/serverLoad.js'
@@ -17,6 +22,7 @@
 } from '../rollout/observation.js'
 import {
   MAX_AMOUNT,
+  UnreadableValueError,
   readAmount,
   readList,
   readNumber,
@@ -136,17 +142,6 @@
 const WIRE_FAILED = -1
 const WIRE_OK = -2
 
-type WireCrashReport = [
-  crashes: [incarnation: string, ageMs: number, traits: [string, number][]][],
-  sound: [trait: string, ageMs: number, count: number][],
-  traits: [
-    trait: string,
-    generation: number,
-    probes: number,
-    refusedAgeMs: number | null,
-  ][],
-]
-
 /** Report of an instance that knows of no crash and no quarantined trait. */
 export const NO_CRASH_REPORT: CrashReport = { crashes: [], sound: [], traits: [] }
 
@@ -244,7 +239,7 @@
     linkMbps: readOptional(linkMbps, readLinkMbps) ?? 0,
     unreachableServers: readList(unreachableServers).map(readText),
     prefillSpeeds: new Map(readList(prefillSpeeds).map(readSpeeds)),
-    feedMarks: readList(feedMarks).map(readFeedMark),
+    feedMarks: readList(feedMarks).flatMap(readFeedMark),
     crashReport: readOptional(crashReport, readCrashReport) ?? NO_CRASH_REPORT,
     limits: readOptional(limits, readList)?.map(readLimit),
     cutOffServices: readOptional(cutOffServices, readList)?.map(readText),
@@ -292,20 +287,30 @@
   return readNumber(value, MAX_MS_PER_TOKEN)
 }
 
-function readFeedMark(row: unknown): FeedMark {
+/**
+ * A mark with a position that can't be compared is left out, as an earlier build passes on what
+ * its store answered; the rest of its report counts.
+ */
+function readFeedMark(row: unknown): FeedMark[] {
   const [kind, changedAt, asOf, ageMs, era, hops] = readList(row)
-  return {
+  const mark = {
     kind: readText(kind),
-    era: readOptional(era, readUint32),
-    changedAt: readOrdinal(changedAt),
-    asOf: readOrdinal(asOf),
+    era: readOptional(era, readAnyNumber),
+    changedAt: readAnyNumber(changedAt),
+    asOf: readAnyNumber(asOf),
     ageMs: readAmount(ageMs),
-    hops: readOptional(hops, readUint32),
+    hops: readOptional(hops, readCount),
   }
+  return isComparable(mark) ? [mark] : []
 }
 
-function readUint32(value: unknown): number {
-  return readOrdinal(value, MAX_AMOUNT)
+function readAnyNumber(value: unknown): number {
+  if (typeof value === 'number') return value
+  throw new UnreadableValueError('expected a number')
+}
+
+function readCount(value: unknown): number {
+  return readAmount(value)
 }
 
 function readLimit(row: unknown): ReportedLimit {
@@ -382,65 +387,3 @@
   if (value === WIRE_OK) return 'ok'
   return value === WIRE_FAILED ? 'failed' : readAmount(value, MAX_DURATION_CLASS)
 }
-
-function encodeCrashReport({
-  crashes,
-  sound,
-  traits,
-}: CrashReport): WireCrashReport | null {
-  if (crashes.length + sound.length + traits.length === 0) return null
-  return [
-    crashes.map(({ incarnation, ageMs, traits: inFlight }) => [
-      incarnation,
-      Math.round(ageMs),
-      [...inFlight],
-    ]),
-    sound.map(({ trait, ageMs, count }) => [trait, Math.round(ageMs), count]),
-    traits.map(({ trait, generation, probes, refusedAgeMs }) => [
-      trait,
-      generation,
-      probes,
-      refusedAgeMs === undefined ? null : Math.round(refusedAgeMs),
-    ]),
-  ]
-}
-
-function readCrashReport(value: unknown): CrashReport {
-  const [crashes, sound, traits] = readList(value)
-  return {
-    crashes: readList(crashes).map((row) => {
-      const [incarnation, ageMs, inFlight] = readList(row)
-      return {
-        incarnation: readText(incarnation),
-        ageMs: readAmount(ageMs),
-        traits: new Map(readList(inFlight).map(readTraitPosition)),
-      }
-    }),
-    sound: readList(sound).map((row) => {
-      const [trait, ageMs, count] = readList(row)
-      return {
-        trait: readText(trait),
-        ageMs: readAmount(ageMs),
-        count: readAmount(count),
-      }
-    }),
-    traits: readList(traits).map((row) => {
-      const [trait, generation, probes, refusedAgeMs] = readList(row)
-      return {
-        trait: readText(trait),
-        generation: readAmount(generation),
-        probes: readAmount(probes),
-        refusedAgeMs: readOptional(refusedAgeMs, readAge),
-      }
-    }),
-  }
-}
-
-function readTraitPosition(row: unknown): [string, number] {
-  const [trait, position] = readList(row)
-  return [readText(trait), readAmount(position)]
-}
-
-function readAge(value: unknown): number {
-  return readAmount(value)
-}
