Names that callers choose leave room in a report

Seen: nine servers that crashed under a prompt of eight parts with ids of 1,200 characters make a report of 77,475 bytes, which a socket refuses (EMSGSIZE): the instance sends no report at all while these crashes are told, and counts as down at the others (the last from reading). Each model name of a caller whose answer begins is kept for ever, and is in each fourth report: 5,000 names of some 10,000 characters made 63 MB.

Cause: ids of parts and names of models have no length but that of a head, and no number.

--- a/packages/gateway/src/placement/__tests__/prefillSpeeds.spec.ts
+++ b/packages/gateway/src/placement/__tests__/prefillSpeeds.spec.ts
@@ -39,4 +39,17 @@
     const speeds = PrefillSpeeds.create(VirtualClock.create(0).now)
     assert.equal(speeds.msPerToken('large', 1_000), 1 / 64)
   })
+
+  // Guards against: a report that fits no datagram, so that each with speeds fails to be sent.
+  it('keeps speeds of as many models as a report has room for', () => {
+    const speeds = PrefillSpeeds.create(VirtualClock.create(0).now)
+    for (let i = 0; i < 5_000; i += 1) {
+      speeds.observe('large', 2_000, 90, 1_000)
+      speeds.observe(`${i}`.repeat(40), 2_000, 90, 1_000)
+      speeds.observe('m'.repeat(10_000 + i), 2_000, 90, 1_000)
+    }
+    const told = JSON.stringify([...speeds.localSpeeds])
+    assert.ok(told.length < 30_000, `${told.length} characters`)
+    assert.ok(speeds.localSpeeds.has('large'))
+  })
 })
--- a/packages/gateway/src/placement/prefillSpeeds.ts
+++ b/packages/gateway/src/placement/prefillSpeeds.ts
@@ -26,6 +26,13 @@
 /** Number of context length buckets; the last one has no upper bound. */
 const BUCKET_COUNT = 6
 
+/**
+ * Maximum number of models that this instance keeps speeds of, those observed longest ago go
+ * first, and the longest name of one: callers name them, and a report has to fit a datagram.
+ */
+const MAX_MODELS = 64
+const MAX_NAME_LENGTH = 200
+
 /** Minimum interval between combining the speeds of all instances, in milliseconds. */
 const COMBINE_INTERVAL_MS = 500
 
@@ -105,10 +112,15 @@
    * @param precedingTokens Mean number of prompt tokens before each prefilled one.
    */
   observe(model: string, tokens: number, tookMs: number, precedingTokens: number): void {
-    if (tokens < MIN_TOKENS || tookMs <= 0) return
-    const observedMs = tookMs / tokens
+    if (tokens < MIN_TOKENS || tookMs <= 0 || model.length > MAX_NAME_LENGTH) return
+    const observedMs = Math.min(MAX_MS_PER_TOKEN, tookMs / tokens)
     const speeds = this.#localSpeeds.get(model) ?? []
+    this.#localSpeeds.delete(model)
     this.#localSpeeds.set(model, speeds)
+    for (const oldest of this.#localSpeeds.keys()) {
+      if (this.#localSpeeds.size <= MAX_MODELS) break
+      this.#localSpeeds.delete(oldest)
+    }
     const bucket = bucketOf(precedingTokens)
     const averageMs = speeds[bucket]
     const weight =
