Thrown faults: the log and the process's handlers are left alone in a bundle too

Change: the nearest four callers are looked at instead of the place, and listeners on the process itself are left alone.

Measured: the specs of the module pass.

--- a/packages/scenario/src/throwFaults/findPlace.ts
+++ b/packages/scenario/src/throwFaults/findPlace.ts
@@ -12,24 +12,38 @@
 
 const MAX_FRAMES = 12
 
+/** Frames in which a caller is looked for that is left alone. */
+const NEAREST_FRAMES = 4
+
 // eslint-disable-next-line @typescript-eslint/no-unsafe-function-type -- as in captureStackTrace
 type AnyFunction = Function
 
+export interface FindOptions {
+  /** Place of the callback that is running, for helpers without another caller. */
+  readonly running: string | undefined
+  /** Returns whether what one of the nearest callers registers is left alone. */
+  readonly isExcluded: (caller: string) => boolean
+}
+
 /**
  * Returns the place that calls a function, such as `gateway/dist/a.js:12 Caller.close`, if
  * that is our code: neither the runtime nor a library.
  *
  * @param callee Function whose caller is wanted.
- * @param running Place of the callback that is running, for helpers without another caller.
  *
  * @example
- * function register(callback) { const place = findPlace(register) }
+ * function register(callback) { const place = findPlace(register, options) }
  */
-export function findPlace(callee: AnyFunction, running?: string): string | undefined {
+export function findPlace(
+  callee: AnyFunction,
+  { running, isExcluded }: FindOptions,
+): string | undefined {
   const frames = captureFrames(callee)
   const first = frames.findIndex((frame) => !isRegistering(frame))
   const frame = frames[first]
   if (!frame || !isOwn(frame)) return undefined
+  const nearest = frames.slice(first, first + NEAREST_FRAMES).map(describe)
+  if (nearest.some(isExcluded)) return undefined
   if (!HELPERS.test(fileOf(frame))) return describe(frame)
   const caller = frames
     .slice(first + 1)
