A relay closes what it opens for a requester that has left

Instances without a path found their relays 'busy', and servers had connections that nobody used: a requester that closed its connection while the relay was still connecting to the server (a dial cancels the relays that lost) was not noticed, since Node leaves such a connection half open. Both connections then took a place of 400 for 60 s.

The relay closes a connection that ends before it is relayed. Before: the test found one connection at the relay, not 0.

--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -78,6 +78,10 @@
     this.#server.on('connect', (req: IncomingMessage, socket: Socket, head: Buffer) => {
       // A requester that has gone is noticed by the close that follows.
       socket.on('error', () => undefined)
+      // The end of one that is relayed comes behind what it has sent.
+      socket.once('end', () => {
+        if (!this.#open.has(socket)) socket.destroy()
+      })
       if (head.length > 0) socket.unshift(head)
       this.#relay(req, socket).catch((err: unknown) => {
         this.opts.onError(err, socket.remoteAddress ?? '')
