A relay doesn't keep refused connections on which more came

Bytes behind a request that is refused were never read, so that the end behind them wasn't either: the descriptor stayed open for good. Before: the test found one connection, not 0.

--- a/packages/gateway/src/paths/__tests__/relayServer.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayServer.spec.ts
@@ -23,6 +23,7 @@
 let backend: Server
 let relay: RelayServer
 let http: HttpServer
+let isRefused = false
 /** Time until a connection to the backend server is established, in milliseconds. */
 let connectMs = 0
 
@@ -45,6 +46,7 @@
 }
 
 beforeEach(async () => {
+  isRefused = false
   connectMs = 0
   backend = createServer((socket) => socket.on('error', () => undefined))
   await new Promise<void>((resolve) => backend.listen(0, HOST, resolve))
@@ -54,17 +56,20 @@
       http = server as HttpServer
       return listen(server)
     },
-    admit: () => ({
-      id: 's1',
-      startedAtMs: 1,
-      service: 'plain',
-      host: HOST,
-      port: (backend.address() as AddressInfo).port,
-      zone: 'z1',
-      version: 'v1',
-      slots: 6,
-      isDraining: false,
-    }),
+    admit: () =>
+      isRefused
+        ? 'busy'
+        : {
+            id: 's1',
+            startedAtMs: 1,
+            service: 'plain',
+            host: HOST,
+            port: (backend.address() as AddressInfo).port,
+            zone: 'z1',
+            version: 'v1',
+            slots: 6,
+            isDraining: false,
+          },
     connect: connectLater,
     otherServer: () => undefined,
     onRequest: () => undefined,
@@ -92,4 +97,15 @@
     assert.equal(await countConnections(http), 0)
     assert.equal(await countConnections(backend), 0)
   })
+
+  it('closes a refused connection on which more came than the request', async () => {
+    isRefused = true
+    const socket = connect(relay.port, HOST)
+    socket.write(`${CONNECT}x`)
+    const [answer] = (await once(socket, 'data')) as [Buffer]
+    assert.match(answer.toString(), /^HTTP\/1\.1 503 [^]*x-relay-failure: busy/)
+    socket.destroy()
+    await sleep(HANDLED_MS)
+    assert.equal(await countConnections(http), 0)
+  })
 })
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -215,5 +215,7 @@
 }
 
 function refuse(socket: Socket, reason: string): void {
+  // A connection whose bytes nobody reads would not notice its end.
+  socket.resume()
   socket.end(`HTTP/1.1 503 Service Unavailable\r\n${FAILURE_HEADER}: ${reason}\r\n\r\n`)
 }
