A relay closes connections that Node can't reset

Callers of a relaying instance and servers kept connections without an end: if one side of a relayed connection broke while the other one was being shut down, the reset of that failed with EINVAL inside Node, which then neither closes the connection nor reports its close. The descriptor, the place and the connection of the peer stayed for ever. Such a connection is now closed instead; all of its bytes are with the system by then.

--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -207,13 +207,22 @@
     else to.end(endMark)
   })
   from.on('error', () => {
-    if (!to.destroyed) to.resetAndDestroy()
+    if (!to.destroyed) reset(to)
   })
   from.on('close', () => {
     if (!to.writableEnded) to.destroy()
   })
 }
 
+/**
+ * Resets a connection. While one is being shut down, Node can't reset it, and would leave it
+ * open for ever; all bytes are with the system then.
+ */
+function reset(socket: Socket): void {
+  if (socket.writableEnded && socket.writableLength === 0) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 function refuse(socket: Socket, reason: string): void {
   // A connection whose bytes nobody reads would not notice its end.
   socket.resume()
