--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -198,10 +198,13 @@
 function passBytes(from: Socket, to: Socket, endMark?: string): void {
   const detector = ResetDetector.create(from)
   from.on('data', (chunk: Buffer) => {
-    if (to.destroyed || to.write(chunk)) return
+    // What comes behind the end of the other side is dropped, so that it passes its answer.
+    if (!to.writable || to.write(chunk)) return
     from.pause()
     to.once('drain', () => from.resume())
   })
+  // A paused connection would not notice its own end.
+  to.once('close', () => from.resume())
   from.on('end', () => {
     if (endMark === undefined || detector.mayBeReset) to.end()
     else to.end(endMark)
