--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -82,6 +82,13 @@
         socket.destroy()
       }
       runOwned({ work: 'relayed connection', id: host, end }, () => {
+        // The end of one that is relayed comes behind what it has sent.
+        socket.once(
+          'end',
+          bindOwner(() => {
+            if (!this.#open.has(socket)) socket.destroy()
+          }),
+        )
         if (head.length > 0) socket.unshift(head)
         this.#relay(req, socket).catch(end)
       })
@@ -208,20 +215,21 @@
  */
 function passBytes(from: Socket, to: Socket, endMark?: string): void {
   const detector = ResetDetector.create(from)
+  const resume = bindOwner(() => from.resume())
   const onData = bindOwner((chunk: Buffer) => {
-    if (to.destroyed || to.write(chunk)) return
+    // What comes behind the end of the other side is dropped, so that it passes its answer.
+    if (!to.writable || to.write(chunk)) return
     from.pause()
-    to.once(
-      'drain',
-      bindOwner(() => from.resume()),
-    )
+    to.once('drain', resume)
   })
+  // A paused connection would not notice its own end.
+  to.once('close', resume)
   const onEnd = bindOwner(() => {
     if (endMark === undefined || detector.mayBeReset) to.end()
     else to.end(endMark)
   })
   const onError = bindOwner(() => {
-    if (!to.destroyed) to.resetAndDestroy()
+    if (!to.destroyed) reset(to)
   })
   const onClose = bindOwner(() => {
     if (!to.writableEnded) to.destroy()
@@ -229,6 +237,17 @@
   from.on('data', onData).on('end', onEnd).on('error', onError).on('close', onClose)
 }
 
+/**
+ * Resets a connection. While one is being shut down, Node can't reset it, and would leave it
+ * open for ever; all bytes are with the system then.
+ */
+function reset(socket: Socket): void {
+  if (socket.writableEnded && socket.writableLength === 0) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 function refuse(socket: Socket, reason: string): void {
+  // A connection whose bytes nobody reads would not notice its end.
+  socket.resume()
   socket.end(`HTTP/1.1 503 Service Unavailable\r\n${FAILURE_HEADER}: ${reason}\r\n\r\n`)
 }
