A kept connection to a server keeps nothing of the request for which it was opened

The runtime keeps the owner of a connection's events with its handle, also after other requests use it. The owner forgets its caller once the response is closed.

--- a/packages/gateway/src/forward/exchange.ts
+++ b/packages/gateway/src/forward/exchange.ts
@@ -1,5 +1,6 @@
 /** One request of a caller, as the owner of the errors in its callbacks. */
 import { runOwned, type ErrorOwner } from '@wagtailway/core'
+import { reportFailure, type FailureObserver } from '../observe/failures.js'
 
 /** Undoes what was registered to be released. */
 export type Undo = () => void
@@ -9,8 +10,9 @@
  * code that would have released it may wait for an event that the error has swallowed.
  *
  * @example
- * const exchange = Exchange.create((err) => log('exchange_failed', { err }))
+ * const exchange = Exchange.create(node.opts, () => caller.fail())
  * await exchange.run(() => handleRequest(node, caller))
+ * exchange.forget()
  */
 export class Exchange implements ErrorOwner {
   readonly work = 'request'
@@ -19,16 +21,21 @@
   readonly #failed: Promise<void>
   #resolveFailed: () => void = () => undefined
   readonly #releases = new Set<() => void>()
+  #tellCaller: (() => void) | undefined
 
-  private constructor(private readonly onError: (err: unknown) => void) {
+  private constructor(
+    private readonly observer: FailureObserver,
+    tellCaller: () => void,
+  ) {
+    this.#tellCaller = tellCaller
     this.#failed = new Promise((resolve) => {
       this.#resolveFailed = resolve
     })
   }
 
-  /** @param onError Called with each error, to tell the caller. */
-  static create(onError: (err: unknown) => void): Exchange {
-    return new Exchange(onError)
+  /** @param tellCaller Called for each error, after it is logged. */
+  static create(observer: FailureObserver, tellCaller: () => void): Exchange {
+    return new Exchange(observer, tellCaller)
   }
 
   /**
@@ -42,17 +49,25 @@
       try {
         release()
       } catch (err) {
-        this.onError(err)
+        this.#handleError(err)
       }
     }
     this.#releases.clear()
   }
 
   readonly end = (err: unknown): void => {
-    this.onError(err)
+    this.#handleError(err)
     this.#resolveFailed()
   }
 
+  /**
+   * Forgets the caller, once the response is closed. A kept connection that was opened for the
+   * request keeps this owner as long as it lives, and with it what the owner knows.
+   */
+  forget(): void {
+    this.#tellCaller = undefined
+  }
+
   /**
    * Calls `release` once the request has ended, unless it is undone before.
    *
@@ -65,4 +80,9 @@
       this.#releases.delete(release)
     }
   }
+
+  #handleError(err: unknown): void {
+    reportFailure(this.observer, 'exchange_failed', this, err)
+    this.#tellCaller?.()
+  }
 }
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -178,8 +178,7 @@
       node.opts.log('request_dropped', { path: req.url, reason: 'connection_ends' })
       return
     }
-    const exchange = Exchange.create((err) => {
-      reportFailure(node.opts, 'exchange_failed', exchange, err)
+    const exchange = Exchange.create(node.opts, () => {
       caller.fail()
     })
     const caller = runOwned(exchange, () =>
@@ -197,6 +196,11 @@
     await exchange.run(() => this.#answer(caller))
     node.requestsInProgress -= 1
     node.opts.metrics.inProgress.set(node.requestsInProgress)
+    if (res.closed) exchange.forget()
+    else
+      res.once('close', () => {
+        exchange.forget()
+      })
   }
 
   async #answer(caller: Caller): Promise<void> {
