A feed goes on after any error in its loop

What was outside of the guard ended the loop for good. Before errors had owners, that drained the process; with the owner 'feeds' it is one line, and the instance stayed ready with a configuration that never changes again.

--- a/packages/gateway/src/process/__tests__/feedFollower.spec.ts
+++ b/packages/gateway/src/process/__tests__/feedFollower.spec.ts
@@ -26,6 +26,8 @@
   readonly instanceCount: number
   readonly pullingForMs?: (nowMs: number) => number | undefined
   readonly respond: (call: Call, index: number) => Response
+  /** Called before each poll is planned. */
+  readonly onPlan?: () => void
 }
 
 /** Runs a follower for some seconds in virtual time and returns its calls. */
@@ -57,13 +59,16 @@
       clock: clock.now,
       random: seededRandom(1),
       sleep: pass,
-      fleet: () => ({
-        isDiscovering: false,
-        instanceCount: opts.instanceCount,
-        zoneRank: 5,
-        maxPropagationMs: 3_000,
-        pullingForMs: opts.pullingForMs?.(clock.now()),
-      }),
+      fleet: () => {
+        opts.onPlan?.()
+        return {
+          isDiscovering: false,
+          instanceCount: opts.instanceCount,
+          zoneRank: 5,
+          maxPropagationMs: 3_000,
+          pullingForMs: opts.pullingForMs?.(clock.now()),
+        }
+      },
       onStoreChanges: () => undefined,
       onPoll: () => undefined,
     })
@@ -86,6 +91,24 @@
   })
 }
 
+// Guards against: an instance that stays ready and goes by an old configuration, as the error
+// has an owner and so ends no process.
+describe('FeedFollower', () => {
+  it('goes on after an error in the plan of a poll', { timeout: 5_000 }, async () => {
+    let plans = 0
+    const calls = await follow({
+      forMs: 10_000,
+      instanceCount: SMALL_FLEET,
+      onPlan: () => {
+        plans += 1
+        if (plans === 2) throw new Error('in the plan')
+      },
+      respond: (_call, index) => update(10 + index),
+    })
+    assert.ok(calls.length > 3, `${calls.length} calls`)
+  })
+})
+
 describe('FeedFollower of an instance that does not watch', () => {
   it('polls again at once after a single failure, long before the propagation limit', async () => {
     const calls = await follow({
--- a/packages/gateway/src/process/feedFollower.ts
+++ b/packages/gateway/src/process/feedFollower.ts
@@ -87,37 +87,44 @@
   }
 
   async #loop(): Promise<void> {
-    const { feed, clock, fleet, sleep } = this.opts
     while (!this.#isClosed) {
-      const poll = planPoll({
-        ...fleet(),
-        hasList: feed.hasList,
-        ageMs: feed.ageMs,
-        failures: this.#failures,
-        sinceLastPollMs: clock() - this.#lastPollAtMs,
-      })
-      if (!poll) {
-        await sleep(SCHEDULE_CHECK_INTERVAL_MS)
-        continue
-      }
-      this.#reportPoll(poll.reason)
-      this.#lastPollAtMs = clock()
-      // Something has changed, so a list is not larger than the changes.
-      this.#needsList ||= !feed.hasList || poll.reason === 'pull_failed'
       try {
-        await callOwned('store call', feed.kind, () =>
-          this.#needsList ? this.#list(poll.reason) : this.#watch(poll.waitMs),
-        )
+        await this.#pollOnceDue()
       } catch (err) {
         // One update that can't be applied must not end the loop, which is never started again.
         this.#needsList = true
         this.#failures += 1
-        this.opts.log('feed_failed_inside', { kind: feed.kind, err: describeError(err) })
+        const { kind } = this.opts.feed
+        this.opts.log('feed_failed_inside', { kind, err: describeError(err) })
+        await this.#backOff(this.#failures)
       }
-      if (this.#failures > 0) await this.#backOff(this.#failures)
     }
   }
 
+  /** Polls the store, or waits a moment if no poll is due. */
+  async #pollOnceDue(): Promise<void> {
+    const { feed, clock, fleet, sleep } = this.opts
+    const poll = planPoll({
+      ...fleet(),
+      hasList: feed.hasList,
+      ageMs: feed.ageMs,
+      failures: this.#failures,
+      sinceLastPollMs: clock() - this.#lastPollAtMs,
+    })
+    if (!poll) {
+      await sleep(SCHEDULE_CHECK_INTERVAL_MS)
+      return
+    }
+    this.#reportPoll(poll.reason)
+    this.#lastPollAtMs = clock()
+    // Something has changed, so a list is not larger than the changes.
+    this.#needsList ||= !feed.hasList || poll.reason === 'pull_failed'
+    await callOwned('store call', feed.kind, () =>
+      this.#needsList ? this.#list(poll.reason) : this.#watch(poll.waitMs),
+    )
+    if (this.#failures > 0) await this.#backOff(this.#failures)
+  }
+
   async #list(reason: PollReason): Promise<void> {
     const { kind, feed, store, clock, onStoreChanges } = this.opts
     const sentAtMs = clock()
