An exchange releases also what its code takes after the error that ended it

A placement for the next model that came while the error ended the exchange was registered with a set that nobody read any more: the place at the server was held for ever.

--- a/packages/gateway/src/forward/exchange.ts
+++ b/packages/gateway/src/forward/exchange.ts
@@ -45,14 +45,11 @@
   async run(action: () => Promise<void>): Promise<void> {
     const ended = runOwned(this, () => action().catch(this.end))
     await Promise.race([ended, this.#failed])
-    for (const release of this.#releases) {
-      try {
-        release()
-      } catch (err) {
-        this.#handleError(err)
-      }
-    }
-    this.#releases.clear()
+    this.#releaseAll()
+    // The code may have been waiting for something, such as a place, and get it after the error.
+    void ended.then(() => {
+      this.#releaseAll()
+    })
   }
 
   readonly end = (err: unknown): void => {
@@ -85,4 +82,15 @@
     reportFailure(this.observer, 'exchange_failed', this, err)
     this.#tellCaller?.()
   }
+
+  #releaseAll(): void {
+    for (const release of this.#releases) {
+      try {
+        release()
+      } catch (err) {
+        this.#handleError(err)
+      }
+    }
+    this.#releases.clear()
+  }
 }
