Errors of a loop that come faster than its pause don't put its timers off for ever

A timer that is started again after an error has a new time at which it is due; with the old one, each further error within the pause started it anew.

--- a/packages/gateway/src/process/__tests__/loop.spec.ts
+++ b/packages/gateway/src/process/__tests__/loop.spec.ts
@@ -49,6 +49,21 @@
     assert.deepEqual(events, ['loop_failed'])
   })
 
+  // Guards against: errors that come faster than the pause put a timer off for ever.
+  it('runs a timer a moment after an error, also if further errors come', async (t) => {
+    const { loop, pass } = createLoop(t)
+    let turns = 0
+    loop.repeat(10, () => {
+      turns += 1
+      return 10
+    })
+    for (let i = 0; i < 20; i += 1) {
+      loop.end(new Error('in a callback'))
+      await pass(100)
+    }
+    assert.ok(turns > 1, `${turns} turns`)
+  })
+
   it('owns the errors of what its turns start', async () => {
     const loop = Loop.create({ log: () => undefined, metrics: createMetrics() }, 'loads')
     const owners: unknown[] = []
--- a/packages/gateway/src/process/loop.ts
+++ b/packages/gateway/src/process/loop.ts
@@ -10,7 +10,7 @@
 
 interface PendingAction {
   readonly action: () => void
-  readonly dueAtMs: number
+  dueAtMs: number
   timer?: NodeJS.Timeout
 }
 
@@ -48,7 +48,7 @@
 
   /** Runs an action after a delay in milliseconds; returns a function that cancels it. */
   after(delayMs: number, action: () => void): () => void {
-    const pending = { action, dueAtMs: performance.now() + delayMs }
+    const pending = { action, dueAtMs: 0 }
     this.#pending.add(pending)
     this.#start(pending, delayMs)
     return () => {
@@ -87,6 +87,7 @@
 
   #start(pending: PendingAction, delayMs: number): void {
     clearTimeout(pending.timer)
+    pending.dueAtMs = performance.now() + delayMs
     pending.timer = this.run(() =>
       setTimeout(() => {
         if (this.#pending.delete(pending)) pending.action()
