--- a/packages/wagtailway/src/process/__tests__/errorOwner.spec.ts
+++ b/packages/wagtailway/src/process/__tests__/errorOwner.spec.ts
@@ -66,5 +66,12 @@
     err.stack = `Error: a\n${'    at f (file:///app/f.js:1:2)\n'.repeat(1_000)}`
     assert.equal(reportOf(err).stack?.length, 4_000)
     assert.equal(reportOf(undefined).place, 'unknown')
+    assert.equal(reportOf(Object.assign(err, { stack: 7 })).stack, undefined)
+    const broken = Object.defineProperty(new Error('b'), 'stack', {
+      get: () => {
+        throw new Error('no stack')
+      },
+    })
+    assert.equal(reportOf(broken).place, 'unknown')
   })
 })
--- a/packages/wagtailway/src/process/errorReport.ts
+++ b/packages/wagtailway/src/process/errorReport.ts
@@ -24,7 +24,7 @@
  * reportOf(new Error('no list')).place // 'FeedState.applyList feedState.js:212:7'
  */
 export function reportOf(thrown: unknown): ErrorReport {
-  const stack = thrown instanceof Error ? thrown.stack : undefined
+  const stack = stackOf(thrown)
   return {
     err: textOf(thrown).slice(0, MAX_TEXT),
     stack: stack?.slice(0, MAX_STACK),
@@ -32,6 +32,16 @@
   }
 }
 
+/** Stack of an error; code may have replaced it by anything. */
+function stackOf(thrown: unknown): string | undefined {
+  try {
+    const stack: unknown = thrown instanceof Error ? thrown.stack : undefined
+    return typeof stack === 'string' ? stack : undefined
+  } catch {
+    return undefined
+  }
+}
+
 /** Text of anything that was thrown, also of an object that has none. */
 function textOf(thrown: unknown): string {
   try {
