--- a/packages/router/src/backend/backendClient.ts
+++ b/packages/router/src/backend/backendClient.ts
@@ -63,6 +63,9 @@
         signal: opts.signal,
       })
       req.on('socket', (socket) => {
+        // Node takes its own off after a whole response, also if the body is still being sent.
+        if (!socket.listeners('error').includes(ignoreError))
+          socket.on('error', ignoreError)
         const onConnect = (): void => {
           ran = 'unknown'
         }
@@ -87,6 +90,10 @@
   }
 }
 
+function ignoreError(): void {
+  // The request has its response, or fails by itself.
+}
+
 /** Largest body of an unstreamed response, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1_048_576
 
