--- a/packages/gateway/src/forward/relayEvents.ts
+++ b/packages/gateway/src/forward/relayEvents.ts
@@ -165,14 +165,18 @@
       }
       return failure
     }
-    /** Ends only this stream if a listener throws, as nothing else would catch the error. */
+    /**
+     * Ends the request if a listener throws. It can't go on at another server: which events the
+     * caller has is no longer known.
+     */
     const guard = (listener: () => void): void => {
       try {
         listener()
       } catch (err) {
         const { requestId: id } = caller.metadata
         reportFailure(node.opts, 'exchange_failed', { work: 'stream', id }, err)
-        finish('broken')
+        caller.fail()
+        finish(caller.hasFailed ? 'caller_left' : 'complete')
       }
     }
     const handleChunk = (chunk: Buffer): void => {
