--- a/packages/gateway/src/peers/peerLink.ts
+++ b/packages/gateway/src/peers/peerLink.ts
@@ -65,7 +65,7 @@
       }
     })
     socket.on('error', (err) => {
-      opts.onFault(err.message)
+      opts.onFault(codeOf(err))
     })
     this.#stopReports = opts.repeat(() => this.#report())
   }
@@ -108,6 +108,10 @@
 
   #receive(datagram: Buffer, from: ListenAddress): void {
     const { opts } = this
+    if (from.port === 0) {
+      opts.onFault('no port to answer to')
+      return
+    }
     const loadMessage = decodeLoadMessage(datagram)
     if (loadMessage) {
       opts.onLoadMessage(loadMessage, from)
@@ -150,7 +154,7 @@
     // A timer of the caller may come later than the close, and a closed socket throws.
     if (this.#isClosed) return
     this.socket.send(datagram, port, host, (err) => {
-      if (err) this.opts.onFault(err.message)
+      if (err) this.opts.onFault(codeOf(err))
     })
   }
 
@@ -162,3 +166,8 @@
     return reportIntervalMs(peerCount)
   }
 }
+
+/** Code of an error of a socket; its message names an address, and there are many. */
+function codeOf(err: Error): string {
+  return 'code' in err ? String(err.code) : 'unknown'
+}
