--- a/packages/scenario/src/throwFaults/__tests__/throwDamage.spec.ts
+++ b/packages/scenario/src/throwFaults/__tests__/throwDamage.spec.ts
@@ -73,6 +73,9 @@
     assert.equal(findWrong(call({ response: ofOther })), 'answer of c2')
     const ofOtherPath = { ...whole, body: 'GET /plain/c10 by p1' }
     assert.equal(findWrong(call({ response: ofOtherPath })), 'answer of another path')
+    const empty = { ...whole, body: '' }
+    const wrong = 'body with 0 bytes instead of its own'
+    assert.equal(findWrong(call({ response: empty })), wrong)
   })
 
   it('is wrong if events are missing in the middle', () => {
--- a/packages/scenario/src/throwFaults/cli.ts
+++ b/packages/scenario/src/throwFaults/cli.ts
@@ -46,6 +46,11 @@
       default: '',
       describe: 'With --each: regular expression of the places',
     })
+    .option('when', {
+      choices: ['before', 'after'] as const,
+      describe:
+        'With --each: throw before or after the callbacks; by chance if not given',
+    })
     .option('program', {
       type: 'string',
       describe: 'Program of the gateways, such as platform/dist/main.js of another build',
@@ -64,7 +69,7 @@
     .parse()
   const only = new RegExp(argv.only)
   const plan: ThrowTrialOptions['plan'] = argv.each
-    ? { mode: 'places', isWanted: (place) => only.test(place) }
+    ? { mode: 'places', isWanted: (place) => only.test(place), when: argv.when }
     : {
         mode: 'seeded',
         forMs: argv.seconds * 1_000,
--- a/packages/scenario/src/throwFaults/throwLoad.ts
+++ b/packages/scenario/src/throwFaults/throwLoad.ts
@@ -255,7 +255,10 @@
     const isInOrder = eventIds(body).every((event, i) => event === i + 1)
     return isInOrder ? undefined : 'events out of order'
   }
-  return !isWhole || body.includes(` ${path} by `) ? undefined : 'answer of another path'
+  if (!isWhole || body.includes(` ${path} by `)) return undefined
+  return body.includes(' by ')
+    ? 'answer of another path'
+    : `body with ${body.length} bytes instead of its own`
 }
 
 /** Whether a caller that waited got neither a whole answer nor a clear error. */
--- a/packages/scenario/src/throwFaults/throwTrial.ts
+++ b/packages/scenario/src/throwFaults/throwTrial.ts
@@ -24,7 +24,12 @@
   readonly observesLoops?: boolean
   /** Throws at each place once, one after the other, or by the seed for some time. */
   readonly plan:
-    | { readonly mode: 'places'; readonly isWanted: (place: string) => boolean }
+    | {
+        readonly mode: 'places'
+        readonly isWanted: (place: string) => boolean
+        /** By chance if undefined. */
+        readonly when?: ThrowMoment | undefined
+      }
     | {
         readonly mode: 'seeded'
         readonly forMs: number
@@ -146,13 +151,14 @@
 async function throwAtPlaces(
   gateways: readonly ThrowingGateway[],
   seed: number,
-  { isWanted }: PlacesPlan,
+  plan: PlacesPlan,
 ): Promise<void> {
   const random = seededRandom(seed)
   await sleep(WARM_UP_MS)
-  const queues = await dividePlaces(gateways, isWanted)
+  const queues = await dividePlaces(gateways, plan.isWanted)
   const throwAt = async (gateway: ThrowingGateway, place: string): Promise<void> => {
-    const when = random() < 0.5 ? 'before' : 'after'
+    const chosen = random() < 0.5 ? 'before' : 'after'
+    const when = plan.when ?? chosen
     const call = 1 + Math.floor(random() * MAX_LATER_CALLS)
     const { throws } = await gateway.readRecords()
     await gateway.order({ mode: 'place', place, call, when })
