A drain after an error doesn't wait for silent connections until the last deadline

While nothing is owed, a connection that asks for nothing held the drain until the latest deadline of any request so far, answered or not, and 3 s more: 17.0 s at a timeout of 14 s.

--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -40,7 +40,7 @@
 
 /**
  * Time after the last deadline in which a caller may stand still before the rest of its
- * answer is given up, in milliseconds.
+ * answer is given up, in milliseconds; also that of unused connections while nothing is owed.
  */
 const UNREAD_ANSWER_MS = 3_000
 
@@ -134,8 +134,10 @@
     const sweep = (): void => {
       if (isCut) return
       this.#connections.closeUnowed()
-      const { writtenBytes } = this.#connections
-      const isMoving = writtenBytes !== seenBytes || clock() < this.node.lastDeadlineMs
+      const { owedCount, writtenBytes } = this.#connections
+      const isMoving =
+        owedCount > 0 &&
+        (writtenBytes !== seenBytes || clock() < this.node.lastDeadlineMs)
       seenBytes = writtenBytes
       if (isMoving) movedAtMs = clock()
       isCut = clock() >= (endsAtMs() ?? movedAtMs + UNREAD_ANSWER_MS)
--- a/packages/scenario/src/processLife/__tests__/longDrain.spec.ts
+++ b/packages/scenario/src/processLife/__tests__/longDrain.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
@@ -127,6 +128,22 @@
     await answers
   })
 
+  it('is not held up by a silent connection once nothing is owed', async () => {
+    const started = await startGateway()
+    plain.behaviour = () => 'shed'
+    assert.equal((await send('/once/a')).status, 503)
+    // Neither asks for anything nor closes its side.
+    const silent = connect(place.callerPort, '127.0.0.1')
+    silent.on('error', () => undefined)
+    await new Promise((resolve) => silent.once('connect', resolve))
+    const startedAtMs = performance.now()
+    started.signal('SIGUSR2')
+    await started.ended
+    silent.destroy()
+    const tookMs = performance.now() - startedAtMs
+    assert.ok(tookMs < 9_000, `${tookMs} ms`)
+  })
+
   it('keeps the lines of the error and of the end while the log drops others', async () => {
     const started = await startGateway()
     const flood = setInterval(() => {
