--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -167,6 +167,8 @@
    */
   fail(): void {
     if (this.#hasFailed || this.res.writableEnded) return
+    // An error in its events leaves the runtime's parser unfit for the next request.
+    this.closeOnRefusal()
     this.refuse('server_failed')
     this.#hasFailed = true
     this.#disconnect()
--- a/packages/scenario/src/processLife/__tests__/ownedError.spec.ts
+++ b/packages/scenario/src/processLife/__tests__/ownedError.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { Agent } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test'
@@ -10,7 +11,11 @@
   callerHeaders,
   fleetConfig,
 } from '@wagtailway/standins'
-import { sendToFleet, type FleetResponse } from '../../fleet/fleetClient.js'
+import {
+  sendToFleet,
+  type FleetRequest,
+  type FleetResponse,
+} from '../../fleet/fleetClient.js'
 import { waitUntil } from '../../fleet/gatewayHarness.js'
 import { DaemonProcess, createGatewayPlace, type GatewayPlace } from '../daemonProcess.js'
 
@@ -46,6 +51,12 @@
   raise[name]?.(name, req)
   return req
 }
+const { createServer } = http
+http.createServer = (opts, listener) =>
+  createServer(opts, (req, res) => {
+    if (req.url.endsWith('-body')) req.prependListener('data', () => fail('body'))
+    return listener(req, res)
+  })
 syncBuiltinESMExports()
 `
 
@@ -96,13 +107,17 @@
   await store.close()
 })
 
-function send(path: string): Promise<FleetResponse> {
+function send(
+  path: string,
+  opts: Pick<FleetRequest, 'agent' | 'body'> = {},
+): Promise<FleetResponse> {
   const headers = callerHeaders({
     requestId: path,
     waitMs: 4_000,
     isStream: path.startsWith('/notes/'),
   })
-  return sendToFleet({ port: place.callerPort, method: 'POST', path, headers })
+  const { callerPort: port } = place
+  return sendToFleet({ port, method: 'POST', path, headers, ...opts })
 }
 
 async function readMetric(pattern: RegExp): Promise<number> {
@@ -140,4 +155,17 @@
       })
     }
   }
+
+  // The runtime's parser takes nothing more on the connection.
+  it('in an event of its body closes its connection, so that none comes after it', async () => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    try {
+      const failed = await send('/once/bad-body', { agent, body: 'a' })
+      assert.ok([0, 502].includes(failed.status), `${failed.status}`)
+      assert.notEqual(failed.headers.connection, 'keep-alive')
+      assert.equal((await send('/once/after', { agent, body: 'a' })).status, 200)
+    } finally {
+      agent.destroy()
+    }
+  })
 })
