--- a/packages/gateway/src/forward/__tests__/exchange.spec.ts
+++ b/packages/gateway/src/forward/__tests__/exchange.spec.ts
@@ -26,4 +26,23 @@
     await new Promise((resolve) => setTimeout(resolve, 40))
     assert.deepEqual(released, ['first', 'late'])
   })
+
+  it('ends also if the error can not be logged', async () => {
+    const events: string[] = []
+    const log = (): void => {
+      throw new Error('no log')
+    }
+    const exchange = Exchange.create({ log, metrics: createMetrics() }, () => {
+      events.push('told')
+    })
+    const run = exchange.run(async () => {
+      exchange.defer(() => events.push('released'))
+      await new Promise(() => undefined)
+    })
+    assert.throws(() => {
+      exchange.end(new Error('in a callback'))
+    }, /no log/)
+    await run
+    assert.deepEqual(events, ['told', 'released'])
+  })
 })
--- a/packages/gateway/src/forward/exchange.ts
+++ b/packages/gateway/src/forward/exchange.ts
@@ -53,8 +53,11 @@
   }
 
   readonly end = (err: unknown): void => {
-    this.#handleError(err)
-    this.#resolveFailed()
+    try {
+      this.#handleError(err)
+    } finally {
+      this.#resolveFailed()
+    }
   }
 
   /**
@@ -79,8 +82,11 @@
   }
 
   #handleError(err: unknown): void {
-    reportFailure(this.observer, 'exchange_failed', this, err)
-    this.#tellCaller?.()
+    try {
+      reportFailure(this.observer, 'exchange_failed', this, err)
+    } finally {
+      this.#tellCaller?.()
+    }
   }
 
   #releaseAll(): void {
