--- a/packages/scenario/src/throwFaults/__tests__/throwTrial.spec.ts
+++ b/packages/scenario/src/throwFaults/__tests__/throwTrial.spec.ts
@@ -5,7 +5,7 @@
 const SEED = 1
 
 /** Listed in KNOWN-RED.txt. */
-const KNOWN_FAILURE = { todo: 'issue 52: each throw ends a process' }
+const KNOWN_FAILURE = { todo: 'issue 53: calls at the cut instance refused beside load' }
 
 // Guards against: one error in a callback that costs more than the exchange it belongs to.
 describe('gateways that throw from their callbacks', () => {
