--- a/packages/gateway/src/process/relayConnections.ts
+++ b/packages/gateway/src/process/relayConnections.ts
@@ -6,6 +6,7 @@
 import { connectDirectly } from '../paths/directConnection.js'
 import { RelayServer, type RelayRefusal } from '../paths/relayServer.js'
 import type { Listen } from '../sockets/sockets.js'
+import { Loop } from './loop.js'
 import { LoopDelay } from './loopDelay.js'
 
 /**
@@ -43,9 +44,11 @@
   listen: Listen,
 ): Promise<RelayConnections> {
   const { log, metrics } = node.opts
-  const loopDelay = LoopDelay.create((recentMs) => {
-    metrics.loopDelaySeconds.set(recentMs / 1_000)
-  })
+  const loopDelay = Loop.create(node.opts, 'loop delay').run(() =>
+    LoopDelay.create((recentMs) => {
+      metrics.loopDelaySeconds.set(recentMs / 1_000)
+    }),
+  )
   const server = await RelayServer.create({
     listen,
     admit: (requester, incarnation, openCount) => {
