Evacuated zones get no new requests, connections or probes

Cause: the store's objects evacuations/ZONE were not read, so servers of an evacuated zone went on getting requests.

EvacuationTable holds the zones. Placement leaves their servers out, the dialer opens no connection to them and closes one that was being opened, path checks and probes are not sent, and relays refuse with evacuated_zone. A service whose servers are all in such zones is refused after the body has been read with 503 zones_evacuated.

--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -16,6 +16,7 @@
   | 'headers_too_large'
   | 'no_memory'
   | 'no_server'
+  | 'zones_evacuated'
   | 'overloaded'
   | 'shutting_down'
   | 'server_refused'
@@ -39,6 +40,7 @@
   headers_too_large: 431,
   no_memory: 503,
   no_server: 503,
+  zones_evacuated: 503,
   overloaded: 503,
   shutting_down: 503,
   server_refused: 503,
--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -36,6 +36,7 @@
   no_configuration: NO_CONFIG_RETRY_AFTER_MS,
   shutting_down: OTHER_INSTANCE_RETRY_AFTER_MS,
   no_server: NO_SERVER_RETRY_AFTER_MS,
+  zones_evacuated: NO_SERVER_RETRY_AFTER_MS,
 }
 
 /** Result of checking a request: what it matched, or why it is refused. */
@@ -149,6 +150,11 @@
     refuse(node, caller, 'no_server')
     return
   }
+  const { servers, evacuations } = node.opts
+  if (evacuations.areAllEvacuated(servers.ready(service.name))) {
+    refuse(node, caller, 'zones_evacuated')
+    return
+  }
   const { cfg } = activeConfig
   const ctx = RequestContext.create({
     node,
--- a/packages/gateway/src/forward/requestPlacement.ts
+++ b/packages/gateway/src/forward/requestPlacement.ts
@@ -208,7 +208,7 @@
   /** The same, with those that want no requests for now or have no connection left. */
   #stayingServers(): BackendServer[] {
     const { node, service, caller } = this.opts
-    const { rollouts, servers, statements } = node.opts
+    const { rollouts, servers, statements, evacuations } = node.opts
     const versionFilters = rollouts.versionFilters(
       service.name,
       this.#rolloutPosition(),
@@ -216,7 +216,9 @@
     )
     const candidates = versionFilters
       .map((allows) =>
-        servers.ready(service.name).filter(({ version }) => allows(version)),
+        servers
+          .ready(service.name)
+          .filter((server) => allows(server.version) && evacuations.isOpen(server)),
       )
       .find((found) => found.length > 0)
     const untried = candidates?.filter(({ id }) => !this.#excluded.has(id)) ?? []
--- a/packages/gateway/src/forward/responseRecorder.ts
+++ b/packages/gateway/src/forward/responseRecorder.ts
@@ -77,7 +77,8 @@
     void this.opts.node.opts.dialer.check(server).then((check) => {
       const isOtherPath = tracked.attempt.relay !== undefined && check === 'direct'
       release()
-      if (check !== 'relayed' && !isOtherPath) this.recordResult(server, 'failed')
+      const isServerFailure = check !== 'relayed' && check !== 'unchecked'
+      if (isServerFailure && !isOtherPath) this.recordResult(server, 'failed')
     })
     await this.recordBroken(tracked)
   }
@@ -103,7 +104,8 @@
     void dialer.checkSilence(server, attempt.relay).then((check) => {
       release()
       const isOtherPath = attempt.relay !== undefined && check === 'direct'
-      if (check === 'relayed' || isOtherPath) health.recordReachable(server.id)
+      if (check === 'relayed' || check === 'unchecked' || isOtherPath)
+        health.recordReachable(server.id)
       else {
         if (check === 'direct') health.confirmUnreachable(server.id)
         this.#countResult(server, 'failed')
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -1,6 +1,7 @@
 /** State shared by all requests of one process. */
 import type { Clock, Random } from '@wagtailway/core'
 import type { CascadeOptions } from './cascade/cascade.js'
+import type { EvacuationTable } from './evacuation/evacuationTable.js'
 import type { ServerConnections } from './forward/serverConnections.js'
 import type { ServerLimiter } from './limits/serverLimiter.js'
 import type { MemoryBudget } from './memory/memoryBudget.js'
@@ -38,6 +39,11 @@
    * Maximum gap between two requests that belong to the same session, in milliseconds.
    */
   readonly sessionGapMs: number
+  /**
+   * Time within which an evacuation of a zone must be applied, in milliseconds; evacuations
+   * are followed only if it is set.
+   */
+  readonly evacuationMs?: number | undefined
 }
 
 /**
@@ -62,6 +68,7 @@
   readonly memory: MemoryBudget
   readonly cascade: CascadeOptions
   readonly servers: ServerTable
+  readonly evacuations: EvacuationTable
   readonly load: LoadTable
   readonly health: ServerHealth
   readonly prefillSpeeds: PrefillSpeeds
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** Forwards HTTP requests and event streams to backend servers, by model and version. */
 export * from './cascade/cascade.js'
+export * from './evacuation/evacuationTable.js'
 export * from './feed/feedCodec.js'
 export * from './feed/feedExchange.js'
 export * from './feed/feedPuller.js'
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -158,6 +158,17 @@
       labelNames: ['kind'],
       registers,
     }),
+    evacuatedZones: new Gauge({
+      name: 'wagtailway_gateway_evacuated_zones',
+      help: 'Availability zones that this instance takes as evacuated',
+      registers,
+    }),
+    evacuationChanges: new Counter({
+      name: 'wagtailway_gateway_evacuation_changes_total',
+      help: 'Changes of evacuations that were applied, by state',
+      labelNames: ['state'],
+      registers,
+    }),
     storeEra: new Gauge({
       name: 'wagtailway_gateway_store_era',
       help: 'Era of the store, which rises when it is restored from an older copy, by kind of object',
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -26,6 +26,7 @@
   | 'unknown_instance'
   | 'unknown_server'
   | 'unwilling_server'
+  | 'evacuated_zone'
   | 'leaving'
   | 'busy'
   | 'no_path'
--- a/packages/gateway/src/paths/serverDialer.ts
+++ b/packages/gateway/src/paths/serverDialer.ts
@@ -39,8 +39,16 @@
 /** Silent servers in a row from which the path is suspected instead of the servers. */
 const MIN_SILENT_SERVERS = 2
 
-/** What a check of a server showed. */
-export type PathCheck = 'direct' | 'relayed' | 'refused' | 'unreachable'
+/** What a check of a server showed; `unchecked` if it gets no new connections. */
+export type PathCheck = 'direct' | 'relayed' | 'refused' | 'unreachable' | 'unchecked'
+
+/** Result of a dial to a server that gets no new connections. */
+const NOT_DIALLED = {
+  type: 'failed',
+  isRefused: false,
+  isConfirmed: false,
+  detail: 'the zone is evacuated',
+} as const
 
 export interface ServerDialerOptions {
   readonly clock: Clock
@@ -50,6 +58,8 @@
   readonly peers: Pick<PeerTable, 'relays' | 'isAlive' | 'aliveCount'>
   /** Servers that take new requests. */
   readonly servers: () => readonly BackendServer[]
+  /** Whether a server gets new connections; false while its zone is evacuated. */
+  readonly mayConnect: (server: BackendServer) => boolean
   /** Path of a service's health check. */
   readonly healthPathOf: (service: string) => string
   /** Called when a server can't be reached from several zones. */
@@ -87,7 +97,7 @@
 
   /** Opens a connection on the path that is known to work, or on the first that does. */
   async dial(server: BackendServer): Promise<DialResult<Socket>> {
-    const result = await this.#dial(server, this.opts.paths.plan(server))
+    const result = await this.#dialOpen(server)
     const path =
       result.type === 'failed'
         ? 'none'
@@ -103,6 +113,7 @@
    * server are one.
    */
   check(server: BackendServer): Promise<PathCheck> {
+    if (!this.opts.mayConnect(server)) return Promise.resolve('unchecked')
     return runOnce(this.#checks, server.id, () =>
       callOwned('path check', server.id, () => this.#check(server)).catch(
         (err: unknown) => {
@@ -125,6 +136,8 @@
   ): Promise<ConnectionResult> {
     const check = await this.check(server)
     if (check === 'refused') return 'refused'
+    // What it has begun runs to its end.
+    if (check === 'unchecked') return 'accepted'
     if (check === 'unreachable') return 'no_response'
     if (relay === undefined) return check === 'direct' ? 'accepted' : 'no_response'
     return this.opts.peers.isAlive(relay) ? 'accepted' : 'no_response'
@@ -192,6 +205,16 @@
     clearInterval(this.#timer)
   }
 
+  /** Dials a server whose zone is open when its connection is used. */
+  async #dialOpen(server: BackendServer): Promise<DialResult<Socket>> {
+    const { mayConnect, paths } = this.opts
+    if (!mayConnect(server)) return NOT_DIALLED
+    const result = await this.#dial(server, paths.plan(server))
+    if (result.type === 'failed' || mayConnect(server)) return result
+    result.connection.destroy()
+    return NOT_DIALLED
+  }
+
   async #dial(
     server: BackendServer,
     plan: PathPlan,
@@ -255,6 +278,11 @@
   async #recheck(server: BackendServer): Promise<void> {
     const lost = this.opts.paths.get(server.id)
     if (!lost || this.#checks.has(server.id)) return
+    if (!this.opts.mayConnect(server)) {
+      // Otherwise it would stay the first of those that are due.
+      this.opts.paths.recordChecked(server)
+      return
+    }
     if (lost.state === 'unreachable') {
       await this.check(server)
       return
--- a/packages/gateway/src/process/createNode.ts
+++ b/packages/gateway/src/process/createNode.ts
@@ -1,10 +1,12 @@
 /** Creates the shared state of one process. */
 import { monotonicClock, type Random } from '@wagtailway/core'
 import type { CascadeOptions } from '../cascade/cascade.js'
+import { EvacuationTable } from '../evacuation/evacuationTable.js'
 import { ServerConnections } from '../forward/serverConnections.js'
 import { GatewayNode } from '../gatewayNode.js'
 import { ServerLimiter } from '../limits/serverLimiter.js'
 import { MemoryBudget } from '../memory/memoryBudget.js'
+import type { BackendServer } from '../model/backendServer.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -53,6 +55,15 @@
   const rollouts = RolloutTable.create(clock, sessions)
   const evidence = VersionEvidence.create(clock)
   const peers = PeerTable.create(settings, clock)
+  const evacuations = EvacuationTable.create({
+    clock,
+    onChange: ({ zone, state, knownForMs }) => {
+      const serverCount = servers.all().filter((server) => server.zone === zone).length
+      log('evacuation', { zone, state, knownForMs, servers: serverCount })
+      metrics.evacuationChanges.inc({ state })
+      metrics.evacuatedZones.set(evacuations.size)
+    },
+  })
   const load = LoadTable.create(clock, () => longestReportIntervalMs(peers.size))
   const servers: ServerTable = ServerTable.create(clock, (server, replacement) => {
     const { id } = server
@@ -69,11 +80,13 @@
   })
   const paths = PathTable.create({
     clock,
-    serverCount: (service) => servers.ready(service).length,
+    serverCount: (service) =>
+      servers.ready(service).filter((server) => evacuations.isOpen(server)).length,
     onChange: (change) => {
       applyPathChange(node, change)
     },
   })
+  const mayConnect = (server: BackendServer): boolean => evacuations.isOpen(server)
   const dialer = Loop.create(opts, 'path checks').run(() =>
     ServerDialer.create({
       clock,
@@ -81,7 +94,9 @@
       zone: settings.zone,
       paths,
       peers,
-      servers: () => servers.all().filter(({ isDraining }) => !isDraining),
+      servers: () =>
+        servers.all().filter((server) => !server.isDraining && mayConnect(server)),
+      mayConnect,
       healthPathOf: (service) =>
         node.activeConfig?.cfg.services.get(service)?.healthPath ?? '/',
       onServerFailed: ({ id }) => {
@@ -165,6 +180,7 @@
     memory: MemoryBudget.create(settings.memoryBytes, clock),
     cascade,
     servers,
+    evacuations,
     load,
     health,
     prefillSpeeds: PrefillSpeeds.create(clock),
--- a/packages/gateway/src/process/feeds.ts
+++ b/packages/gateway/src/process/feeds.ts
@@ -10,10 +10,14 @@
 import type { Log } from '../observe/log.js'
 import type { FollowedKind, StorePort } from './storePort.js'
 
-export type Feeds<T> = Readonly<Record<FollowedKind, FeedState<T>>>
+export type Feeds<T> = Readonly<Record<AlwaysFollowed, FeedState<T>>> &
+  Readonly<Partial<Record<FollowedKind, FeedState<T>>>>
+
+type AlwaysFollowed = Exclude<FollowedKind, 'evacuations'>
 
 /**
- * Creates one feed for each followed kind of object.
+ * Creates one feed for each followed kind of object; that of evacuations only if the
+ * deployment has a bound for them.
  *
  * @param onUpdate Called after a complete list or a set of changes has been applied.
  *
@@ -25,7 +29,7 @@
   store: StorePort<T>,
   onUpdate: () => void,
 ): Feeds<T> {
-  const { servers, rollouts, clock, log, metrics } = node.opts
+  const { servers, rollouts, evacuations, clock, log, metrics } = node.opts
   const applyConfigs = (events: readonly FeedEvent<T>[]): void => {
     for (const { name, object } of events) {
       const cfg = object === undefined ? 'other' : store.decodeConfig(name, object)
@@ -56,6 +60,19 @@
       log('rollout_restored', { service: name, listed, known: rollouts.get(name) })
     }
   }
+  // The presence of an object counts; its contents say nothing.
+  const applyEvacuations = (events: readonly FeedEvent<T>[]): void => {
+    for (const { name, object } of events) {
+      if (object === undefined) evacuations.remove(name)
+      else evacuations.put(name)
+    }
+  }
+  const applyRestoredEvacuations = (events: readonly FeedEvent<T>[]): void => {
+    for (const { name, object } of events) {
+      if (object === undefined) evacuations.markMissing(name)
+      else evacuations.put(name)
+    }
+  }
   const reportRestored = (kind: string, { before, after, events }: Restored<T>): void => {
     metrics.storeRestores.inc({ kind })
     // A restored store may lack states that were written since the copy.
@@ -128,6 +145,17 @@
       applyRollouts,
       applyRestoredRollouts,
     ),
+    ...(node.opts.bounds.evacuationMs !== undefined && {
+      evacuations: create(
+        'evacuations',
+        (events) => {
+          evacuations.retainOnly(new Set(events.map(({ name }) => name)))
+          applyEvacuations(events)
+        },
+        applyEvacuations,
+        applyRestoredEvacuations,
+      ),
+    }),
   }
 }
 
--- a/packages/gateway/src/process/relayConnections.ts
+++ b/packages/gateway/src/process/relayConnections.ts
@@ -60,6 +60,7 @@
       const others = node.opts.servers
         .all()
         .filter(({ id, isDraining }) => id !== failed.id && !isDraining)
+        .filter((server) => node.opts.evacuations.isOpen(server))
       return others[Math.floor(node.opts.random() * others.length)]
     },
     onRequest: ({ host: requester, ...request }) => {
@@ -94,13 +95,15 @@
   incarnation: string,
   isBusy: boolean,
 ): BackendServer | RelayRefusal {
-  const { peers, servers, paths, dialer, statements } = node.opts
+  const { peers, servers, paths, dialer, statements, evacuations } = node.opts
   if (!peers.hasHost(requester)) return 'unknown_instance'
   if (node.isDraining) return 'leaving'
   if (isBusy) return 'busy'
   const server = servers.get(incarnation.slice(0, incarnation.lastIndexOf(' ')))
   if (!server || server.isDraining || incarnationOf(server) !== incarnation)
     return 'unknown_server'
+  // The instance that asks may not have heard of it, or may be of an older build.
+  if (!evacuations.isOpen(server)) return 'evacuated_zone'
   const isWilling =
     statements.leavingForMs(server) === undefined && statements.heldForMs(server) === 0
   if (!isWilling) return 'unwilling_server'
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -305,11 +305,11 @@
 ): FeedFollower<T>[] {
   const { clock, random, peers } = node.opts
   const startedAtMs = clock()
-  const kinds = Object.keys(feeds) as FollowedKind[]
-  return kinds.map((kind) =>
+  const followed = Object.entries(feeds) as [FollowedKind, FeedState<T>][]
+  return followed.map(([kind, feed]) =>
     FeedFollower.create({
       kind,
-      feed: feeds[kind],
+      feed,
       store,
       log,
       clock,
@@ -319,7 +319,7 @@
         instanceCount: peers.aliveCount,
         zoneRank: peers.zoneRank(),
         isDiscovering: clock() - startedAtMs < DISCOVERY_MS,
-        maxPropagationMs: settings.maxPropagationMs,
+        maxPropagationMs: maxPropagationMs(settings, kind),
         pullingForMs: exchange.pullingForMs(kind),
       }),
       onStoreChanges: () => {
@@ -332,6 +332,15 @@
   )
 }
 
+/** Time within which a change of an object must be applied, in milliseconds. */
+function maxPropagationMs(settings: GatewaySettings, kind: FollowedKind): number {
+  const { evacuationMs } = settings.bounds
+  // Their own bound is longer in most deployments, so their watches cost fewer calls.
+  return kind === 'evacuations' && evacuationMs !== undefined
+    ? evacuationMs
+    : settings.maxPropagationMs
+}
+
 function createRolloutController<T>(
   node: GatewayNode,
   store: StorePort<T>,
@@ -381,6 +390,7 @@
     opts.prefillSpeeds.retainPeers(aliveNames)
     opts.quarantine.refresh(aliveNames)
     opts.limiter.refresh()
+    opts.evacuations.expireMissing()
     opts.memory.endStalled()
     callOwned('rollouts', 'advance', () => rolloutController.advance()).catch(
       (err: unknown) => {
--- a/packages/gateway/src/process/storePort.ts
+++ b/packages/gateway/src/process/storePort.ts
@@ -10,8 +10,11 @@
 import type { PeerAddress } from '../peers/peerTable.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
 
-/** Kinds of objects that every entry instance follows. */
-export type FollowedKind = 'config' | 'servers' | 'rollouts'
+/**
+ * Kinds of objects that every entry instance follows; `evacuations` only in deployments that
+ * have a bound for them.
+ */
+export type FollowedKind = 'config' | 'servers' | 'rollouts' | 'evacuations'
 
 /** Why a call failed; a call without a response may still have been executed. */
 export interface StoreFailure {
