Cold servers: a warm-up limit for all instances together

Cause: a cold server that has just joined is the least loaded one, so all instances choose it. Change: the entry's cold time is kept on the monotonic clock for each incarnation; one instance issues permits for a cold server in a sliding window of 1.25 s, half of the bound at most, so that two issuers and a deputy stay within it. Requests wait for a permit only if no warm server can take them; if all servers are cold and no permit is to be had, they are refused as not run (servers_cold).

--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -25,6 +25,7 @@
   | 'servers_limited'
   | 'servers_held'
   | 'servers_full'
+  | 'servers_cold'
   | 'timeout'
 
 /** HTTP status of each reason; 421, 429 and 503 guarantee that the request has not run. */
@@ -48,6 +49,7 @@
   servers_limited: 503,
   servers_held: 503,
   servers_full: 503,
+  servers_cold: 503,
   timeout: 504,
 }
 
--- a/packages/gateway/src/forward/requestOutcomes.ts
+++ b/packages/gateway/src/forward/requestOutcomes.ts
@@ -24,6 +24,7 @@
   | 'servers_limited'
   | 'servers_held'
   | 'servers_full'
+  | 'servers_cold'
 >
 
 /**
@@ -185,8 +186,15 @@
 export function describeUnplaced(
   ctx: RequestContext,
 ): { reason: UnservedReason; retryAfterMs: number } | undefined {
-  const { places } = ctx.opts.node.opts
-  const { heldForMs, isFull } = ctx.placement
+  const { places, warmup, log } = ctx.opts.node.opts
+  const { heldForMs, isFull, cold } = ctx.placement
+  if (cold) {
+    const { serverCount, forMs } = cold
+    const { name: service } = ctx.opts.service
+    const id = ctx.opts.caller.metadata.requestId
+    log('request_cold', { id, service, serverCount, forMs: Math.round(forMs) })
+    return { reason: 'servers_cold', retryAfterMs: warmup.returnDelayMs(forMs) }
+  }
   if (heldForMs !== undefined) return { reason: 'servers_held', retryAfterMs: heldForMs }
   if (!isFull) return undefined
   return { reason: 'servers_full', retryAfterMs: places.returnDelayMs() }
--- a/packages/gateway/src/forward/requestPlacement.ts
+++ b/packages/gateway/src/forward/requestPlacement.ts
@@ -5,6 +5,7 @@
 import type { PromptPart } from '../model/requestMetadata.js'
 import { selectPlacement, type Placement } from '../placement/selectPlacement.js'
 import { sessionPosition } from '../rollout/rolloutTable.js'
+import type { TakenPermit } from '../warmup/warmupLimiter.js'
 import type { RequestContextOptions } from './requestOptions.js'
 import {
   LOWEST_URGENCY,
@@ -27,6 +28,13 @@
 /** Longest wait for one answer, in milliseconds: beyond the time after which asks are given up. */
 const MAX_ANSWER_MS = 500
 
+/** Why no server was selected although there are some: all are cold. */
+export interface ColdRefusal {
+  readonly serverCount: number
+  /** Time until the last of them is warm, in milliseconds. */
+  readonly forMs: number
+}
+
 /**
  * Remembers which servers failed a request, and selects others for it.
  *
@@ -41,6 +49,7 @@
   #exhaustedLimits: readonly ExhaustedLimit[] = []
   #heldForMs: number | undefined
   #isFull = false
+  #cold: ColdRefusal | undefined
 
   private constructor(
     private readonly opts: RequestContextOptions,
@@ -83,17 +92,23 @@
     return this.#isFull
   }
 
+  /** Set if the last call of `acquire` selected none as all servers are cold. */
+  get cold(): ColdRefusal | undefined {
+    return this.#cold
+  }
+
   /**
-   * Selects the server for the next attempt, and takes a permit if it names a rate limit and
-   * a place if it is brittle; `undefined` if none can accept the attempt.
+   * Selects the server for the next attempt, and takes permits if it names a rate limit or is
+   * cold, and a place if it is brittle; `undefined` if none can accept the attempt.
    */
   async acquire(model: string | undefined): Promise<Placement | undefined> {
-    const { limiter, places, clock } = this.opts.node.opts
+    const { limiter, places, clock, warmup } = this.opts.node.opts
     const askUntilMs = clock() + MAX_ASKING_MS
     const refused = new Set<string>()
     this.#exhaustedLimits = []
     this.#heldForMs = undefined
     this.#isFull = false
+    this.#cold = undefined
     for (;;) {
       const placement = this.#selectAmong(
         model,
@@ -101,20 +116,14 @@
       )
       if (!placement) break
       const { server } = placement
-      if (limiter.availability(server, this.#urgency) === 'unlimited') {
-        if (places.tryAcquire(server)) return placement
-      }
+      const permit = warmup.tryTake(server)
+      if (permit && this.#takeAtOnce(server)) return placement
       if (clock() >= askUntilMs) break
-      const isPermitted = await withinAskTime(limiter.acquire(server, this.#urgency))
-      const hasPlace = isPermitted && (await withinAskTime(places.acquire(server)))
-      // The server may have left while it was asked for.
-      if (hasPlace && this.#eligibleServers().some(({ id }) => id === server.id))
-        return placement
-      if (hasPlace) places.release(server)
-      if (isPermitted) limiter.putBack(server)
+      if (await this.#askFor(server, permit)) return placement
       refused.add(server.id)
     }
     this.#heldForMs = this.#timeUntilWillingMs()
+    this.#cold = this.#describeCold()
     this.#isFull = this.#eligibleServers().some(
       (server) => refused.has(server.id) || !places.isAskable(server),
     )
@@ -124,7 +133,38 @@
     return undefined
   }
 
-  /** Returns the permit and the place of a placement that is not used. */
+  /** Takes a place at a server that names no limit; false if it must be asked for. */
+  #takeAtOnce(server: BackendServer): boolean {
+    const { limiter, places, warmup, cold } = this.opts.node.opts
+    if (limiter.availability(server, this.#urgency) !== 'unlimited') return false
+    if (!places.tryAcquire(server)) return false
+    if (cold.isAny) warmup.askAhead(this.#eligibleServers())
+    return true
+  }
+
+  /** Asks for the permits and the place that a server needs; false if one is missing. */
+  async #askFor(
+    server: BackendServer,
+    takenPermit: TakenPermit | undefined,
+  ): Promise<boolean> {
+    const { limiter, places, warmup } = this.opts.node.opts
+    const permit = takenPermit ?? (await withinAskTime(warmup.acquire(server), undefined))
+    if (!permit) return false
+    if (!(await withinAskTime(limiter.acquire(server, this.#urgency), false)))
+      return false
+    const hasPlace = await withinAskTime(places.acquire(server), false)
+    // The server may have left, or become cold, while it was asked for.
+    const isEligible = this.#eligibleServers().some(({ id }) => id === server.id)
+    if (hasPlace && isEligible && warmup.isValid(server, permit)) return true
+    if (hasPlace) places.release(server)
+    limiter.putBack(server)
+    return false
+  }
+
+  /**
+   * Returns the permit and the place of a placement that is not used. That of a cold server
+   * expires unused.
+   */
   release({ server }: Placement): void {
     this.opts.node.opts.limiter.putBack(server)
     this.opts.node.opts.places.release(server)
@@ -144,7 +184,10 @@
 
   /** Whether a server may get the request, and a permit for it may be asked for. */
   #isAvailable(server: BackendServer, askCount: number): boolean {
-    const { limiter, places } = this.opts.node.opts
+    const { limiter, places, warmup } = this.opts.node.opts
+    const warmth = warmup.availability(server)
+    if (warmth === 'exhausted' || (warmth === 'askable' && askCount >= MAX_ASKS))
+      return false
     const availability = limiter.availability(server, this.#urgency)
     if (!places.isAskable(server) || (askCount >= MAX_ASKS && places.isAsked(server)))
       return false
@@ -164,6 +207,8 @@
   ): Placement | undefined {
     const { node, caller, workspace, route } = this.opts
     const { health, paths, prefillSpeeds, load, random, zone, cachedPrefixes } = node.opts
+    const { warmup, cold } = node.opts
+    const isCold = (candidate: BackendServer): boolean => warmup.coldForMs(candidate) > 0
     const parts = sharedParts(this.opts)
     const sharedTokens = parts.reduce((sum, { tokens }) => sum + tokens, 0)
     const key = affinityKey(parts, model)
@@ -171,12 +216,14 @@
     const usable = health
       .usable(eligible, (server) => paths.isLost(server))
       .filter(isAvailable)
+    // If all healthy servers are at their limits, the others are better than none.
+    const available = usable.length > 0 ? usable : eligible.filter(isAvailable)
     return selectPlacement(
-      // If all healthy servers are at their limits, the others are better than none.
-      usable.length > 0 ? usable : eligible.filter(isAvailable),
+      warmup.withoutWait(available),
       {
         affinityKey: key,
         hasCachedPrefix: (id) => key !== undefined && cachedPrefixes.has(id, key),
+        ...(cold.isAny && { isCold }),
         sharedTokens,
         uniqueTokens: Math.max(0, caller.metadata.promptTokens - sharedTokens),
         prefillMsPerToken: (precedingTokens) =>
@@ -226,6 +273,14 @@
     return eligible.filter((server) => statements.leavingForMs(server) === undefined)
   }
 
+  /** The cold servers for lack of whose permits none was selected, if all are cold. */
+  #describeCold(): ColdRefusal | undefined {
+    const { warmup } = this.opts.node.opts
+    const times = this.#eligibleServers().map((server) => warmup.coldForMs(server))
+    if (times.length === 0 || times.some((forMs) => forMs === 0)) return undefined
+    return { serverCount: times.length, forMs: Math.max(...times) }
+  }
+
   /**
    * Time until the first server takes requests again, in milliseconds; `undefined` unless all
    * want none for now.
@@ -264,9 +319,9 @@
   }
 }
 
-/** The answer to an ask, or false if none comes though asks are given up after a while. */
-function withinAskTime(answer: Promise<boolean>): Promise<boolean> {
-  return withTimeout(startTimer, MAX_ANSWER_MS, answer, false)
+/** The answer to an ask, or `missing` if none comes though asks are given up after a while. */
+function withinAskTime<T>(answer: Promise<T>, missing: T): Promise<T> {
+  return withTimeout(startTimer, MAX_ANSWER_MS, answer, missing)
 }
 
 /** Parts of the prompt that other requests may share, in the order of the prompt. */
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -24,6 +24,9 @@
 import type { ExposureLimit } from './rollout/planRollout.js'
 import type { VersionEvidence } from './rollout/versionEvidence.js'
 import type { ServerTable } from './servers/serverTable.js'
+import type { ColdServers } from './warmup/coldServers.js'
+import type { ColdBound } from './warmup/warmupBound.js'
+import type { WarmupLimiter } from './warmup/warmupLimiter.js'
 
 /** Limits set by the deployment. */
 export interface GatewayBounds {
@@ -38,6 +41,8 @@
    * Maximum gap between two requests that belong to the same session, in milliseconds.
    */
   readonly sessionGapMs: number
+  /** Requests in any second to a cold server; absent if no server counts as cold. */
+  readonly cold?: ColdBound
 }
 
 /**
@@ -76,6 +81,8 @@
   readonly limiter: ServerLimiter
   readonly statements: StatementTable
   readonly places: PlaceLimiter
+  readonly cold: ColdServers
+  readonly warmup: WarmupLimiter
 }
 
 /** The current configuration, with its route table. */
--- a/packages/gateway/src/model/backendServer.ts
+++ b/packages/gateway/src/model/backendServer.ts
@@ -1,5 +1,13 @@
 /** Backend servers as the platform reports them. */
 
+/** What the entry of a backend server tells about its cold time. */
+export interface ColdNotice {
+  /** How long the server stays cold after its entry was written, in milliseconds. */
+  readonly remainingMs: number | 'invalid'
+  /** Revision of the store at which the entry was written. */
+  readonly revision: number
+}
+
 /** One running backend server. */
 export interface BackendServer {
   readonly id: string
@@ -15,6 +23,8 @@
   readonly slots: number
   /** Whether it only completes the requests in progress and gets no new ones. */
   readonly isDraining: boolean
+  /** Absent if the server tells nothing about a cold time. */
+  readonly cold?: ColdNotice
 }
 
 /** Identifies one incarnation of a backend server. */
--- a/packages/gateway/src/model/config.ts
+++ b/packages/gateway/src/model/config.ts
@@ -56,6 +56,8 @@
   readonly connectionLimit: number
   /** Models that its engines run; empty for a service without models. */
   readonly models: readonly EngineModel[]
+  /** Requests a second that a cold server takes; absent if its servers are never cold. */
+  readonly coldRequestsPerS?: number
 }
 
 /** A customer, whose API keys identify its callers. */
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -191,6 +191,17 @@
       help: 'Backend servers that name a rate limit',
       registers,
     }),
+    coldServers: new Gauge({
+      name: 'wagtailway_gateway_cold_servers',
+      help: 'Backend servers that are cold, as of the last change of one',
+      registers,
+    }),
+    warmupAsks: new Counter({
+      name: 'wagtailway_gateway_warmup_asks_total',
+      help: 'Asks for permits to send requests to cold backend servers, by result',
+      labelNames: ['result'],
+      registers,
+    }),
     waitingSockets: new Gauge({
       name: 'wagtailway_gateway_sockets_waiting',
       help: 'Listening sockets that are not bound yet, as their address is taken (1) or was (0)',
--- a/packages/gateway/src/placement/selectPlacement.ts
+++ b/packages/gateway/src/placement/selectPlacement.ts
@@ -59,6 +59,8 @@
   readonly zone: string
   /** Whether this process recently had a server prefill the shared prefix. */
   readonly hasCachedPrefix: (serverId: string) => boolean
+  /** Whether a server is cold, so that it is preferred for no prompt while others are warm. */
+  readonly isCold?: (server: BackendServer) => boolean
 }
 
 export interface Placement {
@@ -89,7 +91,8 @@
   loadOf: (serverId: string) => ServerLoad,
   random: Random,
 ): Placement | undefined {
-  const preferred = preferredServers(servers, req.affinityKey)
+  const warm = req.isCold ? servers.filter((server) => !req.isCold?.(server)) : servers
+  const preferred = preferredServers(warm.length > 0 ? warm : servers, req.affinityKey)
   if (req.hasOldLoads && req.sharedTokens + req.uniqueTokens === 0) {
     const server = selectEvenly(servers, (id) => loadOf(id).running, random)
     return server && estimatePlacement(server, preferred, req, loadOf(server.id))
@@ -129,9 +132,10 @@
   req: PlacementRequest,
   load: ServerLoad,
 ): Placement {
-  const missChance = req.hasCachedPrefix(server.id)
-    ? 0
-    : prefixMissChance(server, preferred)
+  const missChance =
+    req.hasCachedPrefix(server.id) && !req.isCold?.(server)
+      ? 0
+      : prefixMissChance(server, preferred)
   const prefillTokens = req.uniqueTokens + missChance * req.sharedTokens
   const meanPrecedingTokens = req.sharedTokens + req.uniqueTokens - prefillTokens / 2
   const prefillMs = prefillTokens * req.prefillMsPerToken(meanPrecedingTokens)
--- a/packages/gateway/src/process/createNode.ts
+++ b/packages/gateway/src/process/createNode.ts
@@ -24,6 +24,9 @@
 import { StatementTable } from '../statements/statementTable.js'
 import { ServerTable } from '../servers/serverTable.js'
 import { reportFailure } from '../observe/failures.js'
+import { ColdServers } from '../warmup/coldServers.js'
+import { boundOf } from '../warmup/warmupBound.js'
+import { WarmupLimiter } from '../warmup/warmupLimiter.js'
 import { Loop } from './loop.js'
 import { applyPathChange, mayLiveOn } from './pathChanges.js'
 import type { GatewaySettings } from './settings.js'
@@ -65,6 +68,7 @@
     limiter.forget(server)
     statements.forget(server)
     places.forget(server)
+    warmup.forget(server)
     log('server_gone', { server: id })
   })
   const paths = PathTable.create({
@@ -95,6 +99,7 @@
   )
   const permits = Loop.create(opts, 'permits')
   const placeAsks = Loop.create(opts, 'places')
+  const warmupAsks = Loop.create(opts, 'warm-up')
   const connections = ServerConnections.create({
     dial: (server) => dialer.dial(server),
     mayReuse: (server, relay) =>
@@ -142,6 +147,32 @@
       node.isDraining ? peers.relayNames : [settings.name, ...peers.relayNames],
     isBrittle: (server) => statements.isBrittle(server),
   })
+  const cold = ColdServers.create({
+    clock,
+    onChange: (change) => {
+      if (change.forMs === 'invalid') log('server_cold_invalid', { ...change })
+      else if (settings.bounds.cold) log('server_cold', { ...change })
+      metrics.coldServers.set(cold.count)
+    },
+  })
+  const warmup = WarmupLimiter.create({
+    name: settings.name,
+    clock,
+    random,
+    after: (ms, action) => warmupAsks.after(ms, action),
+    issuers: () =>
+      node.isDraining ? peers.permitIssuers : [settings.name, ...peers.permitIssuers],
+    fleetShare: () => peers.fleetShare,
+    cold,
+    boundOf: (service) => {
+      const perS = node.activeConfig?.cfg.services.get(service)?.coldRequestsPerS
+      const { cold: bound } = settings.bounds
+      return perS === undefined || !bound ? undefined : boundOf(perS, bound)
+    },
+    onAsk: (result) => {
+      metrics.warmupAsks.inc({ result })
+    },
+  })
   const quarantine = CrashQuarantine.create({
     clock,
     log,
@@ -179,6 +210,8 @@
     limiter,
     statements,
     places,
+    cold,
+    warmup,
   })
   return node
 }
--- a/packages/gateway/src/process/feeds.ts
+++ b/packages/gateway/src/process/feeds.ts
@@ -25,7 +25,7 @@
   store: StorePort<T>,
   onUpdate: () => void,
 ): Feeds<T> {
-  const { servers, rollouts, clock, log, metrics } = node.opts
+  const { servers, rollouts, clock, log, metrics, cold } = node.opts
   const applyConfigs = (events: readonly FeedEvent<T>[]): void => {
     for (const { name, object } of events) {
       const cfg = object === undefined ? 'other' : store.decodeConfig(name, object)
@@ -33,11 +33,12 @@
       else if (cfg !== 'other') node.activateConfig(cfg)
     }
   }
-  const toServerChanges = (events: readonly FeedEvent<T>[]) =>
+  const toServerChanges = (events: readonly FeedEvent<T>[], isRestored = false) =>
     events.map(({ name, object }) => {
       const server = object && store.decodeServer(object)
       if (object !== undefined && !server) log('server_unreadable', { server: name })
       logServer(log, name, servers.get(name), server)
+      if (server) cold.apply(server, isRestored)
       return { id: name, server }
     })
   const applyRollouts = (events: readonly FeedEvent<T>[]): void => {
@@ -113,7 +114,7 @@
         servers.apply(toServerChanges(events))
       },
       (events) => {
-        servers.applyRestored(toServerChanges(events))
+        servers.applyRestored(toServerChanges(events, true))
       },
       () => {
         servers.startExpiryGrace()
--- a/packages/gateway/src/process/linkPeers.ts
+++ b/packages/gateway/src/process/linkPeers.ts
@@ -10,6 +10,7 @@
 import { REFRESH_MS } from '../statements/placeLimiter.js'
 import type { RolloutController } from '../rollout/rolloutController.js'
 import type { Listen } from '../sockets/sockets.js'
+import { isWarmupAsk } from '../warmup/warmupLimiter.js'
 import { Loop } from './loop.js'
 import type { GatewaySettings } from './settings.js'
 
@@ -42,7 +43,7 @@
 ): Promise<LinkedPeers> {
   const { peers, load, prefillSpeeds, health, evidence, rollouts, metrics, clock } =
     node.opts
-  const { quarantine, limiter, paths, dialer, connections, statements, places } =
+  const { quarantine, limiter, paths, dialer, connections, statements, places, warmup } =
     node.opts
   let sequence = Date.now()
   const createReport = (): PeerReport => {
@@ -123,10 +124,11 @@
     onPermitMessage: (message, from) => {
       if (message.type === 'grant') {
         limiter.applyGrant(message.id, message.grant)
+        warmup.applyGrant(message.id, message.grant)
         return
       }
       const { asker, ask } = message
-      const grant = limiter.answer(asker, ask)
+      const grant = (isWarmupAsk(ask) ? warmup : limiter).answer(asker, ask)
       link.sendPermitMessage({ type: 'grant', id: ask.id, grant }, from)
     },
     onLoadMessage: (message, { host, port }) => {
@@ -180,6 +182,7 @@
     if (address)
       link.sendPermitMessage({ type: 'ask', asker: settings.name, ask }, address)
   }
+  warmup.sendAsk = limiter.sendAsk
   const stopLoads = Loop.create(node.opts, 'loads').repeat(REPORT_INTERVAL_MS, () => {
     // In a small fleet each instance reports to each other one.
     if (peers.aliveCount > SMALL_FLEET_SIZE) loadExchange.advance()
--- a/packages/standins/src/fleet/fleetConfig.ts
+++ b/packages/standins/src/fleet/fleetConfig.ts
@@ -14,12 +14,14 @@
   readonly workspace?: string
   /** Longest body that a caller may send, in bytes. */
   readonly bodyBytes?: number
+  /** Cold time of the servers of all services; without it they are never cold. */
+  readonly cold?: { readonly coldStartS: number; readonly coldPerS: number }
 }
 
 /** Returns a configuration of two plain routes and one streaming route with two models. */
 export function fleetConfig(opts: FleetConfigOptions): unknown {
   const { version, keys = ['key-1'], hasPlain = true, timeoutMs = 2_000 } = opts
-  const { workspace = 'kebele', isResumable = true, bodyBytes = 1_048_576 } = opts
+  const { workspace = 'kebele', isResumable = true, bodyBytes = 1_048_576, cold } = opts
   const route = {
     host: 'app.example',
     timeoutMs,
@@ -54,11 +56,12 @@
       },
     ],
     services: [
-      { name: 'plain', healthPath: '/health', connectionLimit: 100 },
+      { name: 'plain', healthPath: '/health', connectionLimit: 100, ...cold },
       {
         name: 'models',
         healthPath: '/health',
         connectionLimit: 100,
+        ...cold,
         engine: {
           models: [
             { name: 'small', cost: 0.01 },
