Soak: servers become cold again

Cause: nothing tested the limit for cold servers among other faults. Change: a fault makes up to four of six replicas cold for 8 s; the check allows 15.05 requests in any second, from 3 s after the entry on. The replica stand-in names its cold time in its entry and its health check; the fleet's configuration and settings name the limit.

--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -11,8 +11,10 @@
 import { findFreePorts } from '../fleet/freePorts.js'
 import { waitUntil } from '../fleet/gatewayHarness.js'
 import {
+  COLD_PER_S,
   checkLost,
   checkSoak,
+  type ColdPeriod,
   type DrainPeriod,
   type KeyProbe,
   type LimitPeriod,
@@ -97,6 +99,7 @@
   const store = await StoreStandin.create()
   const traitCrashes: TraitCrash[] = []
   const limitPeriods: LimitPeriod[] = []
+  const coldPeriods: ColdPeriod[] = []
   const createReplica = (id: string): Promise<ReplicaStandin> =>
     ReplicaStandin.create({
       id,
@@ -122,7 +125,8 @@
   const endLimit = (id: string): void => {
     const crashed = replicas.find((replica) => replica.id === id)
     if (crashed) crashed.rateLimit = undefined
-    for (const period of limitPeriods.filter(({ replica }) => replica === id))
+    const periods = [...limitPeriods, ...coldPeriods]
+    for (const period of periods.filter(({ replica }) => replica === id))
       period.untilMs = Math.min(period.untilMs, performance.now())
   }
   const replicas = await Promise.all(
@@ -156,6 +160,7 @@
       version: configVersion,
       keys,
       bodyBytes: MAX_BODY_BYTES,
+      cold: { coldStartS: 3, coldPerS: COLD_PER_S },
     })
     store.put('config', 'main', config)
   }
@@ -186,6 +191,7 @@
     revokeKey: changeConfig,
     badTrait,
     limitPeriods,
+    coldPeriods,
     restoreStore,
     markStoreDisturbed: (ms) => {
       storeDisturbedUntilMs = Math.max(storeDisturbedUntilMs, performance.now() + ms)
@@ -235,6 +241,7 @@
           keyProbes,
           traitCrashes,
           limitPeriods,
+          coldPeriods,
           arrivals,
           isUndisturbed,
         }),
--- a/packages/scenario/src/soak/soakCheck.ts
+++ b/packages/scenario/src/soak/soakCheck.ts
@@ -63,6 +63,22 @@
   untilMs: number
 }
 
+/** Requests a second that the soak's configuration names for a cold replica. */
+export const COLD_PER_S = 6.7
+
+/** Bound on requests to a cold replica in the settings of the soak's gateways. */
+export const COLD_BOUND = { over: 1.5, slack: 5 }
+
+const COLD_WINDOW_MS = 1_000
+
+/** Period in which a replica is cold; a crash ends it. */
+export interface ColdPeriod {
+  readonly replica: string
+  /** In milliseconds of `performance.now()`. */
+  readonly fromMs: number
+  untilMs: number
+}
+
 export interface SoakRecord {
   readonly calls: readonly SoakCall[]
   /** Runs of each replica, by the replica's id. */
@@ -71,6 +87,7 @@
   readonly keyProbes: readonly KeyProbe[]
   readonly traitCrashes: readonly TraitCrash[]
   readonly limitPeriods: readonly LimitPeriod[]
+  readonly coldPeriods?: readonly ColdPeriod[]
   /** Arrivals of requests at each replica, by the replica's id. */
   readonly arrivals: ReadonlyMap<string, readonly number[]>
   /**
@@ -128,6 +145,7 @@
     ...checkRevokedKeys(record),
     ...checkBadTraits(record),
     ...checkLimits(record),
+    ...checkCold(record),
   ]
 }
 
@@ -241,6 +259,18 @@
 }
 
 /** Checks that replicas which name a rate limit get no more requests than it allows. */
+/** Requests to a cold replica count once all gateways may have learned that it is cold. */
+function checkCold({ coldPeriods = [], arrivals, isUndisturbed }: SoakRecord): string[] {
+  const allowed = COLD_PER_S * COLD_BOUND.over + COLD_BOUND.slack
+  return coldPeriods.flatMap(({ replica, fromMs, untilMs }) => {
+    const times = (arrivals.get(replica) ?? [])
+      .filter((atMs) => atMs > fromMs + CONTACT_MS && atMs < untilMs)
+      .filter((atMs) => isUndisturbed(atMs - CONTACT_MS, atMs))
+    const worst = worstWindow(times, COLD_WINDOW_MS)
+    return worst > allowed ? [`${worst} requests in 1 s reached ${replica}, cold`] : []
+  })
+}
+
 function checkLimits({ limitPeriods, arrivals, isUndisturbed }: SoakRecord): string[] {
   return limitPeriods.flatMap(({ replica, requestsPerS, fromMs, untilMs }) => {
     const times = (arrivals.get(replica) ?? [])
--- a/packages/scenario/src/soak/soakFault.ts
+++ b/packages/scenario/src/soak/soakFault.ts
@@ -1,7 +1,7 @@
 /** What a fault of the soak is, and what it may act on. */
 import type { Random } from '@wagtailway/core'
 import type { ReplicaStandin, StoreCopy, StoreStandin } from '@wagtailway/standins'
-import type { BadTrait, LimitPeriod } from './soakCheck.js'
+import type { BadTrait, ColdPeriod, LimitPeriod } from './soakCheck.js'
 import type { SoakGateway } from './soakGateway.js'
 
 /** The trait under which replicas crash now. */
@@ -19,6 +19,7 @@
   readonly writeEntry: (replica: ReplicaStandin, state: 'ready' | 'draining') => void
   readonly badTrait: CurrentTrait
   readonly limitPeriods: LimitPeriod[]
+  readonly coldPeriods: ColdPeriod[]
   /** Stores a configuration without the key that the one before added. */
   readonly revokeKey: () => void
   /**
--- a/packages/scenario/src/soak/soakFaults.ts
+++ b/packages/scenario/src/soak/soakFaults.ts
@@ -9,6 +9,9 @@
 /** Rate limits that a replica may name, in requests a second. */
 const RATE_LIMITS = [0.5, 1, 2.5, 8]
 
+/** Cold time, in milliseconds; long enough that the bound is checked after all know of it. */
+const COLD_MS = 8_000
+
 const REPLICA_FAULTS: readonly ReplicaBehaviour[] = [
   'error',
   'shed',
@@ -178,6 +181,30 @@
       }
     },
   },
+  {
+    name: 'servers become cold again',
+    ms: COLD_MS,
+    inject: ({ random, replicas, coldPeriods, writeEntry }) => {
+      const nowMs = performance.now()
+      // One at a time, and never all of a service, so that others can take the rest.
+      if (replicas.some(({ coldUntilMs = 0 }) => coldUntilMs > nowMs)) return undefined
+      const cold = replicas.filter((_, i) => i % 3 > 0 && random() < 0.7)
+      const periods = cold.map(({ id: replica }) => {
+        const untilMs = Number.POSITIVE_INFINITY
+        return { replica, fromMs: nowMs, untilMs }
+      })
+      coldPeriods.push(...periods)
+      for (const replica of cold) {
+        replica.coldUntilMs = nowMs + COLD_MS
+        writeEntry(replica, 'ready')
+      }
+      return () => {
+        const endMs = performance.now()
+        for (const period of periods) period.untilMs = Math.min(period.untilMs, endMs)
+        for (const replica of cold) writeEntry(replica, 'ready')
+      }
+    },
+  },
   {
     name: 'replica leaves for a while',
     ms: 3_200,
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -6,6 +6,7 @@
 import { settingsFile } from '@wagtailway/standins'
 import { sendToFleet } from '../fleet/fleetClient.js'
 import { TcpRelay } from '../relay/index.js'
+import { COLD_BOUND } from './soakCheck.js'
 import { SoakProcess } from './soakProcess.js'
 
 const PROGRAM = fileURLToPath(
@@ -244,7 +245,8 @@
 
   #settings(): string {
     const store = this.storeRelay.address
-    return settingsFile({ ...this.opts, store, graceS: GRACE_S, sessionS: 1 })
+    const cold = COLD_BOUND
+    return settingsFile({ ...this.opts, store, graceS: GRACE_S, sessionS: 1, cold })
   }
 }
 
--- a/packages/standins/src/fleet/replicaStandin.ts
+++ b/packages/standins/src/fleet/replicaStandin.ts
@@ -101,6 +101,11 @@
   rateLimit: string | undefined
   /** Whether all its responses say that it is leaving. */
   isLeaving = false
+  /**
+   * Until when the replica is cold, in milliseconds of `performance.now()`; its entry and its
+   * health check tell nothing about it if it is undefined.
+   */
+  coldUntilMs: number | undefined
   /** Value of `retry-after` in its refusals, in seconds. */
   retryAfter: string | undefined
   /**
@@ -172,10 +177,15 @@
       state: 'ready',
       sequence: 1,
       born: this.#startCount,
+      ...(this.coldUntilMs !== undefined && { coldRemainingMs: this.#coldRemainingMs }),
       ...changes,
     }
   }
 
+  get #coldRemainingMs(): number {
+    return Math.max(0, Math.round((this.coldUntilMs ?? 0) - performance.now()))
+  }
+
   /** Its open connections. */
   get openSockets(): ReadonlySet<Socket> {
     return this.#sockets
@@ -227,6 +237,8 @@
       return
     }
     if (req.url === HEALTH_PATH) {
+      if (this.coldUntilMs !== undefined)
+        res.setHeader('x-cold-remaining', this.#coldRemainingMs)
       res.writeHead(200, { 'x-instance-id': this.opts.id }).end()
       return
     }
--- a/packages/standins/src/fleet/settingsFile.ts
+++ b/packages/standins/src/fleet/settingsFile.ts
@@ -16,6 +16,8 @@
   readonly sessionS: number
   /** Memory above which the process is killed, if the file tells it. */
   readonly memoryMb?: number | undefined
+  /** Bound on requests to cold servers, if the file has one. */
+  readonly cold?: { readonly over: number; readonly slack: number } | undefined
 }
 
 /**
@@ -25,7 +27,7 @@
  * await writeFile('local.toml', settingsFile(options))
  */
 export function settingsFile(opts: SettingsFileOptions): string {
-  const { name, host, ports, seeds, store, graceS, sessionS, memoryMb } = opts
+  const { name, host, ports, seeds, store, graceS, sessionS, memoryMb, cold } = opts
   const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
   return [
     `nodeName = "${name}"`,
@@ -42,6 +44,7 @@
     '[bounds]',
     `graceS = ${graceS}`,
     `sessionS = ${sessionS}`,
+    ...(cold ? [`coldOver = ${cold.over}`, `coldSlack = ${cold.slack}`] : []),
     ...(memoryMb === undefined ? [] : ['[limits]', `memoryMb = ${memoryMb}`]),
   ].join('\n')
 }
