--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -25,6 +25,9 @@
 import type { ExposureLimit } from './rollout/planRollout.js'
 import type { VersionEvidence } from './rollout/versionEvidence.js'
 import type { ServerTable } from './servers/serverTable.js'
+import type { ColdServers } from './warmup/coldServers.js'
+import type { ColdBound } from './warmup/warmupBound.js'
+import type { WarmupLimiter } from './warmup/warmupLimiter.js'
 
 /** Limits set by the deployment. */
 export interface GatewayBounds {
@@ -44,6 +47,8 @@
    * are followed only if it is set.
    */
   readonly evacuationMs?: number | undefined
+  /** Requests in any second to a cold server; absent if no server counts as cold. */
+  readonly cold?: ColdBound
 }
 
 /**
@@ -83,6 +88,8 @@
   readonly limiter: ServerLimiter
   readonly statements: StatementTable
   readonly places: PlaceLimiter
+  readonly cold: ColdServers
+  readonly warmup: WarmupLimiter
 }
 
 /** The current configuration, with its route table. */
