Don't take the part of an answer before a reset for the whole one (router)

Cause: Node reports a reset as the normal end of a response that has neither a length nor chunks. readResponseBody asked only IncomingMessage.complete, so a server of a plain service that sent part of its answer and reset the connection during an upload gave the caller that part as a complete answer with a Content-Length.

Change: BackendResponse tells whether its body is complete: one that ends with its connection is not if the request failed or the end may have been a reset.

--- a/packages/router/src/backend/backendClient.ts
+++ b/packages/router/src/backend/backendClient.ts
@@ -8,6 +8,7 @@
 import {
   Err,
   Ok,
+  ResetDetector,
   readBytes,
   refuse,
   type Refusal,
@@ -32,6 +33,8 @@
 export interface BackendResponse {
   readonly res: IncomingMessage
   readonly status: number
+  /** Whether the body, which has ended, is complete as far as its connection tells. */
+  readonly isComplete: () => boolean
 }
 
 /**
@@ -52,6 +55,8 @@
   call(opts: BackendRequestOptions): Promise<Result<BackendResponse, Refusal>> {
     return new Promise((resolve) => {
       let ran: RunState = 'not_run'
+      let hasFailed = false
+      let detector: ResetDetector | undefined
       const [host, port] = opts.address.split(':')
       const req = request({
         host,
@@ -71,14 +76,25 @@
         }
         if (socket.connecting) socket.once('connect', onConnect)
         else onConnect()
+        const ownDetector = ResetDetector.create(socket)
+        detector = ownDetector
+        req.once('close', () => {
+          ownDetector.close()
+        })
       })
       req.setTimeout(opts.progressTimeoutMs, () => {
         req.destroy(new Error('the backend server fell silent'))
       })
       req.on('response', (res) => {
-        resolve(Ok({ res, status: res.statusCode ?? 0 }))
+        const isComplete = (): boolean => {
+          if (!res.complete) return false
+          // Node reports a reset as the normal end of a body that ends with its connection.
+          return isFramed(res) || (!hasFailed && detector?.mayBeReset !== true)
+        }
+        resolve(Ok({ res, status: res.statusCode ?? 0, isComplete }))
       })
       req.on('error', (err) => {
+        hasFailed = true
         resolve(Err(refuse('backend_failed', ran, `Backend server: ${err.message}.`)))
       })
       req.end(opts.body)
@@ -90,6 +106,18 @@
   }
 }
 
+/** Statuses of responses without a body. */
+const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304])
+
+/** Whether a response tells its end itself, and not by the end of its connection. */
+function isFramed({ headers, statusCode }: IncomingMessage): boolean {
+  return (
+    'content-length' in headers ||
+    'transfer-encoding' in headers ||
+    BODILESS_STATUSES.has(statusCode)
+  )
+}
+
 function ignoreError(): void {
   // The request has its response, or fails by itself.
 }
@@ -98,15 +126,16 @@
 const MAX_RESPONSE_BYTES = 16 * 1_048_576
 
 /** Reads a whole response body; a connection that closes early is an error. */
-export async function readResponseBody(
-  res: IncomingMessage,
-): Promise<Result<Buffer, Refusal>> {
+export async function readResponseBody({
+  res,
+  isComplete,
+}: Pick<BackendResponse, 'res' | 'isComplete'>): Promise<Result<Buffer, Refusal>> {
   const sizeHint = Number(res.headers['content-length'] ?? 0)
   const result = await readBytes(res, { maxBytes: MAX_RESPONSE_BYTES, sizeHint })
   switch (result.type) {
     case 'complete':
       // Without an error a broken connection ends the stream like a complete response.
-      if (res.complete) return Ok(result.bytes)
+      if (isComplete()) return Ok(result.bytes)
       return Err(refuse('backend_truncated', 'unknown', 'The answer broke off.'))
     case 'too_long':
     case 'no_memory':
--- a/packages/router/src/request/attemptCompletion.ts
+++ b/packages/router/src/request/attemptCompletion.ts
@@ -60,7 +60,7 @@
     return Err(refuse('backend_failed', 'unknown', message))
   }
   ctx.res.setHeader(RESPONSE_HEADERS.version, candidate.key)
-  if (!chat.stream) return readJsonCompletion(ctx, slot, await readResponseBody(res))
+  if (!chat.stream) return readJsonCompletion(ctx, slot, await readResponseBody(sent.val))
   return readStreamedCompletion(node, ctx, chat, slot, res, isLast)
 }
 
--- a/packages/router/src/request/serviceRequest.ts
+++ b/packages/router/src/request/serviceRequest.ts
@@ -126,7 +126,7 @@
     const message = `The backend server answered with the status ${status}.`
     return Err(refuse('backend_invalid', 'unknown', message))
   }
-  const responseBody = await readResponseBody(res)
+  const responseBody = await readResponseBody(sent.val)
   if (responseBody.err) return responseBody
   return Ok({
     status,
