Test that a relay passes on a reset during an upload of an earlier build

Cause: an instance of an earlier build asks for no end mark, so only the reset of the relayed connection tells it that an early answer is a part.

--- a/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
+++ b/packages/gateway/src/paths/__tests__/relayedBody.spec.ts
@@ -267,4 +267,31 @@
     await new Promise((resolve) => socket.once('close', resolve))
     assert.equal(received, `HTTP/1.1 200 OK\r\n\r\n${HEAD}${BODY}`)
   })
+
+  // Guards against: an earlier build, which knows no marks, takes a part for the whole.
+  it('resets the connection of one that uploads when its server answers early and resets', async () => {
+    for (const delayMs of [0, PART_MS, 10 * PART_MS]) {
+      respond = (socket) => {
+        // The rest of the upload stays unread.
+        socket.pause()
+        socket.write(HEAD + BODY)
+        setTimeout(() => socket.resetAndDestroy(), delayMs)
+      }
+      const socket = connect(relayPort, HOST)
+      let hasEnded = false
+      const errors: (string | undefined)[] = []
+      socket.on('data', () => undefined).on('end', () => (hasEnded = true))
+      socket.on('error', ({ code }: NodeJS.ErrnoException) => errors.push(code))
+      socket.write(
+        `CONNECT ${HOST}:${portOf(backend)} HTTP/1.1\r\nx-relay-server: s1 1\r\n\r\n`,
+      )
+      await sleep(PART_MS)
+      socket.write('POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+      const chunk = `10000\r\n${'x'.repeat(65_536)}\r\n`
+      for (let i = 0; i < 64; i += 1) socket.write(chunk)
+      await new Promise((resolve) => socket.once('close', resolve))
+      const about = `reset after ${delayMs} ms: ${errors.join()}`
+      assert.ok(!hasEnded && errors.length === 1, about)
+    }
+  })
 })
