--- a/packages/scenario/src/hunt/virtualWorld.ts
+++ b/packages/scenario/src/hunt/virtualWorld.ts
@@ -112,10 +112,21 @@
   #insert(atMs: number, run: () => void, node: VirtualNode | undefined): Event {
     this.#order += 1
     const event = { atMs, order: this.#order, node, run, cancelled: false }
-    const index = this.#events.findLastIndex((other) => other.atMs <= atMs) + 1
-    this.#events.splice(index, 0, event)
+    this.#events.splice(this.#indexAfter(atMs), 0, event)
     return event
   }
+
+  /** Index after the last event at or before a time; a fleet of hundreds has many events. */
+  #indexAfter(atMs: number): number {
+    let from = 0
+    let until = this.#events.length
+    while (from < until) {
+      const middle = (from + until) >>> 1
+      if ((this.#events[middle]?.atMs ?? Infinity) <= atMs) from = middle + 1
+      else until = middle
+    }
+    return from
+  }
 }
 
 /** Waits until all pending promise callbacks have run. */
--- a/packages/scenario/src/limitFleet/limitFleet.ts
+++ b/packages/scenario/src/limitFleet/limitFleet.ts
@@ -62,6 +62,20 @@
   readonly arrival: ArrivalPattern
   /** Share of the messages and reports between instances that are lost. */
   readonly loss: number
+  /**
+   * Whether all instances know each other all the time and exchange no reports, which take
+   * minutes to emulate in a fleet of hundreds.
+   *
+   * @default false
+   */
+  readonly isSettled?: boolean
+  /**
+   * Requests that the server may get in any window from the begin of the period on, those of
+   * restarted instances and of instances that are cut off included.
+   *
+   * @default the promise for servers that name a limit
+   */
+  readonly bound?: { readonly windowMs: number; readonly requests: number }
 }
 
 /** Period in which the server names a limit. */
@@ -93,6 +107,8 @@
   peers: PeerTable
   guard: LimitGuard
   isCut: boolean
+  /** Instances of different sides don't reach each other. */
+  side: number
   excusedUntilMs: number
   sequence: number
   reportCount: number
@@ -111,6 +127,7 @@
 export class LimitFleet {
   readonly world: VirtualWorld
   readonly #instances: Instance[]
+  readonly #names: readonly string[]
   readonly #arrivals: { readonly atMs: number; readonly isExcused: boolean }[] = []
   #limit: number | undefined
 
@@ -119,7 +136,9 @@
     this.#instances = Array.from({ length: opts.instances }, (_, i) =>
       this.#createInstance(i),
     )
+    this.#names = this.#instances.map(({ name }) => name)
     for (const instance of this.#instances) {
+      if (opts.isSettled === true) continue
       this.#linkPeers(instance)
       this.#scheduleReport(instance)
     }
@@ -152,6 +171,18 @@
     }
   }
 
+  /** Separates some instances from the others; all still reach the server. */
+  split(indexes: readonly number[], forMs: number): void {
+    for (const index of indexes) {
+      const instance = this.#instances[index]
+      if (!instance) continue
+      instance.side = 1
+      this.world.after(forMs, () => {
+        instance.side = 0
+      })
+    }
+  }
+
   /** Sends some requests through one instance at once. */
   burst(index: number, count: number): void {
     const instance = this.#instances[index]
@@ -160,6 +191,7 @@
 
   /** Runs until some seconds after the end of the period. */
   async run({ limit, fromMs, untilMs }: LimitPeriod): Promise<LimitFleetResult> {
+    const { bound } = this.opts
     this.world.after(fromMs, () => {
       this.#limit = limit
       for (const instance of this.#instances) instance.bytes = 0
@@ -169,21 +201,24 @@
       this.#limit = undefined
       bytes = this.#instances.map((instance) => instance.bytes)
     })
-    const endMs = untilMs + 2 * WINDOW_MS
+    // What follows shows when a server that named a limit is in use again.
+    const endMs = untilMs + (bound ? 0 : 2 * WINDOW_MS)
     await this.world.run(endMs)
-    const boundFromMs = fromMs + CONTACT_MS
+    const boundFromMs = bound ? fromMs : fromMs + CONTACT_MS
     const counted = this.#arrivals.filter(
       ({ atMs }) => atMs >= boundFromMs && atMs < untilMs,
     )
-    const binding = counted.filter(({ isExcused }) => !isExcused)
+    const binding = bound ? counted : counted.filter(({ isExcused }) => !isExcused)
     const after = this.#arrivals.filter(({ atMs }) => atMs >= untilMs)
     const seconds = (untilMs - fromMs) / 1_000
     return {
       worst: worstWindow(
         binding.map(({ atMs }) => atMs),
-        WINDOW_MS,
+        bound?.windowMs ?? WINDOW_MS,
       ),
-      allowed: (MAX_RATE_FACTOR * limit * WINDOW_MS) / 1_000 + MAX_EXTRA_REQUESTS,
+      allowed:
+        bound?.requests ??
+        (MAX_RATE_FACTOR * limit * WINDOW_MS) / 1_000 + MAX_EXTRA_REQUESTS,
       usedShare: usedShare(counted.length, untilMs - boundFromMs, limit),
       finalUsedShare: usedShare(
         counted.filter(({ atMs }) => atMs >= untilMs - FINAL_MS).length,
@@ -219,6 +254,7 @@
       peers: undefined as unknown as PeerTable,
       guard: undefined as unknown as LimitGuard,
       isCut: false,
+      side: 0,
       excusedUntilMs: 0,
       sequence: 0,
       reportCount: 0,
@@ -242,8 +278,11 @@
       after: (ms, action) => {
         world.after(ms, action)
       },
-      instances: () => [name, ...instance.peers.permitIssuers],
-      fleetShare: () => instance.peers.fleetShare,
+      instances: () =>
+        this.opts.isSettled === true
+          ? this.#names
+          : [name, ...instance.peers.permitIssuers],
+      fleetShare: () => (this.opts.isSettled === true ? 1 : instance.peers.fleetShare),
       onNews: () => {
         this.#sendNews(instance)
       },
@@ -378,7 +417,8 @@
     action: () => void,
   ): void {
     sender.bytes += bytes
-    if (sender.isCut || this.world.random() < this.opts.loss) return
+    if (sender.isCut || sender.side !== receiver.side) return
+    if (this.world.random() < this.opts.loss) return
     this.world.after(this.#delayMs(), () => {
       if (receiver.isCut) return
       receiver.bytes += bytes
