Cold servers: an instance that is lost keeps its place among the issuers

Cause: instances that are cut off one by one took themselves for the first issuer while they still counted a majority as alive. Change: a lost instance keeps its place for 2 s; one instance gets half of an issuer's permits.

--- a/packages/gateway/src/warmup/warmupIssuer.ts
+++ b/packages/gateway/src/warmup/warmupIssuer.ts
@@ -12,6 +12,12 @@
 /** Part of the permits of a window that one ask may get, so that others get some too. */
 const MAX_GRANT_DIVISOR = 3
 
+/**
+ * Share of the permits of a window that one instance may get: an issuer that is cut off and
+ * doesn't know it yet issues to itself alone.
+ */
+const MAX_ASKER_SHARE = 0.5
+
 /** Asks that all instances together should send, as a multiple of the permits issued. */
 const ASKS_PER_PERMIT = 2
 
@@ -40,8 +46,8 @@
 export type WarmupRole = 'responsible' | 'deputy' | 'none'
 
 interface Record {
-  /** When each permit was issued, the oldest first. */
-  issuedAtMs: number[]
+  /** Permits issued, the oldest first. */
+  issued: { readonly atMs: number; readonly asker: string | undefined }[]
   askedAtMs: number
   /** The last ask of each instance. */
   readonly askers: Map<string, { readonly id: number; readonly grant: PermitGrant }>
@@ -82,14 +88,16 @@
   /** @param quota Permits that this instance may issue in a window. */
   #take(record: Record, { count, asker }: WarmupAsk, quota: number): PermitGrant {
     const nowMs = this.clock()
-    const { issuedAtMs } = record
+    const { issued } = record
     const maxGrant = Math.max(1, Math.floor(quota / MAX_GRANT_DIVISOR))
-    const available = quota - issuedAtMs.length
-    const granted = Math.max(0, Math.min(count, maxGrant, available))
-    for (let i = 0; i < granted; i += 1) issuedAtMs.push(nowMs)
+    const available = quota - issued.length
+    const ownCount = issued.filter((permit) => permit.asker === asker).length
+    const availableToAsker = Math.ceil(quota * MAX_ASKER_SHARE) - ownCount
+    const granted = Math.max(0, Math.min(count, maxGrant, available, availableToAsker))
+    for (let i = 0; i < granted; i += 1) issued.push({ atMs: nowMs, asker })
     if (granted > 0) return { count: granted, retryAfterMs: 0 }
     // The window has room for a permit again once this one has left it.
-    const oldestMs = issuedAtMs[issuedAtMs.length - quota] ?? nowMs
+    const oldestMs = issued[issued.length - quota]?.atMs ?? nowMs
     const availableInMs = oldestMs + ISSUE_WINDOW_MS - nowMs
     const askerCount = record.askers.size + (record.askers.has(asker) ? 0 : 1)
     const asksPerWindow = ASKS_PER_PERMIT * Math.max(1, quota)
@@ -103,11 +111,14 @@
     const nowMs = this.clock()
     const record = this.#records.get(incarnation) ?? {
       // Requests that were sent before the cold time was known fall into the first second.
-      issuedAtMs: new Array<number>(Math.ceil(quota / 2)).fill(nowMs),
+      issued: Array.from({ length: Math.ceil(quota / 2) }, () => ({
+        atMs: nowMs,
+        asker: undefined,
+      })),
       askedAtMs: nowMs,
       askers: new Map(),
     }
-    record.issuedAtMs = record.issuedAtMs.filter((atMs) => atMs > nowMs - ISSUE_WINDOW_MS)
+    record.issued = record.issued.filter(({ atMs }) => atMs > nowMs - ISSUE_WINDOW_MS)
     record.askedAtMs = nowMs
     this.#records.delete(incarnation)
     this.#records.set(incarnation, record)
--- a/packages/gateway/src/warmup/warmupLimiter.ts
+++ b/packages/gateway/src/warmup/warmupLimiter.ts
@@ -33,6 +33,13 @@
  */
 const ISSUE_AFTER_START_MS = 2_000
 
+/**
+ * Time for which an instance that is no longer heard keeps its place in the order of issuers, in
+ * milliseconds. One that is cut off loses the others one after the other, and must not take
+ * itself for the first before it knows how few it reaches.
+ */
+const PLACE_KEPT_MS = 2_000
+
 /** Asks that this instance sends in a second at most; messages of all kinds may use 3 KB/s. */
 const MAX_ASKS_PER_S = 16
 
@@ -113,6 +120,8 @@
   /** Asks in a row without an answer, by issuer. */
   readonly #unanswered = new Map<string, number>()
   readonly #silentUntilMs = new Map<string, number>()
+  /** Instances that may issue permits, or could until then. */
+  readonly #placeUntilMs = new Map<string, number>()
   /** When asks were sent within the last second. */
   #askedAtMs: number[] = []
   #nextAskAheadAtMs = 0
@@ -334,11 +343,25 @@
   #role(incarnation: string): WarmupRole {
     const { clock, name } = this.opts
     if (clock() - this.#startedAtMs < ISSUE_AFTER_START_MS) return 'none'
-    const [responsible, deputy] = this.#order(incarnation)
+    const [responsible, deputy] = orderIssuers(this.#placeHolders(), incarnation)
     if (responsible === name) return 'responsible'
     return deputy === name ? 'deputy' : 'none'
   }
 
+  /** Instances that may issue permits, and those that were lost a short while ago. */
+  #placeHolders(): string[] {
+    const nowMs = this.opts.clock()
+    const names = new Set(this.opts.issuers())
+    for (const [name, untilMs] of this.#placeUntilMs) {
+      if (names.has(name)) continue
+      if (untilMs === Number.POSITIVE_INFINITY)
+        this.#placeUntilMs.set(name, nowMs + PLACE_KEPT_MS)
+      else if (untilMs <= nowMs) this.#placeUntilMs.delete(name)
+    }
+    for (const name of names) this.#placeUntilMs.set(name, Number.POSITIVE_INFINITY)
+    return [...this.#placeUntilMs.keys()]
+  }
+
   #selectIssuer(incarnation: string): string {
     const { clock, name } = this.opts
     const order = this.#order(incarnation).slice(0, MAX_ISSUERS)
