Admission: decide on each request from the loads of all instances

Cause: short prompts have the most urgent level whatever their class, so a load of the least urgent class beyond all slots takes them from the others; and nothing tells the requests of a workspace far over its share apart.

Change: ServiceAdmission adds up the loads of a service's servers every 100 ms and decides: send, send with less urgency, or refuse. Refusals follow a shed level that integrates how full the slots are and how long demoted requests wait; requests beyond a share go first, then the least urgent. Not wired into forwarding yet.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,8 @@
 /** Forwards HTTP requests and event streams to backend servers, by model and version. */
+export * from './admission/decayingCounts.js'
+export * from './admission/decideAdmission.js'
+export * from './admission/serviceAdmission.js'
+export * from './admission/workspaceShare.js'
 export * from './cascade/cascade.js'
 export * from './feed/feedCodec.js'
 export * from './feed/feedExchange.js'
--- a/packages/gateway/src/model/urgency.ts
+++ b/packages/gateway/src/model/urgency.ts
@@ -19,13 +19,19 @@
  * Urgency that an engine is given. Short prompts go first: they delay a long one only
  * slightly, but would miss their target behind several long ones.
  *
+ * @param demotion Levels by which the request is less urgent, such as beyond a share.
+ *
  * @example
  * engineUrgency({ workspace: 0, route: 0 }, 800) // 1
  */
-export function engineUrgency(priority: RequestPriority, prefillMs: number): number {
+export function engineUrgency(
+  priority: RequestPriority,
+  prefillMs: number,
+  demotion = 0,
+): number {
   const routeUrgency = prefillMs < SHORT_PREFILL_MS ? 0 : 1 + priority.route
   return Math.min(
     LOWEST_URGENCY,
-    priority.workspace * WORKSPACE_URGENCY_STEP + routeUrgency,
+    priority.workspace * WORKSPACE_URGENCY_STEP + routeUrgency + demotion,
   )
 }
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -167,6 +167,19 @@
     return this.#fleet !== undefined
   }
 
+  /**
+   * Age of the newest loads that other entry instances reported, in milliseconds;
+   * `undefined` if none is known.
+   */
+  get reportedAgeMs(): number | undefined {
+    const receivedAtMs = this.hasFleetLoads
+      ? this.#fleet?.receivedAtMs
+      : Math.max(...[...this.#peerLoads.values()].map((peer) => peer.receivedAtMs))
+    return receivedAtMs !== undefined && Number.isFinite(receivedAtMs)
+      ? this.clock() - receivedAtMs
+      : undefined
+  }
+
   /** Load from this process, for its reports to peers. */
   get localLoads(): ReadonlyMap<string, ServerLoad> {
     return this.#localLoads
