Virtual time: the heavy loads of deployment B, with and without admission

Cause: the replay knew neither workspaces, zones' waves, long prompts nor old loads, which docs/hard-load.md asks admission to be measured on.

Runs without the new options draw the same requests as before.

--- a/packages/scenario/src/promptLoad/loadSharing.ts
+++ b/packages/scenario/src/promptLoad/loadSharing.ts
@@ -13,8 +13,8 @@
 } from '@wagtailway/gateway'
 import type { VirtualTime } from '../loadModel/virtualTime.js'
 
-/** Delay of a datagram, in milliseconds. */
-const DATAGRAM_LAG_MS = 1
+/** Usual delay of a datagram, in milliseconds. */
+export const DATAGRAM_LAG_MS = 1
 
 /** Only every fourth report includes prefill speeds. */
 const SPEEDS_EVERY = 4
@@ -38,6 +38,8 @@
   readonly random: Random
   /** Share of the datagrams that are lost. */
   readonly lossShare: number
+  /** Delay of a datagram, in milliseconds. */
+  readonly lagMs: number
   /** Whether a node has ended. */
   readonly isDown: (node: PromptNode, atMs: number) => boolean
   /** Called for each datagram that is sent. */
@@ -143,7 +145,7 @@
 }
 
 function deliver(
-  { time, random, lossShare, isDown, onDatagram }: SharingOptions,
+  { time, random, lossShare, lagMs, isDown, onDatagram }: SharingOptions,
   from: PromptNode,
   to: PromptNode,
   bytes: number,
@@ -152,7 +154,7 @@
   if (isDown(from, time.now())) return
   onDatagram(from, to, bytes)
   if (random() < lossShare) return
-  time.after(DATAGRAM_LAG_MS, () => {
+  time.after(lagMs, () => {
     if (!isDown(to, time.now())) apply()
   })
 }
--- a/packages/scenario/src/promptLoad/plainRun.ts
+++ b/packages/scenario/src/promptLoad/plainRun.ts
@@ -6,7 +6,12 @@
 import { seededRandom, type Random } from '@wagtailway/core'
 import { selectPlacement, type BackendServer } from '@wagtailway/gateway'
 import { VirtualTime } from '../loadModel/virtualTime.js'
-import { createNodes, type LoadSharing, type PromptNode } from './loadSharing.js'
+import {
+  DATAGRAM_LAG_MS,
+  createNodes,
+  type LoadSharing,
+  type PromptNode,
+} from './loadSharing.js'
 
 export interface PlainRunOptions {
   readonly nodes: number
@@ -62,6 +67,7 @@
     nodes,
     random: seededRandom(opts.seed + 1),
     lossShare: 0,
+    lagMs: DATAGRAM_LAG_MS,
     isDown: () => false,
     onDatagram: () => undefined,
   })
--- a/packages/scenario/src/promptLoad/promptRun.ts
+++ b/packages/scenario/src/promptLoad/promptRun.ts
@@ -8,100 +8,31 @@
   engineUrgency,
   selectPlacement,
   expectedWaitMs,
-  type Acceptance,
   type AcceptanceInputs,
   type BackendServer,
-  type CascadeOptions,
   type Placement,
+  type ServiceAdmission,
 } from '@wagtailway/gateway'
 import { VirtualTime } from '../loadModel/virtualTime.js'
-import { EngineModel, type EngineSpec } from './engineModel.js'
+import { EngineModel } from './engineModel.js'
 import {
+  DATAGRAM_LAG_MS,
   createNodes,
   reportToEach,
-  type LoadSharing,
   type PromptNode,
 } from './loadSharing.js'
-import { generateRequests, type ModelSpec } from './promptWorkload.js'
-import type { PromptClass, PromptRequest } from './promptWorkload.js'
-
-/** What an admission decision is made from. */
-export interface AdmissionInputs {
-  /** Priority of the class, zero for the most urgent. */
-  readonly priority: number
-  readonly expectedFirstByteMs: number
-  readonly outputTokens: number
-  readonly timeToTargetMs: number
-  readonly timeToDeadlineMs: number
-}
-
-/** Decisions that vary between runs. */
-export interface PromptPolicy {
-  readonly evaluate: (inputs: AcceptanceInputs, opts: CascadeOptions) => Acceptance
-  /**
-   * Whether a request is sent to an engine or refused; by default while its first byte is
-   * expected before the deadline.
-   */
-  readonly admit?: (inputs: AdmissionInputs) => boolean
-}
-
-export interface PromptRunOptions {
-  readonly classes: readonly PromptClass[]
-  readonly models: readonly ModelSpec[]
-  readonly engine: EngineSpec
-  readonly engines: number
-  readonly nodes: number
-  readonly durationMs: number
-  /** Factor of the mean request rate, as a function of time. */
-  readonly rateAt: (atMs: number) => number
-  readonly policy: PromptPolicy
-  readonly seed: number
-  /**
-   * How nodes tell each other their loads.
-   *
-   * @default reportToEach
-   */
-  readonly shareLoads?: LoadSharing
-  /** Arrivals before this time are played, but not counted; 0 by default. */
-  readonly countFromMs?: number
-  /** Number of availability zones of the nodes; one by default. */
-  readonly zones?: number
-  /** Share of the datagrams between nodes that are lost; none by default. */
-  readonly lossShare?: number
-  /** Whether the node with this index has ended; no requests reach it then. */
-  readonly isNodeDown?: (index: number, atMs: number) => boolean
-  /** Factor of the duration of an engine's steps, such as 3.5 while it is slow. */
-  readonly slowdownAt?: (engine: number, atMs: number) => number
-}
-
-/** Counts and credit of one class of requests. */
-export interface PromptOutcome {
-  readonly name: string
-  requests: number
-  inTime: number
-  late: number
-  /** Requests refused for good, and those that were cut off at their deadline. */
-  refused: number
-  cut: number
-  /** Credit earned, and the credit if every response were good and in time. */
-  earnedCredit: number
-  fullCredit: number
-  /** Outputs accepted because there was no time to ask the next model. */
-  noTimeForNext: number
-}
+import {
+  createAdmissions,
+  drawNode,
+  type AdmissionInputs,
+  type PromptOutcome,
+  type PromptRunOptions,
+  type PromptRunResult,
+  type RequestEnd,
+} from './promptOptions.js'
+import { generateRequests, type ModelSpec, type PromptRequest } from './promptWorkload.js'
 
-export interface PromptRunResult {
-  readonly outcomes: readonly PromptOutcome[]
-  /** Earned credit as a fraction of the full credit. */
-  readonly creditRatio: number
-  /** Fraction of the engines' time spent on prefill. */
-  readonly prefillFraction: number
-  readonly prefilledTokens: number
-  readonly cacheHitTokens: number
-  /** Bytes a second that a node sends and receives to share loads. */
-  readonly meanBytesPerS: number
-  readonly maxBytesPerS: number
-}
+export type * from './promptOptions.js'
 
 /** Credit of an output from too small a model, as a fraction of a good output's. */
 const POOR_CREDIT_FACTOR = 0.05
@@ -161,12 +92,14 @@
   const countBytes = ({ name }: PromptNode, count: number): void => {
     bytes.set(name, (bytes.get(name) ?? 0) + count)
   }
+  const admissions = createAdmissions(opts, time, nodes, servers)
   const shareLoads = opts.shareLoads ?? reportToEach
   shareLoads({
     time,
     nodes,
     random: seededRandom(opts.seed + 1),
     lossShare: opts.lossShare ?? 0,
+    lagMs: opts.datagramLagMs ?? DATAGRAM_LAG_MS,
     isDown,
     onDatagram: (from, to, count) => {
       countBytes(from, count)
@@ -176,19 +109,27 @@
   const outcomes = new Map(
     opts.classes.map(({ name }): [string, PromptOutcome] => [name, emptyOutcome(name)]),
   )
-  for (const req of generateRequests(
-    opts.classes,
-    opts.durationMs,
-    opts.rateAt,
-    random,
-  )) {
+  const generated = generateRequests(opts.classes, opts.durationMs, opts.rateAt, random)
+  for (const [i, unchanged] of generated.entries()) {
+    const req = opts.changeRequest?.(unchanged, i) ?? unchanged
     const live = nodes.filter((node) => !isDown(node, req.atMs))
-    const node = live[Math.floor(random() * live.length)]
+    const node = drawNode(live, req.atMs, random, opts)
     const isCounted = req.atMs >= (opts.countFromMs ?? 0)
     const outcome = isCounted ? outcomes.get(req.cls.name) : emptyOutcome(req.cls.name)
     if (!node || !outcome) continue
     time.after(req.atMs, () => {
-      serve({ opts, time, random, engines, servers, nodes: live, node, req, outcome })
+      const ctx = {
+        opts,
+        time,
+        random,
+        engines,
+        servers,
+        nodes: live,
+        node,
+        req,
+        outcome,
+      }
+      serve({ ...ctx, isCounted, demotion: 0, admissions })
     })
   }
   time.runUntil(opts.durationMs + DRAIN_MS)
@@ -242,8 +183,22 @@
   readonly servers: readonly BackendServer[]
   readonly nodes: readonly PromptNode[]
   readonly node: PromptNode
+  /** Admission of each node; empty without it. */
+  readonly admissions: ReadonlyMap<string, ServiceAdmission>
   readonly req: PromptRequest
   readonly outcome: PromptOutcome
+  readonly isCounted: boolean
+  /** Levels by which the engines are told that the request is less urgent. */
+  readonly demotion: number
+}
+
+/** Reports the end of a counted request. */
+function end(
+  { opts, req, node, isCounted }: RequestContext,
+  result: RequestEnd['result'],
+  creditShare = 0,
+): void {
+  if (isCounted) opts.onEnd?.({ req, zone: node.zone, result, creditShare })
 }
 
 function serve(ctx: RequestContext): void {
@@ -255,9 +210,17 @@
 
 /** Sends the request, or refuses it so that its caller comes back later. */
 function sendFirstAttempt(ctx: RequestContext, retriesLeft: number): void {
-  const { opts, time, nodes, random, req, outcome } = ctx
+  const { opts, req, node, time } = ctx
+  const { workspace = '', priority } = req.cls
+  const decision = ctx.admissions.get(node.name)?.decide({ workspace, priority }).decision
+  if (decision?.type === 'refuse') {
+    refuseAttempt(ctx, retriesLeft, decision.retryAfterMs)
+    return
+  }
+  const admitted = { ...ctx, demotion: decision?.demotion ?? 0 }
   const { cls, atMs, outputTokens } = req
-  const expectedFirstByteMs = selectServer(ctx, opts.models[0])?.expectedFirstByteMs ?? 0
+  const expectedFirstByteMs =
+    selectServer(admitted, opts.models[0])?.expectedFirstByteMs ?? 0
   const timeToDeadlineMs = atMs + cls.deadlineMs - time.now()
   const admit = opts.policy.admit ?? admitsByDeadline
   const isAdmitted = admit({
@@ -268,15 +231,27 @@
     timeToDeadlineMs,
   })
   if (isAdmitted) {
-    sendAttempt(ctx, 0)
+    sendAttempt(admitted, 0)
     return
   }
+  const lateByMs = Math.max(0, expectedFirstByteMs - timeToDeadlineMs)
+  const retryAfterMs = (REFUSED_RETRY_AFTER_MS + lateByMs) * (1 + ctx.random())
+  refuseAttempt(ctx, retriesLeft, retryAfterMs)
+}
+
+/** Refuses a request, whose caller returns if it has a retry left. */
+function refuseAttempt(
+  ctx: RequestContext,
+  retriesLeft: number,
+  retryAfterMs: number,
+): void {
+  const { time, nodes, random, req, outcome } = ctx
+  const timeToDeadlineMs = req.atMs + req.cls.deadlineMs - time.now()
   if (retriesLeft === 0) {
     outcome.refused += 1
+    end(ctx, 'refused')
     return
   }
-  const lateByMs = Math.max(0, expectedFirstByteMs - timeToDeadlineMs)
-  const retryAfterMs = (REFUSED_RETRY_AFTER_MS + lateByMs) * (1 + random())
   time.after(Math.min(retryAfterMs, timeToDeadlineMs * MAX_RETRY_SHARE), () => {
     const node = nodes[Math.floor(random() * nodes.length)] ?? ctx.node
     sendFirstAttempt({ ...ctx, node }, retriesLeft - 1)
@@ -348,6 +323,7 @@
   time.after(Math.max(0, req.atMs + req.cls.deadlineMs - sentAtMs), () => {
     if (isFinished) return
     outcome.cut += 1
+    end(ctx, 'cut')
     job.cancel()
     finish()
   })
@@ -377,20 +353,23 @@
 
 /** Counts a complete response; its latency is that of its first token. */
 function addCredit(
-  { req, outcome }: RequestContext,
+  ctx: RequestContext,
   { quality }: ModelSpec,
   firstTokenAtMs: number,
 ): void {
+  const { req, outcome } = ctx
   const { cls, atMs, difficulty } = req
   const isInTime = firstTokenAtMs - atMs <= cls.targetMs
   if (isInTime) outcome.inTime += 1
   else outcome.late += 1
   const factor = difficulty <= quality ? 1 : POOR_CREDIT_FACTOR
-  outcome.earnedCredit += (isInTime ? cls.credit : cls.lateCredit) * factor
+  const credit = (isInTime ? cls.credit : cls.lateCredit) * factor
+  outcome.earnedCredit += credit
+  end(ctx, isInTime ? 'in_time' : 'late', credit / cls.credit)
 }
 
 function selectServer(
-  { servers, node, req, random }: RequestContext,
+  { servers, node, req, random, demotion }: RequestContext,
   model: ModelSpec | undefined,
 ): Placement | undefined {
   if (!model) return undefined
@@ -404,7 +383,8 @@
       sharedTokens,
       uniqueTokens: req.parts.at(-1)?.tokens ?? 0,
       prefillMsPerToken: (before) => node.speeds.msPerToken(model.name, before),
-      urgencyOf: (ms) => engineUrgency({ workspace: 0, route: req.cls.priority }, ms),
+      urgencyOf: (ms) =>
+        engineUrgency({ workspace: 0, route: req.cls.priority }, ms, demotion),
       hasOldLoads: node.load.hasFleetLoads,
       zone: ZONE,
     },
--- a/packages/scenario/src/promptLoad/promptWorkload.ts
+++ b/packages/scenario/src/promptLoad/promptWorkload.ts
@@ -5,6 +5,8 @@
 /** A class of requests; token counts are means. */
 export interface PromptClass {
   readonly name: string
+  /** Workspace of all its requests; all without one are of the same. */
+  readonly workspace?: string
   /** Mean arrival rate. */
   readonly requestsPerSecond: number
   /** Credit of a response within the target, and of a later one within the deadline. */
