--- a/packages/gateway/src/admission/decideAdmission.ts
+++ b/packages/gateway/src/admission/decideAdmission.ts
@@ -51,24 +51,37 @@
 /** Least part of the requests that is admitted. */
 const LEAST_ADMITTED = 0.02
 
+/** Negative logarithms of parts of the requests that are admitted. */
+export interface ShedLevels {
+  /** Of all requests; follows the occupancy. */
+  readonly all: number
+  /** Of those beyond the share of their workspace; follows the wait of demoted requests. */
+  readonly excess: number
+}
+
 /**
- * The next shed level, which is the negative logarithm of the admitted part: on this scale the
- * servers react the same whether the load is twice or ten times the capacity.
+ * The next shed levels. On a logarithmic scale the servers react the same whether the load is
+ * twice or ten times the capacity. The wait refuses only what is beyond a share: with loads
+ * that were 1 to 3 s old it otherwise refused a fifth to a third of the others' requests.
  *
  * @param elapsedMs Time since the last call, in milliseconds.
  *
  * @example
- * nextShedLevel(0, { occupancy: 1.8, meanWaitMs: 900, demotedWaitMs: 0, ageMs: 200 }, 100) // 0.08
+ * nextShedLevels({ all: 0, excess: 0 }, { occupancy: 1.8, meanWaitMs: 900, demotedWaitMs: 0, ageMs: 200 }, 100).all // 0.08
  */
-export function nextShedLevel(
-  level: number,
+export function nextShedLevels(
+  { all, excess }: ShedLevels,
   { occupancy, demotedWaitMs }: ServicePressure,
   elapsedMs: number,
-): number {
-  const ratio = Math.max(
-    occupancy / TARGET_OCCUPANCY,
-    demotedWaitMs / TARGET_DEMOTED_WAIT_MS,
-  )
+): ShedLevels {
+  return {
+    all: nextLevel(all, occupancy / TARGET_OCCUPANCY, elapsedMs),
+    excess: nextLevel(excess, demotedWaitMs / TARGET_DEMOTED_WAIT_MS, elapsedMs),
+  }
+}
+
+/** @param ratio Measured value relative to the one aimed at. */
+function nextLevel(level: number, ratio: number, elapsedMs: number): number {
   const error = Math.min(MAX_ERROR, Math.max(MIN_ERROR, ratio - 1))
   const next = level + error * CHANGE_PER_S * (elapsedMs / 1_000)
   return Math.min(-Math.log(LEAST_ADMITTED), Math.max(0, next))
--- a/packages/gateway/src/admission/serviceAdmission.ts
+++ b/packages/gateway/src/admission/serviceAdmission.ts
@@ -8,10 +8,11 @@
   EXCESS_RANK,
   admitChance,
   decideAdmission,
-  nextShedLevel,
+  nextShedLevels,
   type AdmissionDecision,
   type ServicePressure,
   type ShedGroup,
+  type ShedLevels,
 } from './decideAdmission.js'
 import { excessPart } from './workspaceShare.js'
 
@@ -80,7 +81,7 @@
     demotedWaitMs: 0,
     ageMs: undefined,
   }
-  #level = 0
+  #levels: ShedLevels = { all: 0, excess: 0 }
   #refreshedAtMs = Number.NEGATIVE_INFINITY
 
   private constructor(private readonly opts: ServiceAdmissionOptions) {
@@ -101,7 +102,7 @@
     this.#byRank.add(String(EXCESS_RANK), excess)
     this.#byRank.add(String(rank), 1 - excess)
     const pressure = this.#pressure
-    const admitted = Math.exp(-this.#level)
+    const admitted = Math.exp(-this.#levels.all)
     const groups = admitted < 1 ? this.#groups() : []
     const decision = decideAdmission(
       {
@@ -110,7 +111,10 @@
         excess,
         priority,
         chance: admitChance(groups, rank, admitted),
-        excessChance: admitChance(groups, EXCESS_RANK, admitted),
+        excessChance: Math.min(
+          Math.exp(-this.#levels.excess),
+          admitChance(groups, EXCESS_RANK, admitted),
+        ),
         isLeastUrgent: isLowestRank(groups, rank),
       },
       this.opts.random,
@@ -131,7 +135,7 @@
     this.#refreshedAtMs = nowMs
     this.#pressure = this.#measurePressure()
     const stepMs = Math.min(MAX_STEP_MS, elapsedMs)
-    this.#level = nextShedLevel(this.#level, this.#pressure, stepMs)
+    this.#levels = nextShedLevels(this.#levels, this.#pressure, stepMs)
   }
 
   #measurePressure(): ServicePressure {
--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -25,6 +25,8 @@
   | 'servers_limited'
   | 'servers_held'
   | 'servers_full'
+  | 'shed'
+  | 'over_share'
   | 'timeout'
 
 /** HTTP status of each reason; 421, 429 and 503 guarantee that the request has not run. */
@@ -48,6 +50,8 @@
   servers_limited: 503,
   servers_held: 503,
   servers_full: 503,
+  shed: 503,
+  over_share: 429,
   timeout: 504,
 }
 
--- a/packages/gateway/src/forward/handleRequest.ts
+++ b/packages/gateway/src/forward/handleRequest.ts
@@ -5,6 +5,7 @@
 import type { MemoryHold, MemoryShare } from '../memory/memoryShare.js'
 import type { Route, Workspace } from '../model/config.js'
 import { NO_SERVER_RETRY_AFTER_MS, type Caller, type RefusalReason } from './caller.js'
+import { admitRequest } from './admitRequest.js'
 import { forwardStream } from './forwardStream.js'
 import { forwardBuffered } from './forwardBuffered.js'
 import { RequestContext } from './requestContext.js'
@@ -160,7 +161,8 @@
     body,
     bodyHold,
   })
-  ctx.finish(await (route.kind === 'stream' ? forwardStream(ctx) : forwardBuffered(ctx)))
+  const forwardRequest = route.kind === 'stream' ? forwardStream : forwardBuffered
+  ctx.finish(admitRequest(ctx) ?? (await forwardRequest(ctx)))
 }
 
 function admit(node: GatewayNode, caller: Caller): Admission {
--- a/packages/gateway/src/forward/requestOutcomes.ts
+++ b/packages/gateway/src/forward/requestOutcomes.ts
@@ -24,6 +24,8 @@
   | 'servers_limited'
   | 'servers_held'
   | 'servers_full'
+  | 'shed'
+  | 'over_share'
 >
 
 /**
--- a/packages/gateway/src/forward/requestPlacement.ts
+++ b/packages/gateway/src/forward/requestPlacement.ts
@@ -38,6 +38,8 @@
   /** Servers excluded because they failed or refused the request. */
   readonly #excluded = new Set<string>()
   readonly #randomPosition: number
+  /** Levels by which engines are told that the request is less urgent. */
+  demotion = 0
   #exhaustedLimits: readonly ExhaustedLimit[] = []
   #heldForMs: number | undefined
   #isFull = false
@@ -185,6 +187,7 @@
           engineUrgency(
             { workspace: workspace?.priority ?? 0, route: route.priority },
             prefillMs,
+            this.demotion,
           ),
         hasOldLoads: load.hasFleetLoads,
         zone,
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -1,5 +1,6 @@
 /** State shared by all requests of one process. */
 import type { Clock, Random } from '@wagtailway/core'
+import { ServiceAdmission } from './admission/serviceAdmission.js'
 import type { CascadeOptions } from './cascade/cascade.js'
 import type { ServerConnections } from './forward/serverConnections.js'
 import type { ServerLimiter } from './limits/serverLimiter.js'
@@ -110,6 +111,7 @@
   onPathNews: () => void = () => undefined
   #activeConfig: ActiveConfig | undefined
   readonly #retryBudgets = new Map<string, RetryBudget>()
+  readonly #admissions = new Map<string, ServiceAdmission>()
 
   private constructor(readonly opts: GatewayNodeOptions) {}
 
@@ -166,4 +168,23 @@
     }
     return retryBudget
   }
+
+  /** Admission of a service's requests. */
+  admission(service: string): ServiceAdmission {
+    const { clock, random, servers, load, peers } = this.opts
+    let admission = this.#admissions.get(service)
+    if (!admission) {
+      admission = ServiceAdmission.create({
+        clock,
+        random,
+        servers: () => servers.ready(service),
+        loadOf: (id) => load.total(id),
+        ownLoadOf: (id) => load.localLoads.get(id),
+        instanceCount: () => peers.aliveCount,
+        loadsAgeMs: () => load.reportedAgeMs,
+      })
+      this.#admissions.set(service, admission)
+    }
+    return admission
+  }
 }
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -30,6 +30,18 @@
       labelNames: ['reason'],
       registers,
     }),
+    admissions: new Counter({
+      name: 'wagtailway_gateway_admissions_total',
+      help: 'Requests of services with models by admission: sent, demoted, shed or over_share',
+      labelNames: ['service', 'decision'],
+      registers,
+    }),
+    admittedRatio: new Gauge({
+      name: 'wagtailway_gateway_admitted_ratio',
+      help: 'Part of the requests of a service that admission lets through, from 0 to 1',
+      labelNames: ['service'],
+      registers,
+    }),
     retries: new Counter({
       name: 'wagtailway_gateway_repeats_total',
       help: 'Requests sent to a backend server once more, by reason',
--- a/packages/gateway/src/placement/serverLoad.ts
+++ b/packages/gateway/src/placement/serverLoad.ts
@@ -100,6 +100,8 @@
   readonly #reportedSums = new Map<string, ServerLoad>()
   readonly #hashes = new Map<string, number>()
   #fleet: FleetLoads | undefined
+  /** When other entry instances last reported, also if they had no load. */
+  #reportedAtMs: number | undefined
   #expiryCheckedAtMs = Number.NEGATIVE_INFINITY
 
   private constructor(
@@ -140,6 +142,7 @@
 
   /** Replaces the load that another entry instance reported before. */
   applyReport(peer: string, loads: ReadonlyMap<string, ServerLoad>): void {
+    this.#reportedAtMs = this.clock()
     this.#removeReport(peer)
     if (loads.size === 0) return
     this.#peerLoads.set(peer, { receivedAtMs: this.clock(), loads })
@@ -157,7 +160,8 @@
    * @param ttlMs Age at which they expire, in milliseconds.
    */
   applyFleet(loads: LoadsByHash, ownLoads: LoadsByHash, ttlMs: number): void {
-    this.#fleet = { receivedAtMs: this.clock(), ttlMs, loads, ownLoads }
+    this.#reportedAtMs = this.clock()
+    this.#fleet = { receivedAtMs: this.#reportedAtMs, ttlMs, loads, ownLoads }
   }
 
   /** Whether the loads of all entry instances are known and have not expired. */
@@ -172,12 +176,9 @@
    * `undefined` if none is known.
    */
   get reportedAgeMs(): number | undefined {
-    const receivedAtMs = this.hasFleetLoads
-      ? this.#fleet?.receivedAtMs
-      : Math.max(...[...this.#peerLoads.values()].map((peer) => peer.receivedAtMs))
-    return receivedAtMs !== undefined && Number.isFinite(receivedAtMs)
-      ? this.clock() - receivedAtMs
-      : undefined
+    return this.#reportedAtMs === undefined
+      ? undefined
+      : this.clock() - this.#reportedAtMs
   }
 
   /** Load from this process, for its reports to peers. */
