--- a/packages/gateway/src/admission/serviceAdmission.ts
+++ b/packages/gateway/src/admission/serviceAdmission.ts
@@ -28,8 +28,14 @@
 /** Longest time that one step of the shed level stands for, in milliseconds. */
 const MAX_STEP_MS = 1_000
 
-/** Time constant of recent requests, in milliseconds. */
-const RECENT_MS = 4_000
+/** Time constant of the parts of priorities in all requests, in milliseconds. */
+const RANKS_RECENT_MS = 4_000
+
+/**
+ * Time constant of the parts of workspaces, in milliseconds: longer, because an instance that
+ * gets one request a second meets few of each workspace in 4 s.
+ */
+const WORKSPACES_RECENT_MS = 10_000
 
 /** Priorities beyond this one are refused like it. */
 const LOWEST_PRIORITY = 9
@@ -85,8 +91,8 @@
   #refreshedAtMs = Number.NEGATIVE_INFINITY
 
   private constructor(private readonly opts: ServiceAdmissionOptions) {
-    this.#byRank = DecayingCounts.create(opts.clock, RECENT_MS)
-    this.#byWorkspace = DecayingCounts.create(opts.clock, RECENT_MS)
+    this.#byRank = DecayingCounts.create(opts.clock, RANKS_RECENT_MS)
+    this.#byWorkspace = DecayingCounts.create(opts.clock, WORKSPACES_RECENT_MS)
   }
 
   static create(opts: ServiceAdmissionOptions): ServiceAdmission {
--- a/packages/scenario/src/promptLoad/heavyLoads.ts
+++ b/packages/scenario/src/promptLoad/heavyLoads.ts
@@ -50,7 +50,7 @@
 /** Speed of an engine relative to the data sheet. */
 function speedOf(engine: number): number {
   const [slowest, fastest] = SPEED_FACTORS
-  return slowest + (engine / (ENGINES - 1)) * (fastest - slowest)
+  return slowest + ((engine % ENGINES) / (ENGINES - 1)) * (fastest - slowest)
 }
 
 /** A part of deployment B at its usual load. */
@@ -197,3 +197,20 @@
         : req,
   }
 }
+
+/** The same load for each engine of a part that is larger by a factor, at most 3. */
+export function scaleFleet(
+  changes: Partial<PromptRunOptions>,
+  factor: number,
+): Partial<PromptRunOptions> {
+  const { classes = HEAVY_CLASSES } = changes
+  return {
+    ...changes,
+    engines: ENGINES * factor,
+    classes: classes.map((cls) => ({
+      ...cls,
+      requestsPerSecond: cls.requestsPerSecond * factor,
+      sharedPrefixes: cls.sharedPrefixes * factor,
+    })),
+  }
+}
