--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -27,6 +27,8 @@
   | 'servers_held'
   | 'servers_full'
   | 'servers_cold'
+  | 'shed'
+  | 'over_share'
   | 'timeout'
 
 /** HTTP status of each reason; 421, 429 and 503 guarantee that the request has not run. */
@@ -52,6 +54,8 @@
   servers_held: 503,
   servers_full: 503,
   servers_cold: 503,
+  shed: 503,
+  over_share: 429,
   timeout: 504,
 }
 
--- a/packages/gateway/src/forward/requestOutcomes.ts
+++ b/packages/gateway/src/forward/requestOutcomes.ts
@@ -25,6 +25,8 @@
   | 'servers_held'
   | 'servers_full'
   | 'servers_cold'
+  | 'shed'
+  | 'over_share'
 >
 
 /**
