--- a/packages/scenario/src/fleet/memoryFleet.ts
+++ b/packages/scenario/src/fleet/memoryFleet.ts
@@ -1,5 +1,6 @@
 /** A real gateway process with its memory limit, a busy workspace and a sound one. */
 import { readFile } from 'node:fs/promises'
+import type { Agent } from 'node:http'
 import {
   ReplicaStandin,
   StoreStandin,
@@ -11,8 +12,8 @@
 import { findFreePorts } from './freePorts.js'
 import { waitUntil } from './gatewayHarness.js'
 
-/** As the deploy file starts the process. */
-const NODE_ARGS = ['--max-old-space-size=120', '--max-semi-space-size=2']
+/** Heap of the process as the deploy file starts it, in megabytes. */
+const HEAP_MB = 120
 
 const HOST = '127.0.0.1'
 const MAX_BODY_BYTES = 8_388_608
@@ -28,6 +29,18 @@
   /** Backend server of all requests; by default one that answers after `responseMs`. */
   readonly serverAddress?: string
   readonly responseMs?: number
+  /**
+   * Largest heap of the process, in megabytes.
+   *
+   * @default that of the deploy file
+   */
+  readonly heapMb?: number
+  /**
+   * Limit of its open descriptors, also in its settings.
+   *
+   * @default that of this process, and none in the settings
+   */
+  readonly fileLimit?: number
 }
 
 /**
@@ -50,7 +63,13 @@
   ) {}
 
   static async create(opts: MemoryFleetOptions): Promise<MemoryFleet> {
-    const { memoryMb, serverAddress, responseMs = 400 } = opts
+    const {
+      memoryMb,
+      serverAddress,
+      responseMs = 400,
+      heapMb = HEAP_MB,
+      fileLimit,
+    } = opts
     const store = await StoreStandin.create()
     store.put('config', 'main', config())
     const replica = await ReplicaStandin.create({
@@ -73,7 +92,8 @@
       },
       storePort: store.port,
       memoryMb,
-      nodeArgs: NODE_ARGS,
+      nodeArgs: [`--max-old-space-size=${heapMb}`, '--max-semi-space-size=2'],
+      ...(fileLimit !== undefined && { fileLimit }),
     })
     const fleet = new MemoryFleet(gateway, replica, store)
     await waitUntil(() => gateway.isReady())
@@ -105,10 +125,11 @@
   }
 
   /** Sends one request of the sound workspace. */
-  async sendSound(): Promise<FleetResponse> {
+  async sendSound(agent?: Agent): Promise<FleetResponse> {
     this.#requestCount += 1
     const requestId = `sound-${this.#requestCount}`
     return sendToFleet({
+      ...(agent && { agent }),
       port: this.port,
       path: `/plain/${requestId}`,
       headers: callerHeaders({ key: 'key-2', requestId, waitMs: 5_000 }),
--- a/packages/scenario/src/soak/soakGateway.ts
+++ b/packages/scenario/src/soak/soakGateway.ts
@@ -35,6 +35,12 @@
   readonly program?: string
   /** Memory above which the process is killed, as its settings tell it. */
   readonly memoryMb?: number
+  /**
+   * Limit of the open descriptors of its processes, also in their settings.
+   *
+   * @default that of this process, and none in the settings
+   */
+  readonly fileLimit?: number
   /** Arguments of Node.js. */
   readonly nodeArgs?: readonly string[]
   /** Environment variables of its processes beyond those of this one. */
@@ -148,7 +154,7 @@
   }
 
   /** Starts the process; throws if it is running. */
-  start({ fileLimit }: StartOptions = {}): SoakProcess {
+  start({ fileLimit = this.opts.fileLimit }: StartOptions = {}): SoakProcess {
     const { ports, name, program = PROGRAM, nodeArgs = [], env } = this.opts
     if (this.isRunning) throw new Error(`${name} is running`)
     this.startCount += 1
--- a/packages/standins/src/fleet/settingsFile.ts
+++ b/packages/standins/src/fleet/settingsFile.ts
@@ -16,6 +16,8 @@
   readonly sessionS: number
   /** Memory above which the process is killed, if the file tells it. */
   readonly memoryMb?: number | undefined
+  /** Limit of the process's open descriptors, if the file tells it. */
+  readonly fileLimit?: number | undefined
 }
 
 /**
@@ -25,7 +27,7 @@
  * await writeFile('local.toml', settingsFile(options))
  */
 export function settingsFile(opts: SettingsFileOptions): string {
-  const { name, host, ports, seeds, store, graceS, sessionS, memoryMb } = opts
+  const { name, host, ports, seeds, store, graceS, sessionS, memoryMb, fileLimit } = opts
   const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
   return [
     `nodeName = "${name}"`,
@@ -42,6 +44,8 @@
     '[bounds]',
     `graceS = ${graceS}`,
     `sessionS = ${sessionS}`,
-    ...(memoryMb === undefined ? [] : ['[limits]', `memoryMb = ${memoryMb}`]),
+    '[limits]',
+    ...(memoryMb === undefined ? [] : [`memoryMb = ${memoryMb}`]),
+    ...(fileLimit === undefined ? [] : [`fileDescriptors = ${fileLimit}`]),
   ].join('\n')
 }
