Bound the requests that are sent ahead on a connection

Cause: each pipelined request was handled as it came, with a connection to a server of its own, and a piece of data can hold hundreds of them at 2 KB of heap each (2,158 bytes measured), all kept until the answers before are read. Change: four requests of a connection are handled at a time, the others wait in their order; with 32 owed answers nothing further is read, what is behind is dropped without running, and the connection ends once the 32 are answered. The parser stops within its data then.

--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -3,6 +3,36 @@
 import type { Socket } from 'node:net'
 import { bindOwner } from '@wagtailway/core'
 
+/**
+ * Requests of one connection that are handled at a time. Answers go out in the order of the
+ * requests, so that later ones gain little by being handled early.
+ */
+const MAX_HANDLED = 4
+
+/**
+ * Requests that are owed an answer on one connection, from which it is read no further: with
+ * those that came in one piece of data before, the rest is dropped and the connection ends.
+ */
+const MAX_OWED = 32
+
+/**
+ * Time for which a connection that this side has ended stays open, in milliseconds: closing it
+ * while the caller still sends would reset it, and the caller may miss its answers.
+ */
+const LINGER_MS = 1_000
+
+/** What becomes of a request that has come. */
+export type Turn =
+  /** It is handled once `turn` resolves to `true`; `false` if its connection has closed. */
+  | { readonly type: 'owed'; readonly turn: true | Promise<boolean> }
+  /** It must not run, as its answer could never be sent, or too many came before it. */
+  | { readonly type: 'dropped'; readonly reason: 'connection_ends' | 'pipelined' }
+
+/** An answer that is owed, and what begins the handling of its request if it has to wait. */
+interface Owed {
+  begin?: ((isOpen: boolean) => void) | undefined
+}
+
 /**
  * Knows of each open connection which answers are not yet written, also those that were
  * handed to it completely: a slow caller may read them for seconds.
@@ -10,12 +40,13 @@
  * @example
  * const connections = CallerConnections.create()
  * server.on('connection', (socket) => connections.add(socket))
- * connections.begin(req, res)
+ * const begun = connections.begin(req, res)
+ * if (begun.type === 'owed' && (await begun.turn)) answer(req, res)
  * connections.closeUnowed()
  */
 export class CallerConnections {
   /** Answers owed on each open connection, in the order of their requests. */
-  readonly #owed = new Map<Socket, Set<ServerResponse>>()
+  readonly #owed = new Map<Socket, Map<ServerResponse, Owed>>()
   /** Connections on which no request has come yet. */
   readonly #unused = new Set<Socket>()
   /** Connections that close once what is owed on them is written. */
@@ -48,37 +79,48 @@
   }
 
   add(socket: Socket): void {
-    this.#owed.set(socket, new Set())
+    const answers = new Map<ServerResponse, Owed>()
+    this.#owed.set(socket, answers)
     this.#unused.add(socket)
     socket.once(
       'close',
       bindOwner(() => {
         this.#owed.delete(socket)
         this.#unused.delete(socket)
+        for (const { begin } of answers.values()) begin?.(false)
       }),
     )
   }
 
   /**
-   * Records a request; its answer is owed until it is written or the connection closes.
-   * Returns false if an earlier answer ends the connection or this side has already ended it,
-   * so that this one could never be sent: the request must not run.
+   * Records a request; its answer is owed until it is written or the connection closes. It is
+   * dropped if an earlier answer ends the connection, or this side has already ended it.
    */
-  begin({ socket }: IncomingMessage, res: ServerResponse): boolean {
+  begin({ socket }: IncomingMessage, res: ServerResponse): Turn {
     this.#unused.delete(socket)
     const answers = this.#owed.get(socket)
-    if (!answers || !socket.writable) return false
-    if (this.#ending.has(socket)) return false
-    if ([...answers].some(({ shouldKeepAlive }) => !shouldKeepAlive)) return false
-    answers.add(res)
+    if (!answers || !socket.writable || this.#ending.has(socket)) return CONNECTION_ENDS
+    if ([...answers.keys()].some(({ shouldKeepAlive }) => !shouldKeepAlive))
+      return CONNECTION_ENDS
+    if (answers.size >= MAX_OWED) {
+      this.endOnceAnswered(socket)
+      return { type: 'dropped', reason: 'pipelined' }
+    }
+    const owed: Owed = {}
+    answers.set(res, owed)
     res.once(
       'close',
       bindOwner(() => {
         answers.delete(res)
-        if (answers.size === 0 && this.#ending.has(socket)) socket.end()
+        if (answers.size === 0 && this.#ending.has(socket)) end(socket)
+        beginNext(answers)
       }),
     )
-    return true
+    if (answers.size <= MAX_HANDLED) return { type: 'owed', turn: true }
+    const turn = new Promise<boolean>((resolve) => {
+      owed.begin = resolve
+    })
+    return { type: 'owed', turn }
   }
 
   /**
@@ -92,10 +134,15 @@
     return true
   }
 
+  /** Whether the connection closes once what is owed on it is written. */
+  isEnding(socket: Socket): boolean {
+    return this.#ending.has(socket)
+  }
+
   /** Whether no later request on the connection waits for its answer. */
   isLast({ socket }: IncomingMessage, res: ServerResponse): boolean {
     const answers = this.#owed.get(socket)
-    return !answers || [...answers].at(-1) === res
+    return !answers || [...answers.keys()].at(-1) === res
   }
 
   /**
@@ -105,7 +152,8 @@
   closeUnowed(): void {
     for (const [socket, answers] of this.#owed) {
       // An error may have swallowed the event of a close.
-      for (const res of answers) if (res.closed) answers.delete(res)
+      for (const res of answers.keys()) if (res.closed) answers.delete(res)
+      beginNext(answers)
       if (socket.destroyed) this.#owed.delete(socket)
       else if (answers.size === 0 && !this.#unused.has(socket)) socket.destroy()
     }
@@ -116,3 +164,26 @@
     for (const socket of this.#owed.keys()) socket.destroy()
   }
 }
+
+const CONNECTION_ENDS: Turn = { type: 'dropped', reason: 'connection_ends' }
+
+/** Ends a connection; what the caller still sends is dropped. */
+function end(socket: Socket): void {
+  socket.end()
+  socket.resume()
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
+  socket.once('close', () => {
+    clearTimeout(timer)
+  })
+}
+
+/** Begins the handling of requests that wait, in their order. */
+function beginNext(answers: ReadonlyMap<ServerResponse, Owed>): void {
+  let handledCount = 0
+  for (const owed of answers.values()) {
+    handledCount += 1
+    if (handledCount > MAX_HANDLED) return
+    owed.begin?.(true)
+    owed.begin = undefined
+  }
+}
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -18,6 +18,7 @@
 import { CallerConnections } from './callerConnections.js'
 import { hasTooManyFields, limitHeaderFields, type ClientLimit } from './clientLimit.js'
 import { ownConnections } from './ownConnections.js'
+import { stopParsing } from './stopParsing.js'
 
 /**
  * Maximum size of the headers that the parser accepts, in bytes; the configured limit is
@@ -54,6 +55,8 @@
  */
 const UNREAD_ANSWER_MS = 3_000
 
+type DropReason = 'connection_ends' | 'pipelined'
+
 /**
  * Accepts caller requests over HTTP.
  *
@@ -90,6 +93,7 @@
     this.#server.on('connection', (socket) => {
       this.#acceptedCount += 1
       this.#connections.add(socket)
+      stopParsing(socket, () => this.#connections.isEnding(socket))
     })
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       this.#handleClientError(err, socket as Socket)
@@ -188,18 +192,23 @@
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { node } = this
     this.#lastResponses.set(req.socket, res)
-    if (!this.#connections.begin(req, res)) {
-      node.opts.metrics.refusals.inc({ reason: 'connection_ends' })
-      node.opts.log('request_dropped', { path: req.url, reason: 'connection_ends' })
+    const arrivedAtMs = node.opts.clock()
+    const begun = this.#connections.begin(req, res)
+    if (begun.type === 'dropped') {
+      this.#recordDrop(req, begun.reason)
       return
     }
     const releaseHead = node.memory.clients.tryHoldHead(req.rawHeaders)
     if (releaseHead) res.once('close', releaseHead)
+    if (begun.turn !== true && !(await begun.turn)) {
+      this.#recordDrop(req, 'connection_ends')
+      return
+    }
     const exchange = Exchange.create(node.opts, () => {
       caller.fail()
     })
     const caller = runOwned(exchange, () =>
-      Caller.create(req, res, node.opts.dialect, node.opts.clock(), {
+      Caller.create(req, res, node.opts.dialect, arrivedAtMs, {
         onHead: () => {
           if (node.isDraining && this.#connections.isLast(req, res))
             res.shouldKeepAlive = false
@@ -240,6 +249,14 @@
     this.#recordLimit(limit, { id: caller.metadata.requestId, path: caller.req.url })
   }
 
+  /** Records a request that doesn't run and gets no answer: its connection closes. */
+  #recordDrop({ url: path, socket }: IncomingMessage, reason: DropReason): void {
+    const { metrics, log } = this.node.opts
+    metrics.refusals.inc({ reason })
+    if (reason === 'connection_ends') log('request_dropped', { path, reason })
+    else this.#recordLimit(reason, { path, host: socket.remoteAddress })
+  }
+
   #recordLimit(limit: ClientLimit, about: Readonly<Record<string, unknown>>): void {
     this.node.opts.metrics.clientLimits.inc({ socket: 'callers', limit })
     this.node.opts.log('client_limited', { socket: 'callers', limit, ...about })
--- a/packages/scenario/src/crowd/__tests__/alone/crowd.spec.ts
+++ b/packages/scenario/src/crowd/__tests__/alone/crowd.spec.ts
@@ -68,8 +68,8 @@
     'the control address',
     'the metrics address',
   ],
-  'pipelined requests without reading': ['a route', 'the metrics address'],
-  'all of these mixed': ['a route', 'the metrics address'],
+  'pipelined requests without reading': ['the metrics address'],
+  'all of these mixed': ['the metrics address'],
 }
 
 let fleet: MemoryFleet | undefined
