Bound the connections of callers and small servers by descriptors and heap

Cause: silent connections took all descriptors, and connections to servers fail then. Change: memory/connectionRoom.ts bounds the callers' connections: one for each 32 KB of heap beyond 32 MB, 0.6 of limits.fileDescriptors beyond 100 at most, an eighth of it for each small server. At the bound the one without a whole request for longest closes for a new one if nothing of it has been passed on.

--- a/packages/gateway/src/feed/feedExchange.ts
+++ b/packages/gateway/src/feed/feedExchange.ts
@@ -7,7 +7,7 @@
   type PlainResponse,
 } from '../http/plainServer.js'
 import { requestJson } from '../http/requestJson.js'
-import type { OnClientLimit } from '../http/smallServerGuard.js'
+import type { SmallServerLimits } from '../http/smallServerGuard.js'
 import type { Listen } from '../sockets/sockets.js'
 import {
   FeedPuller,
@@ -56,8 +56,8 @@
   readonly feeds: readonly FeedState<unknown>[]
   /** Called when a request of another instance could not be answered. */
   readonly onServeFailed: (err: unknown, req: PlainRequest) => void
-  /** Called with a limit that a client has reached. */
-  readonly onClientLimit?: OnClientLimit
+  /** Limits of what clients hold. */
+  readonly clientLimits?: SmallServerLimits
 }
 
 /**
@@ -97,7 +97,7 @@
       opts.listen,
       respond,
       opts.onServeFailed,
-      opts.onClientLimit,
+      opts.clientLimits,
     )
     return new FeedExchange(opts, server)
   }
--- a/packages/gateway/src/http/__tests__/plainServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/plainServer.spec.ts
@@ -24,7 +24,7 @@
     listenAt({ host: HOST, port: 0 }),
     ({ path }) => RESPONSES[path]?.() ?? { status: 404, body: '' },
     (err, { path }) => errors.push(`${path}: ${String(err)}`),
-    (limit) => limits.push(limit),
+    { onLimit: (limit) => limits.push(limit) },
   )
 })
 
--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -1,7 +1,8 @@
 /** Connections of callers, and the answers that each of them still owes. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { bindOwner } from '@wagtailway/core'
+import { bindOwner, type Clock } from '@wagtailway/core'
+import { ConnectionRoom } from '../memory/connectionRoom.js'
 
 /**
  * Requests of one connection that are handled at a time. Answers go out in the order of the
@@ -33,12 +34,20 @@
   begin?: ((isOpen: boolean) => void) | undefined
 }
 
+export interface CallerConnectionsOptions {
+  readonly clock: Clock
+  /** Number of connections at which one without a whole request ends for a new one. */
+  readonly maxCount: number
+  /** Called before a connection ends for a new one, or a new one for which there is no room. */
+  readonly onEnd: (socket: Socket, unusedMs: number) => void
+}
+
 /**
  * Knows of each open connection which answers are not yet written, also those that were
  * handed to it completely: a slow caller may read them for seconds.
  *
  * @example
- * const connections = CallerConnections.create()
+ * const connections = CallerConnections.create({ clock, maxCount: 2_400, onEnd })
  * server.on('connection', (socket) => connections.add(socket))
  * const begun = connections.begin(req, res)
  * if (begun.type === 'owed' && (await begun.turn)) answer(req, res)
@@ -52,8 +61,22 @@
   /** Connections that close once what is owed on them is written. */
   readonly #ending = new WeakSet<Socket>()
 
-  static create(): CallerConnections {
-    return new CallerConnections()
+  readonly #room: ConnectionRoom<Socket>
+
+  private constructor(private readonly opts: CallerConnectionsOptions) {
+    this.#room = ConnectionRoom.create({
+      clock: opts.clock,
+      maxCount: opts.maxCount,
+      mayEnd: (socket) => this.#mayEnd(socket),
+      end: (socket, unusedMs) => {
+        opts.onEnd(socket, unusedMs)
+        socket.destroy()
+      },
+    })
+  }
+
+  static create(opts: CallerConnectionsOptions): CallerConnections {
+    return new CallerConnections(opts)
   }
 
   /** Answers that are owed on all connections together. */
@@ -78,7 +101,13 @@
     return bytes
   }
 
+  /** Adds a connection, if need be in place of one without a request; closes it if it can't. */
   add(socket: Socket): void {
+    if (!this.#room.tryAdd(socket)) {
+      this.opts.onEnd(socket, 0)
+      socket.destroy()
+      return
+    }
     const answers = new Map<ServerResponse, Owed>()
     this.#owed.set(socket, answers)
     this.#unused.add(socket)
@@ -87,6 +116,7 @@
       bindOwner(() => {
         this.#owed.delete(socket)
         this.#unused.delete(socket)
+        this.#room.remove(socket)
         for (const { begin } of answers.values()) begin?.(false)
       }),
     )
@@ -112,6 +142,7 @@
       'close',
       bindOwner(() => {
         answers.delete(res)
+        this.#room.recordUse(socket)
         if (answers.size === 0 && this.#ending.has(socket)) end(socket)
         beginNext(answers)
       }),
@@ -139,6 +170,14 @@
     return this.#ending.has(socket)
   }
 
+  /**
+   * Whether nothing of a connection has been passed on. A request isn't until its body is whole.
+   */
+  #mayEnd(socket: Socket): boolean {
+    const answers = this.#owed.get(socket)
+    return !answers || [...answers.keys()].every(({ req }) => !req.complete)
+  }
+
   /** Whether no later request on the connection waits for its answer. */
   isLast({ socket }: IncomingMessage, res: ServerResponse): boolean {
     const answers = this.#owed.get(socket)
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -66,7 +66,7 @@
  */
 export class CallerServer {
   readonly #server: Server
-  readonly #connections = CallerConnections.create()
+  readonly #connections: CallerConnections
   #acceptedCount = 0
   /** Response to the latest request of each connection. */
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>()
@@ -75,6 +75,15 @@
 
   private constructor(private readonly node: GatewayNode) {
     this.#recordLimit = recordClientLimit(node.opts, 'callers')
+    this.#connections = CallerConnections.create({
+      clock: node.opts.clock,
+      maxCount: node.memory.clients.maxConnections,
+      onEnd: ({ remoteAddress = '' }, unusedMs) => {
+        this.#recordLimit('connections', remoteAddress, {
+          unusedMs: Math.round(unusedMs),
+        })
+      },
+    })
     this.#server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
--- a/packages/gateway/src/http/plainServer.ts
+++ b/packages/gateway/src/http/plainServer.ts
@@ -11,7 +11,7 @@
 import { runOwned } from '@wagtailway/core'
 import type { Listen } from '../sockets/sockets.js'
 import { ownConnections } from './ownConnections.js'
-import { SmallServerGuard, type OnClientLimit } from './smallServerGuard.js'
+import { SmallServerGuard, type SmallServerLimits } from './smallServerGuard.js'
 
 export interface PlainRequest {
   /** Path with the query. */
@@ -42,7 +42,7 @@
     listen: Listen,
     respond: (req: PlainRequest) => Promise<PlainResponse> | PlainResponse,
     onError: (err: unknown, req: PlainRequest) => void,
-    onLimit: OnClientLimit = () => undefined,
+    limits: SmallServerLimits = {},
   ): Promise<PlainServer> {
     const server = createServer((incoming, res) => {
       if (!guard.admit(incoming, res)) return
@@ -62,7 +62,7 @@
         answer(res, () => respond(req)).catch(fail)
       })
     })
-    const guard = SmallServerGuard.create(server, onLimit)
+    const guard = SmallServerGuard.create(server, limits)
     ownConnections(server, (err, host = '') => {
       onError(err, { path: '', headers: {}, host })
     })
--- a/packages/gateway/src/http/smallServerGuard.ts
+++ b/packages/gateway/src/http/smallServerGuard.ts
@@ -19,15 +19,23 @@
 const HEADERS_TIMEOUT_MS = 5_000
 const REQUEST_TIMEOUT_MS = 10_000
 
-/** Called with a limit that a client has reached. */
-export type OnClientLimit = (limit: ClientLimit, host: string) => void
+export interface SmallServerLimits {
+  /**
+   * Connections at which one without a request ends for a new one.
+   *
+   * @default 600
+   */
+  readonly maxConnections?: number
+  /** Called with a limit that a client has reached. */
+  readonly onLimit?: (limit: ClientLimit, host: string) => void
+}
 
 /**
  * Guards one small server. Its requests have no body: a connection on which one comes closes
  * behind the answer.
  *
  * @example
- * const guard = SmallServerGuard.create(server, (limit, host) => log('client_limited', { limit, host }))
+ * const guard = SmallServerGuard.create(server, { maxConnections: 300, onLimit })
  * server.on('request', (req, res) => { if (guard.admit(req, res)) res.end('ok') })
  */
 export class SmallServerGuard {
@@ -36,14 +44,14 @@
 
   private constructor(
     server: Server,
-    private readonly onLimit: OnClientLimit,
+    private readonly limits: SmallServerLimits,
   ) {
     limitHeaderFields(server)
     server.headersTimeout = HEADERS_TIMEOUT_MS
     server.requestTimeout = REQUEST_TIMEOUT_MS
     this.#room = ConnectionRoom.create<Socket>({
       clock: monotonicClock,
-      maxCount: MAX_CONNECTIONS,
+      maxCount: limits.maxConnections ?? MAX_CONNECTIONS,
       // Their requests only read, so that none is harmed by an end.
       mayEnd: () => true,
       end: (socket) => {
@@ -63,8 +71,8 @@
     })
   }
 
-  static create(server: Server, onLimit: OnClientLimit): SmallServerGuard {
-    return new SmallServerGuard(server, onLimit)
+  static create(server: Server, limits: SmallServerLimits): SmallServerGuard {
+    return new SmallServerGuard(server, limits)
   }
 
   /** Whether a request is answered; it has been refused otherwise. */
@@ -84,7 +92,7 @@
     })
     if (hasBody(req)) res.shouldKeepAlive = false
     if (!hasTooManyFields(req)) return true
-    this.onLimit('header_fields', socket.remoteAddress ?? '')
+    this.limits.onLimit?.('header_fields', socket.remoteAddress ?? '')
     res.shouldKeepAlive = false
     res.writeHead(431).end()
     return false
@@ -97,7 +105,7 @@
   }
 
   #end(socket: Socket, limit: ClientLimit): void {
-    this.onLimit(limit, socket.remoteAddress ?? '')
+    this.limits.onLimit?.(limit, socket.remoteAddress ?? '')
     socket.destroy()
   }
 }
--- a/packages/gateway/src/memory/__tests__/clientLimits.spec.ts
+++ b/packages/gateway/src/memory/__tests__/clientLimits.spec.ts
@@ -53,6 +53,7 @@
 describe('the number of connections', () => {
   it('is bounded by the descriptors and by the heap', () => {
     assert.equal(limits(120, 4_100).maxConnections, 2_400)
+    assert.equal(limits(120, 4_100).maxSmallConnections, 300)
     assert.equal(limits(120).maxConnections, 2_816)
     assert.equal(limits(48, 700).maxConnections, 360)
   })
--- a/packages/gateway/src/memory/clientLimits.ts
+++ b/packages/gateway/src/memory/clientLimits.ts
@@ -20,6 +20,13 @@
 
 const MIN_CONNECTIONS = 128
 
+/**
+ * Part of the callers' number that each of the four small servers may have; with all of them
+ * full there are descriptors left for servers.
+ */
+const SMALL_SERVER_DIVISOR = 8
+const MIN_SMALL_CONNECTIONS = 16
+
 /** Descriptors of the process itself: listening sockets, the store, feeds. */
 const OWN_DESCRIPTORS = 100
 
@@ -57,7 +64,10 @@
  * if (release) release()
  */
 export class ClientLimits {
+  /** Connections of callers. */
   readonly maxConnections: number
+  /** Connections of each of the small servers. */
+  readonly maxSmallConnections: number
   readonly maxHeadsBytes: number
   #headsBytes = 0
 
@@ -70,6 +80,10 @@
       Math.floor(((fileLimit ?? Infinity) - OWN_DESCRIPTORS) * CALLER_DESCRIPTOR_RATIO),
     )
     this.maxConnections = Math.min(byMemory, byDescriptors)
+    this.maxSmallConnections = Math.max(
+      MIN_SMALL_CONNECTIONS,
+      Math.floor(this.maxConnections / SMALL_SERVER_DIVISOR),
+    )
   }
 
   static create(opts: ClientLimitsOptions): ClientLimits {
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -7,7 +7,7 @@
 import { bindOwner, runOwned } from '@wagtailway/core'
 import { ownConnections } from '../http/ownConnections.js'
 import { ResetDetector } from '../http/resetDetector.js'
-import { SmallServerGuard, type OnClientLimit } from '../http/smallServerGuard.js'
+import { SmallServerGuard, type SmallServerLimits } from '../http/smallServerGuard.js'
 import type { BackendServer } from '../model/backendServer.js'
 import type { Listen } from '../sockets/sockets.js'
 import type { DirectResult, PendingConnection } from './dial.js'
@@ -56,8 +56,8 @@
   readonly onError: (err: unknown, host: string) => void
   /** Called with the number of relayed connections when it changes. */
   readonly onOpenCount: (count: number) => void
-  /** Called with a limit that a client has reached. */
-  readonly onLimit?: OnClientLimit
+  /** Limits of what clients hold, beside the connections that are relayed. */
+  readonly limits?: SmallServerLimits
 }
 
 /**
@@ -77,9 +77,7 @@
       req.resume()
       res.writeHead(404).end()
     })
-    const guard = SmallServerGuard.create(this.#server, (limit, host) => {
-      opts.onLimit?.(limit, host)
-    })
+    const guard = SmallServerGuard.create(this.#server, opts.limits ?? {})
     this.#server.on('connect', (req: IncomingMessage, socket: Socket, head: Buffer) => {
       guard.release(socket)
       // A requester that has gone is noticed by the close that follows.
--- a/packages/gateway/src/process/relayConnections.ts
+++ b/packages/gateway/src/process/relayConnections.ts
@@ -72,7 +72,10 @@
       const about = { work: 'relayed connection', id: requester }
       reportFailure(node.opts, 'exchange_failed', about, err)
     },
-    onLimit: recordClientLimit(node.opts, 'relays'),
+    limits: {
+      maxConnections: node.memory.clients.maxSmallConnections,
+      onLimit: recordClientLimit(node.opts, 'relays'),
+    },
     onOpenCount: (count) => {
       metrics.relayedConnections.set(count)
     },
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -13,6 +13,7 @@
   type PlainRequest,
   type PlainResponse,
 } from '../http/plainServer.js'
+import type { SmallServerLimits } from '../http/smallServerGuard.js'
 import type { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import { reportFailure } from '../observe/failures.js'
@@ -20,7 +21,7 @@
 import type { GatewayMetrics } from '../observe/metrics.js'
 import { ROLLOUT_POLL_MS, RolloutController } from '../rollout/rolloutController.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
-import { Sockets, type Listen } from '../sockets/sockets.js'
+import { Sockets, type Listen, type SocketName } from '../sockets/sockets.js'
 import { createNode } from './createNode.js'
 import { createFeeds, type Feeds } from './feeds.js'
 import { FeedFollower } from './feedFollower.js'
@@ -208,9 +209,13 @@
     const about = { work: 'request of another instance', id: `${host} ${path}` }
     reportFailure(node.opts, 'exchange_failed', about, err)
   }
+  const clientLimits = (socket: SocketName): SmallServerLimits => ({
+    maxConnections: node.memory.clients.maxSmallConnections,
+    onLimit: recordClientLimit(opts, socket),
+  })
   const exchange = await FeedExchange.create({
     onServeFailed: logServeFailed,
-    onClientLimit: recordClientLimit(opts, 'feeds'),
+    clientLimits: clientLimits('feeds'),
     listen: sockets.required('feeds', settings.feedAddress),
     port: settings.feedAddress.port,
     zone: settings.zone,
@@ -258,11 +263,12 @@
     () =>
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
-    recordClientLimit(opts, 'readiness'),
+    clientLimits('readiness'),
   )
   parts.closables.push(readinessServer)
   const metricsServer = await serveMetrics(
-    opts,
+    metrics,
+    clientLimits('metrics'),
     node.memory,
     sockets.late('metrics', settings.metricsAddress),
     feeds,
@@ -395,13 +401,13 @@
 }
 
 async function serveMetrics<T>(
-  opts: Pick<GatewayOptions<T>, 'log' | 'metrics'>,
+  { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
+  limits: SmallServerLimits,
   memory: MemoryBudget,
   listen: Listen,
   feeds: Feeds<T>,
   onError: (err: unknown, req: PlainRequest) => void,
 ): Promise<PlainServer> {
-  const { registry, feedAgeSeconds, storeEra, memoryBytes } = opts.metrics
   const respond = async ({ path }: PlainRequest): Promise<PlainResponse> => {
     if (path !== METRICS_PATH) return { status: 404, body: 'not found' }
     for (const { kind, hasList, era, ageMs } of Object.values(feeds)) {
@@ -415,5 +421,5 @@
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
-  return PlainServer.create(listen, respond, onError, recordClientLimit(opts, 'metrics'))
+  return PlainServer.create(listen, respond, onError, limits)
 }
