Serve header sections of many fields while there is room for them

Cause: with a fixed bound of 256 fields a single request of 1,500 short fields, 14 KB of the 16 KB that the configuration allows, was refused with 431. Change: the parser of a caller's connection asks for its bound with each batch of fields. Beyond 256 it takes the room of the largest head from the owner of heads; without room the rest is dropped and the request refused as not run (503, was 431).

--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -16,7 +16,8 @@
 import { reportFailure } from '../observe/failures.js'
 import { LISTEN_BACKLOG, type Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
-import { hasTooManyFields, limitHeaderFields, recordClientLimit } from './clientLimit.js'
+import { recordClientLimit } from './clientLimit.js'
+import { HeaderFields, ORDINARY_HEADER_FIELDS } from './headerFields.js'
 import { ownConnections } from './ownConnections.js'
 import { stopParsing } from './stopParsing.js'
 
@@ -72,6 +73,7 @@
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>()
   readonly #recordLimit: ReturnType<typeof recordClientLimit>
   #maxHeaderBytes = MAX_PARSED_HEADER_BYTES
+  readonly #fields = new WeakMap<Duplex, HeaderFields>()
 
   private constructor(private readonly node: GatewayNode) {
     this.#recordLimit = recordClientLimit(node.opts, 'callers')
@@ -100,10 +102,13 @@
         })
       },
     )
-    limitHeaderFields(this.#server)
+    this.#server.maxHeadersCount = ORDINARY_HEADER_FIELDS
     this.#server.on('connection', (socket) => {
       this.#acceptedCount += 1
       this.#connections.add(socket)
+      const tryHold = (): (() => void) | undefined =>
+        node.memory.clients.tryHoldLargestHead(this.#maxHeaderBytes)
+      this.#fields.set(socket, HeaderFields.create(socket, tryHold))
       stopParsing(socket, () => this.#connections.isEnding(socket))
     })
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
@@ -209,8 +214,16 @@
       this.#recordDrop(req, begun.reason)
       return
     }
-    const releaseHead = node.memory.clients.tryHoldHead(req.rawHeaders)
-    if (releaseHead) res.once('close', releaseHead)
+    const fields = this.#fields.get(req.socket)
+    const isComplete = fields?.take() !== 'incomplete'
+    const releaseHead = isComplete
+      ? node.memory.clients.tryHoldHead(req.rawHeaders)
+      : undefined
+    res.once('close', () => {
+      releaseHead?.()
+      // Trailers take room as well.
+      fields?.take()
+    })
     if (begun.turn !== true && !(await begun.turn)) {
       this.#recordDrop(req, 'connection_ends')
       return
@@ -241,25 +254,23 @@
   }
 
   async #answer(caller: Caller, hasRoom: boolean): Promise<void> {
-    if (hasTooManyFields(caller.req)) this.#refuse(caller, 'header_fields')
-    else if (headerBytes(caller.req) > this.#maxHeaderBytes) {
+    if (headerBytes(caller.req) > this.#maxHeaderBytes) {
       caller.refuse('headers_too_large')
       this.node.opts.metrics.refusals.inc({ reason: 'headers_too_large' })
-    } else if (!hasRoom) this.#refuse(caller, 'header_memory')
+    } else if (!hasRoom) this.#refuseForMemory(caller)
     else await handleRequest(this.node, caller)
   }
 
   /** Refuses a request for its head and closes its connection, which keeps the head. */
-  #refuse(caller: Caller, limit: 'header_fields' | 'header_memory'): void {
+  #refuseForMemory(caller: Caller): void {
     const { metrics } = this.node.opts
-    const reason = limit === 'header_fields' ? 'headers_too_large' : 'no_memory'
     caller.closeOnRefusal()
-    caller.refuse(reason, limit === 'header_memory' ? HEAD_RETRY_AFTER_MS : undefined)
+    caller.refuse('no_memory', HEAD_RETRY_AFTER_MS)
     metrics.requests.inc({ outcome: 'refused' })
-    metrics.refusals.inc({ reason })
+    metrics.refusals.inc({ reason: 'no_memory' })
     const { socket, url: path } = caller.req
     const id = caller.metadata.requestId
-    this.#recordLimit(limit, socket.remoteAddress ?? '', { id, path })
+    this.#recordLimit('header_memory', socket.remoteAddress ?? '', { id, path })
   }
 
   /** Records a request that doesn't run and gets no answer: its connection closes. */
--- a/packages/gateway/src/memory/clientLimits.ts
+++ b/packages/gateway/src/memory/clientLimits.ts
@@ -36,6 +36,9 @@
 /** Heap that each header field takes beside its text, in bytes: two strings, an entry. */
 const FIELD_BYTES = 128
 
+/** Bytes of the shortest field, `a:` and the end of its line. */
+const MIN_FIELD_BYTES = 4
+
 /** Largest head that may take all of the share; larger ones may take half of it. */
 const ORDINARY_HEAD_BYTES = 8_192
 const LARGE_HEADS_RATIO = 0.5
@@ -103,7 +106,19 @@
    */
   tryHoldHead(rawHeaders: readonly string[]): (() => void) | undefined {
     const bytes = rawHeaders.reduce((sum, text) => sum + text.length, 0)
-    const cost = bytes + (rawHeaders.length / 2) * FIELD_BYTES
+    return this.#tryHold(bytes + (rawHeaders.length / 2) * FIELD_BYTES)
+  }
+
+  /**
+   * Takes room for a head of which as much as allowed may come, in the shortest fields.
+   *
+   * @param maxBytes Largest size of a head, in bytes.
+   */
+  tryHoldLargestHead(maxBytes: number): (() => void) | undefined {
+    return this.#tryHold(maxBytes + (maxBytes / MIN_FIELD_BYTES) * FIELD_BYTES)
+  }
+
+  #tryHold(cost: number): (() => void) | undefined {
     const ratio = cost > ORDINARY_HEAD_BYTES ? LARGE_HEADS_RATIO : 1
     if (this.#headsBytes + cost > this.maxHeadsBytes * ratio) return undefined
     this.#headsBytes += cost
