--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -16,7 +16,10 @@
 import { reportFailure } from '../observe/failures.js'
 import { LISTEN_BACKLOG, type Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
+import { recordClientLimit } from './clientLimit.js'
+import { HeaderFields, ORDINARY_HEADER_FIELDS } from './headerFields.js'
 import { ownConnections } from './ownConnections.js'
+import { stopParsing } from './stopParsing.js'
 
 /**
  * Maximum size of the headers that the parser accepts, in bytes; the configured limit is
@@ -24,6 +27,12 @@
  */
 const MAX_PARSED_HEADER_BYTES = 65_536
 
+/**
+ * Bytes by which the parser accepts more than the configured limit: a refusal of a request that
+ * is whole tells its reason.
+ */
+const PARSED_HEADER_MARGIN_BYTES = 1_024
+
 /**
  * Time that idle connections stay open beyond the configured timeout, in milliseconds.
  */
@@ -38,12 +47,17 @@
  */
 const SWEEP_INTERVAL_MS = 50
 
+/** Retry delay of a request for whose head there is no room, in milliseconds. */
+const HEAD_RETRY_AFTER_MS = 500
+
 /**
  * Time after the last deadline in which a caller may stand still before the rest of its
  * answer is given up, in milliseconds; also that of unused connections while nothing is owed.
  */
 const UNREAD_ANSWER_MS = 3_000
 
+type DropReason = 'connection_ends' | 'pipelined'
+
 /**
  * Accepts caller requests over HTTP.
  *
@@ -53,13 +67,25 @@
  */
 export class CallerServer {
   readonly #server: Server
-  readonly #connections = CallerConnections.create()
+  readonly #connections: CallerConnections
   #acceptedCount = 0
   /** Response to the latest request of each connection. */
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>()
+  readonly #recordLimit: ReturnType<typeof recordClientLimit>
   #maxHeaderBytes = MAX_PARSED_HEADER_BYTES
+  readonly #fields = new WeakMap<Duplex, HeaderFields>()
 
   private constructor(private readonly node: GatewayNode) {
+    this.#recordLimit = recordClientLimit(node.opts, 'callers')
+    this.#connections = CallerConnections.create({
+      clock: node.opts.clock,
+      maxCount: node.memory.clients.maxConnections,
+      onEnd: ({ remoteAddress = '' }, unusedMs) => {
+        this.#recordLimit('connections', remoteAddress, {
+          unusedMs: Math.round(unusedMs),
+        })
+      },
+    })
     this.#server = createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -76,10 +102,14 @@
         })
       },
     )
-    this.#server.maxHeadersCount = 0
+    this.#server.maxHeadersCount = ORDINARY_HEADER_FIELDS
     this.#server.on('connection', (socket) => {
       this.#acceptedCount += 1
       this.#connections.add(socket)
+      const tryHold = (): (() => void) | undefined =>
+        node.memory.clients.tryHoldLargestHead(this.#maxHeaderBytes)
+      this.#fields.set(socket, HeaderFields.create(socket, tryHold))
+      stopParsing(socket, () => this.#connections.isEnding(socket))
     })
     this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       this.#handleClientError(err, socket as Socket)
@@ -106,6 +136,9 @@
 
   setLimits(limits: CallerLimits): void {
     this.#maxHeaderBytes = limits.maxHeaderBytes
+    // The server gives it to the parser of each new connection.
+    const maxHeaderSize = limits.maxHeaderBytes + PARSED_HEADER_MARGIN_BYTES
+    Object.assign(this.#server, { maxHeaderSize })
     this.#server.headersTimeout = limits.headerTimeoutMs
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS
   }
@@ -175,16 +208,31 @@
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { node } = this
     this.#lastResponses.set(req.socket, res)
-    if (!this.#connections.begin(req, res)) {
-      node.opts.metrics.refusals.inc({ reason: 'connection_ends' })
-      node.opts.log('request_dropped', { path: req.url, reason: 'connection_ends' })
+    const arrivedAtMs = node.opts.clock()
+    const begun = this.#connections.begin(req, res)
+    if (begun.type === 'dropped') {
+      this.#recordDrop(req, begun.reason)
+      return
+    }
+    const fields = this.#fields.get(req.socket)
+    const isComplete = fields?.take() !== 'incomplete'
+    const releaseHead = isComplete
+      ? node.memory.clients.tryHoldHead(req.rawHeaders)
+      : undefined
+    res.once('close', () => {
+      releaseHead?.()
+      // Trailers take room as well.
+      fields?.take()
+    })
+    if (begun.turn !== true && !(await begun.turn)) {
+      this.#recordDrop(req, 'connection_ends')
       return
     }
     const exchange = Exchange.create(node.opts, () => {
       caller.fail()
     })
     const caller = runOwned(exchange, () =>
-      Caller.create(req, res, node.opts.dialect, node.opts.clock(), {
+      Caller.create(req, res, node.opts.dialect, arrivedAtMs, {
         onHead: () => {
           if (node.isDraining && this.#connections.isLast(req, res))
             res.shouldKeepAlive = false
@@ -195,7 +243,7 @@
     exchange.id = caller.metadata.requestId
     node.requestsInProgress += 1
     node.opts.metrics.inProgress.set(node.requestsInProgress)
-    await exchange.run(() => this.#answer(caller))
+    await exchange.run(() => this.#answer(caller, releaseHead !== undefined))
     node.requestsInProgress -= 1
     node.opts.metrics.inProgress.set(node.requestsInProgress)
     if (res.closed) exchange.forget()
@@ -205,11 +253,32 @@
       })
   }
 
-  async #answer(caller: Caller): Promise<void> {
+  async #answer(caller: Caller, hasRoom: boolean): Promise<void> {
     if (headerBytes(caller.req) > this.#maxHeaderBytes) {
       caller.refuse('headers_too_large')
       this.node.opts.metrics.refusals.inc({ reason: 'headers_too_large' })
-    } else await handleRequest(this.node, caller)
+    } else if (!hasRoom) this.#refuseForMemory(caller)
+    else await handleRequest(this.node, caller)
+  }
+
+  /** Refuses a request for its head and closes its connection, which keeps the head. */
+  #refuseForMemory(caller: Caller): void {
+    const { metrics } = this.node.opts
+    caller.closeOnRefusal()
+    caller.refuse('no_memory', HEAD_RETRY_AFTER_MS)
+    metrics.requests.inc({ outcome: 'refused' })
+    metrics.refusals.inc({ reason: 'no_memory' })
+    const { socket, url: path } = caller.req
+    const id = caller.metadata.requestId
+    this.#recordLimit('header_memory', socket.remoteAddress ?? '', { id, path })
+  }
+
+  /** Records a request that doesn't run and gets no answer: its connection closes. */
+  #recordDrop({ url: path, socket }: IncomingMessage, reason: DropReason): void {
+    const { metrics, log } = this.node.opts
+    metrics.refusals.inc({ reason })
+    if (reason === 'connection_ends') log('request_dropped', { path, reason })
+    else this.#recordLimit(reason, socket.remoteAddress ?? '', { path })
   }
 
   /**
--- a/packages/gateway/src/process/runGateway.ts
+++ b/packages/gateway/src/process/runGateway.ts
@@ -7,11 +7,13 @@
 import { DISCOVERY_MS, SMALL_FLEET_SIZE } from '../feed/pollSchedule.js'
 import type { GatewayNode } from '../gatewayNode.js'
 import { CallerServer } from '../http/callerServer.js'
+import { recordClientLimit } from '../http/clientLimit.js'
 import {
   PlainServer,
   type PlainRequest,
   type PlainResponse,
 } from '../http/plainServer.js'
+import type { SmallServerLimits } from '../http/smallServerGuard.js'
 import type { MemoryBudget } from '../memory/memoryBudget.js'
 import type { HeaderDialect } from '../model/requestMetadata.js'
 import { reportFailure } from '../observe/failures.js'
@@ -19,7 +21,7 @@
 import type { GatewayMetrics } from '../observe/metrics.js'
 import { ROLLOUT_POLL_MS, RolloutController } from '../rollout/rolloutController.js'
 import type { Rollout } from '../rollout/rolloutTable.js'
-import { Sockets, type Listen } from '../sockets/sockets.js'
+import { Sockets, type Listen, type SocketName } from '../sockets/sockets.js'
 import { createNode } from './createNode.js'
 import { createFeeds, type Feeds } from './feeds.js'
 import { FeedFollower } from './feedFollower.js'
@@ -207,8 +209,13 @@
     const about = { work: 'request of another instance', id: `${host} ${path}` }
     reportFailure(node.opts, 'exchange_failed', about, err)
   }
+  const clientLimits = (socket: SocketName): SmallServerLimits => ({
+    maxConnections: node.memory.clients.maxSmallConnections,
+    onLimit: recordClientLimit(opts, socket),
+  })
   const exchange = await FeedExchange.create({
     onServeFailed: logServeFailed,
+    clientLimits: clientLimits('feeds'),
     listen: sockets.required('feeds', settings.feedAddress),
     port: settings.feedAddress.port,
     zone: settings.zone,
@@ -256,10 +263,12 @@
     () =>
       isReady(node) ? { status: 200, body: 'ready' } : { status: 503, body: 'not ready' },
     logServeFailed,
+    clientLimits('readiness'),
   )
   parts.closables.push(readinessServer)
   const metricsServer = await serveMetrics(
     metrics,
+    clientLimits('metrics'),
     node.memory,
     sockets.late('metrics', settings.metricsAddress),
     feeds,
@@ -403,6 +412,7 @@
 
 async function serveMetrics<T>(
   { registry, feedAgeSeconds, storeEra, memoryBytes }: GatewayMetrics,
+  limits: SmallServerLimits,
   memory: MemoryBudget,
   listen: Listen,
   feeds: Feeds<T>,
@@ -421,5 +431,5 @@
     const body = await registry.metrics()
     return { status: 200, contentType: registry.contentType, body }
   }
-  return PlainServer.create(listen, respond, onError)
+  return PlainServer.create(listen, respond, onError, limits)
 }
--- a/packages/standins/src/fleet/settingsFile.ts
+++ b/packages/standins/src/fleet/settingsFile.ts
@@ -18,6 +18,8 @@
   readonly memoryMb?: number | undefined
   /** Bound on requests to cold servers, if the file has one. */
   readonly cold?: { readonly over: number; readonly slack: number } | undefined
+  /** Limit of the process's open descriptors, if the file tells it. */
+  readonly fileLimit?: number | undefined
 }
 
 /**
@@ -27,7 +29,8 @@
  * await writeFile('local.toml', settingsFile(options))
  */
 export function settingsFile(opts: SettingsFileOptions): string {
-  const { name, host, ports, seeds, store, graceS, sessionS, memoryMb, cold } = opts
+  const { name, host, ports, seeds, store, graceS, sessionS } = opts
+  const { memoryMb, cold, fileLimit } = opts
   const seedList = seeds.map((seed) => `"${seed}:${ports.control}"`).join(', ')
   return [
     `nodeName = "${name}"`,
@@ -45,6 +48,8 @@
     `graceS = ${graceS}`,
     `sessionS = ${sessionS}`,
     ...(cold ? [`coldOver = ${cold.over}`, `coldSlack = ${cold.slack}`] : []),
-    ...(memoryMb === undefined ? [] : ['[limits]', `memoryMb = ${memoryMb}`]),
+    '[limits]',
+    ...(memoryMb === undefined ? [] : [`memoryMb = ${memoryMb}`]),
+    ...(fileLimit === undefined ? [] : [`fileDescriptors = ${fileLimit}`]),
   ].join('\n')
 }
