Forget the cached prefixes of a server that has started again

Cause: the table is keyed by the server's id, so a server that started again under its id counted as one that has the shared prefixes for half a minute, and long prompts were placed there. Change: what is known of a server's cache goes when it leaves or starts again.

--- a/packages/gateway/src/placement/cachedPrefixes.ts
+++ b/packages/gateway/src/placement/cachedPrefixes.ts
@@ -32,6 +32,12 @@
     if (oldest !== undefined) this.#recordedAtMs.delete(oldest)
   }
 
+  /** Forgets a server that has left or started again: its cache is empty then. */
+  forget(serverId: string): void {
+    for (const entry of this.#recordedAtMs.keys())
+      if (entry.startsWith(`${serverId} `)) this.#recordedAtMs.delete(entry)
+  }
+
   has(serverId: string, key: string): boolean {
     const recordedAtMs = this.#recordedAtMs.get(`${serverId} ${key}`)
     return recordedAtMs !== undefined && this.clock() - recordedAtMs < ENTRY_TTL_MS
--- a/packages/gateway/src/process/createNode.ts
+++ b/packages/gateway/src/process/createNode.ts
@@ -67,6 +67,7 @@
       metrics.evacuatedZones.set(evacuations.size)
     },
   })
+  const cachedPrefixes = CachedPrefixes.create(clock)
   const load = LoadTable.create(clock, () => longestReportIntervalMs(peers.size))
   const servers: ServerTable = ServerTable.create(clock, (server, replacement) => {
     const { id } = server
@@ -74,6 +75,7 @@
     connections.drop(id)
     paths.forget(server)
     load.forget(id)
+    cachedPrefixes.forget(id)
     if (replacement) quarantine.recordRestart(server)
     quarantine.forget(server)
     limiter.forget(server)
@@ -215,7 +217,7 @@
     load,
     health,
     prefillSpeeds: PrefillSpeeds.create(clock),
-    cachedPrefixes: CachedPrefixes.create(clock),
+    cachedPrefixes,
     connections,
     paths,
     dialer,
