Admission refuses nothing in a burst of less than a second

Cause: a few requests more than slots at a service with few slots raised the shed level at once, by up to a second's step after a pause, though servers queue them and serve them within their target. Change: requests are refused only once each look at the loads has shown an overload for a second.

--- a/packages/gateway/src/admission/serviceAdmission.ts
+++ b/packages/gateway/src/admission/serviceAdmission.ts
@@ -25,6 +25,12 @@
 /** Age from which loads of other instances are not used, in milliseconds. */
 const MAX_AGE_MS = 1_500
 
+/**
+ * Time for which servers must be overloaded before requests are refused, in milliseconds: what
+ * queues in a shorter burst is served before the shortest targets, 1.5 s.
+ */
+const BURST_MS = 1_000
+
 /** Longest time that one step of the shed level stands for, in milliseconds. */
 const MAX_STEP_MS = 1_000
 
@@ -89,6 +95,8 @@
   }
   #levels: ShedLevels = { all: 0, excess: 0 }
   #refreshedAtMs = Number.NEGATIVE_INFINITY
+  /** Since when each look at the loads has shown an overload. */
+  #overloadedSinceMs: number | undefined
 
   private constructor(private readonly opts: ServiceAdmissionOptions) {
     this.#byRank = DecayingCounts.create(opts.clock, RANKS_RECENT_MS)
@@ -141,7 +149,12 @@
     this.#refreshedAtMs = nowMs
     this.#pressure = this.#measurePressure()
     const stepMs = Math.min(MAX_STEP_MS, elapsedMs)
-    this.#levels = nextShedLevels(this.#levels, this.#pressure, stepMs)
+    const next = nextShedLevels(this.#levels, this.#pressure, stepMs)
+    const isRising = next.all > this.#levels.all || next.excess > this.#levels.excess
+    if (!isRising) this.#overloadedSinceMs = undefined
+    else this.#overloadedSinceMs ??= nowMs
+    if (nowMs - (this.#overloadedSinceMs ?? nowMs) < BURST_MS && isRising) return
+    this.#levels = next
   }
 
   #measurePressure(): ServicePressure {
