--- a/packages/gateway/src/http/clientLimit.ts
+++ b/packages/gateway/src/http/clientLimit.ts
@@ -1,4 +1,4 @@
-/** Limits of single connections and requests, for all servers of the process. */
+/** Limits that clients reach, and the fields of requests to the small servers. */
 import type { IncomingMessage, Server } from 'node:http'
 import type { Log } from '../observe/log.js'
 import type { GatewayMetrics } from '../observe/metrics.js'
@@ -7,7 +7,7 @@
 /** A limit that a client has reached. */
 export type ClientLimit = 'connections' | 'header_fields' | 'header_memory' | 'pipelined'
 
-/** Most header fields of a request; browsers and libraries send up to about 40. */
+/** Most header fields of a request to a small server, whose clients send few. */
 export const MAX_HEADER_FIELDS = 256
 
 /** Fields that the parser gives at a time; it must give more than allowed to show it. */
