A closing answer doesn't end the bound of fields of the next request

Cause (read, not run): on a connection with requests sent ahead, the close of an answer cleared the mark that fields of the next header section, still being read, had been dropped. Later fields could then be kept again, and the request would have counted as complete with fields missing. Change: only the next request or the close of the connection ends a section. A connection that has sent long trailers keeps their room until then.

--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -219,11 +219,8 @@
     const releaseHead = isComplete
       ? node.memory.clients.tryHoldHead(req.rawHeaders)
       : undefined
-    res.once('close', () => {
-      releaseHead?.()
-      // Trailers take room as well.
-      fields?.take()
-    })
+    // Room for trailers is kept until the next request: its head may be read before this closes.
+    if (releaseHead) res.once('close', releaseHead)
     if (begun.turn !== true && !(await begun.turn)) {
       this.#recordDrop(req, 'connection_ends')
       return
