--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,36 +1,51 @@
-/** BUDGET: a replica that asked for a pause gets requests once its entry has expired and is back. */
+/** PINNED: a session whose requests take seconds is moved in the first half of a rollout. */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { Fleet, hasTrouble, runCase, send, sleep } from '../common-2/fleet.mjs'
 import { Replica } from '../common-2/replica.mjs'
 import { Store } from '../common-2/store.mjs'
 
-const RETRY_AFTER_S = 20
-const OVERLOADED_MS = 1_000
-const HEARTBEAT_MS = 1_200
-const CUT_MS = 5_000
-const REQUESTS_PER_S = 60
-/** The rule counts from so long after the answer, and allows so many requests. */
-const GRACE_MS = 500
-const MAX_REQUESTS = 2
+const SESSION_S = 5
+const DURATION_S = 24
+const SESSIONS = 300
+const EVENTS = 40
+const EVENT_MS = Number(process.env.EVENT_MS ?? 150)
+const PAUSE_MS = 4_200
+/** Traffic before the order, and after it. */
+const BEFORE_MS = 12_000
+const AFTER_MS = 14_000
 
+const route = {
+  name: 'notes',
+  host: 'app.example',
+  pathPrefix: '/notes/',
+  kind: 'streaming',
+  timeoutMs: 20_000,
+  targetLatencyMs: 4_000,
+  targetGapMs: 1_000,
+  priority: 2,
+  sizes: ['m0', 'm1'],
+  service: 'llm',
+  attempts: 3,
+  public: false,
+  sessionAffinity: true,
+  streamResumption: true,
+}
+const models = [
+  { name: 'm0', cost: 0.01 },
+  { name: 'm1', cost: 0.07 },
+]
 const config = {
   version: 7,
-  routes: [
+  routes: [route],
+  services: [
     {
-      name: 'queue-check',
-      host: 'app.example',
-      pathPrefix: '/check/',
-      kind: 'safe',
-      timeoutMs: 800,
-      targetLatencyMs: 100,
-      priority: 2,
-      service: 'list-api',
-      attempts: 2,
-      public: false,
+      name: 'llm',
+      healthPath: '/health',
+      connectionLimit: 370,
+      engine: { slots: 64, models },
     },
   ],
-  services: [{ name: 'list-api', healthPath: '/health', connectionLimit: 110 }],
   limits: {
     headerBytes: 16_384,
     bodyBytes: 4_194_304,
@@ -44,84 +59,103 @@
   const store = await Store.create('127.0.0.1', 0)
   onEnd(() => store.close())
   store.put('config', 'main', config)
-  let overloadedUntil = 0
-  /** When the replica last answered each machine with `Retry-After`. */
-  const answeredAt = new Map()
-  const late = new Map()
-  const machineOf = (id) => Number(id.split('-')[0].slice(1))
-  const arrive = (id, at) => {
-    const sinceMs = at - (answeredAt.get(machineOf(id)) ?? Infinity)
-    if (!(sinceMs > GRACE_MS && sinceMs < RETRY_AFTER_S * 1_000)) return
-    late.set(machineOf(id), (late.get(machineOf(id)) ?? 0) + 1)
-    record.add(`${id} reaches i-2, ${Math.round(sinceMs)} ms after its Retry-After`, at)
-  }
-  const replicas = []
-  for (let i = 0; i < 3; i += 1) {
-    const replica = await Replica.create({
-      id: `i-${i}`,
-      service: 'list-api',
-      host: '127.0.0.1',
-      slots: 6,
-      workMs: () => 20,
-      retryAfterS: ({ headers }) => {
-        const id = String(headers['x-request-id'])
-        const now = performance.now()
-        if (i !== 2) return undefined
-        arrive(id, now)
-        if (now >= overloadedUntil) return undefined
-        answeredAt.set(machineOf(id), now)
-        record.add(`${id} is turned away by i-2 with Retry-After: ${RETRY_AFTER_S}`, now)
-        return RETRY_AFTER_S
-      },
-    })
-    onEnd(() => replica.close())
-    replicas.push(replica)
-    store.put('servers', `i-${i}`, replica.entry)
-  }
-  const fleet = await Fleet.create({ count: 3, store: store.address })
+  const versionOf = new Map()
+  const startReplicas = (version) =>
+    Promise.all(
+      Array.from({ length: 4 }, async (_, i) => {
+        const replica = await Replica.create({
+          id: `${version}-${i}`,
+          service: 'llm',
+          host: '127.0.0.1',
+          version,
+          events: () => EVENTS,
+          eventMs: EVENT_MS,
+          onRun: (run) => versionOf.set(run.request, run),
+        })
+        onEnd(() => replica.close())
+        store.put('servers', `${version}-${i}`, replica.entry)
+        return replica
+      }),
+    )
+  await startReplicas('v1')
+  const fleet = await Fleet.create({
+    count: 3,
+    store: store.address,
+    bounds: { sessionS: SESSION_S },
+  })
   onEnd(() => fleet.close())
+  // Instances follow the store closely from some seconds after their start.
   await sleep(5_000)
 
-  const answers = []
-  let count = 0
-  const timer = setInterval(() => {
-    const machine = count % fleet.gateways.length
-    const { host, port } = fleet.gateways[machine]
-    const id = `m${machine}-${count}`
-    count += 1
-    const headers = {
-      Host: 'app.example',
-      'X-Request-Id': id,
-      'X-Credential': 'key-1',
-      'X-Deadline-Remaining': '1500',
+  let isOver = false
+  const requests = []
+  const playSession = async (session) => {
+    await sleep((session / SESSIONS) * (EVENTS * EVENT_MS + PAUSE_MS))
+    for (let n = 0; !isOver; n += 1) {
+      const { host, port } = fleet.gateways[(session + n) % fleet.gateways.length]
+      const id = `s${session}-${n}`
+      const answer = await send({
+        host,
+        port,
+        method: 'POST',
+        path: `/notes/${id}`,
+        headers: {
+          Host: 'app.example',
+          'X-Request-Id': id,
+          'X-Credential': 'key-1',
+          'X-Deadline-Remaining': '20000',
+          'X-Model': '*',
+          'X-Token-Usage': '1460,160',
+          'X-Prompt-Prefix': `a1:350,${session.toString(16)}b:1110`,
+          Session: `session-${session}`,
+          'Content-Type': 'application/json',
+        },
+        body: '{}',
+      })
+      requests.push({ id, session, ...answer })
+      await sleep(PAUSE_MS)
     }
-    answers.push(send({ host, port, path: `/check/${id}`, headers }))
-  }, 1_000 / REQUESTS_PER_S)
-  onEnd(() => clearInterval(timer))
-  await sleep(3_000)
-  overloadedUntil = performance.now() + OVERLOADED_MS
-  record.add('i-2 is overloaded for a second')
-  await sleep(OVERLOADED_MS + 500)
+  }
+  const sessions = Array.from({ length: SESSIONS }, (_, i) => playSession(i))
+  await sleep(BEFORE_MS)
+  let orderedAt = Infinity
   if (hasTrouble) {
-    record.add('i-2 is partitioned from the store')
-    await sleep(3 * HEARTBEAT_MS)
-    store.remove('servers', 'i-2')
-    record.add('the store removes the entry of i-2 after three heartbeats of silence')
-    await sleep(CUT_MS - 3 * HEARTBEAT_MS)
-    store.put('servers', 'i-2', replicas[2].entry)
-    record.add('i-2 reaches the store again and writes its entry')
-  } else await sleep(CUT_MS)
-  await sleep(8_000)
-  clearInterval(timer)
-  const served = (await Promise.all(answers)).filter(
-    ({ status }) => status === 200,
-  ).length
-  const counts = fleet.gateways.map((_, machine) => late.get(machine) ?? 0)
-  const summary = `${count} requests, ${served} served; in the time that i-2 wanted none it got ${counts.join(', ')} from the machines`
-  record.add(summary)
-  console.log(summary)
-  if (served < count * 0.95) throw new Error('too few requests were served')
-  return Math.max(...counts) > MAX_REQUESTS
-    ? `i-2 got ${Math.max(...counts)} requests from a machine in the time for which it wanted none`
+    await startReplicas('v2')
+    store.put('rollouts', 'llm', { service: 'llm', target: 'v2', durationS: DURATION_S })
+    orderedAt = performance.now()
+    record.add('the operator orders the rollout of v2', orderedAt)
+  }
+  await sleep(AFTER_MS)
+  isOver = true
+  await Promise.all(sessions)
+  const status = JSON.stringify(store.read('rollouts', 'llm')?.status ?? null)
+  record.add(`state of the rollout: ${status}`)
+
+  const halfAt = orderedAt + (DURATION_S / 2) * 1_000
+  let moved = 0
+  let served = 0
+  for (let session = 0; session < SESSIONS; session += 1) {
+    const own = requests.filter((req) => req.session === session)
+    for (const [i, req] of own.entries()) {
+      const run = versionOf.get(req.id)
+      if (req.status === 200) served += 1
+      const before = own[i - 1]
+      const earlier = before && versionOf.get(before.id)
+      const gapMs = before ? req.sentAt - before.endedAt : undefined
+      const isMoved =
+        run?.version === 'v2' &&
+        earlier?.version === 'v1' &&
+        gapMs < SESSION_S * 1_000 &&
+        req.sentAt < halfAt
+      if (isMoved) moved += 1
+      const note = isMoved ? `  MOVED, ${Math.round(gapMs)} ms after the one before` : ''
+      record.add(`${req.id} ${req.status} ran on ${run?.version}${note}`, req.sentAt)
+    }
+  }
+  record.add(`${requests.length} requests, ${served} served, ${moved} moved`)
+  console.log(`${requests.length} requests, ${served} served, ${moved} moved`)
+  if (served < requests.length * 0.95) throw new Error('too few requests were served')
+  return moved > 3
+    ? `${moved} requests ran on the new version in the first half of its rollout, though the one before in their session ran on the old one`
     : undefined
 })
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# The cases 6 to 10 start only programs of review/common-2/, which need no build.
+# The cases 6 and 8 to 10 start only programs of review/common-2/, which need no build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 test -f target/wagtailway-gateway.mjs || {
