Log when a caller left and what was done for its requests then

Cause: no line told when a process learned that a caller had left, in which state its requests were, or how late the event loop was, so that none of the hypotheses could be told from the others; requests waiting for their turn, and those whose body was being read, left no line at all.

Change: ClientPresence watches each connection of a caller for its end (ended, reset, closed); one caller_left line names the requests that were owed an answer with their state and age, and the latest delay of the event loop. callers_left_total counts them by state. No decision changes.

--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -79,6 +79,12 @@
   /** `neededBytes` is its size, as far as it is known. */
   | { readonly type: 'no_memory'; readonly neededBytes: number }
 
+/**
+ * What is done for a request: it waits for its turn on its connection, its body is read, a
+ * server is selected, a server works on it, or its answer is being sent.
+ */
+export type RequestState = 'turn' | 'body' | 'placement' | 'server' | 'answer'
+
 /** What a server of requests does for each of them. */
 export interface CallerHooks {
   /** Called before the head of the response is sent. */
@@ -98,6 +104,7 @@
  */
 export class Caller {
   readonly metadata: RequestMetadata
+  state: RequestState = 'body'
   #hasDisconnected = false
   #hasFailed = false
   #closesOnRefusal = false
@@ -144,6 +151,7 @@
    */
   writeHead(status: number, headers: readonly string[]): void {
     this.hooks.onHead()
+    this.state = 'answer'
     this.res.writeHead(status, [...headers])
   }
 
--- a/packages/gateway/src/forward/forwardBuffered.ts
+++ b/packages/gateway/src/forward/forwardBuffered.ts
@@ -63,6 +63,7 @@
  */
 export async function forwardBuffered(ctx: RequestContext): Promise<RequestOutcome> {
   for (;;) {
+    ctx.opts.caller.state = 'placement'
     if (ctx.opts.caller.hasDisconnected) return { outcome: 'caller_left', status: 0 }
     if (ctx.timeToDeadlineMs <= 0) return endUnserved(ctx, 'timeout')
     const trait = ctx.findQuarantinedTrait()
--- a/packages/gateway/src/forward/forwardStream.ts
+++ b/packages/gateway/src/forward/forwardStream.ts
@@ -95,6 +95,7 @@
     nextPlacement: undefined,
   }
   for (;;) {
+    if (!state.hasBegun) caller.state = 'placement'
     if (caller.hasDisconnected) return { outcome: 'caller_left', status: 0 }
     if (ctx.timeToDeadlineMs <= 0) return endUnserved(ctx, state, 'timeout')
     const trait = ctx.findQuarantinedTrait()
--- a/packages/gateway/src/forward/startAttempt.ts
+++ b/packages/gateway/src/forward/startAttempt.ts
@@ -50,6 +50,7 @@
   const { places } = node.opts
   const { server, prefillMs, urgency } = placement
   const sentAtMs = clock()
+  if (!caller.res.headersSent) caller.state = 'server'
   const queuedPrefillMs = expectedWaitMs(load.total(server.id), urgency)
   const attempt = sendAttempt(ctx, placement, model, lastEventId)
   const logEntry: AttemptLogEntry = {
--- a/packages/gateway/src/gatewayNode.ts
+++ b/packages/gateway/src/gatewayNode.ts
@@ -110,6 +110,8 @@
  */
 export class GatewayNode {
   requestsInProgress = 0
+  /** How late the event loop last ran a timer, in milliseconds. */
+  loopDelayMs = 0
   /** Whether the initial lists of backend servers and rollouts have been read. */
   hasInitialLists = false
   /** Set once the process has been asked to shut down. */
--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import { bindOwner, type Clock } from '@wagtailway/core'
 import { ConnectionRoom } from '../memory/connectionRoom.js'
+import { ClientPresence, type ConnectionEnd } from './clientPresence.js'
 
 /**
  * Requests of one connection that are handled at a time. Answers go out in the order of the
@@ -40,6 +41,12 @@
   readonly maxCount: number
   /** Called before a connection ends for a new one, or a new one for which there is no room. */
   readonly onEnd: (socket: Socket, unusedMs: number) => void
+  /** Called when a client leaves a connection, with the answers that it doesn't get. */
+  readonly onLeave: (
+    socket: Socket,
+    by: ConnectionEnd,
+    unanswered: readonly ServerResponse[],
+  ) => void
 }
 
 /**
@@ -47,7 +54,7 @@
  * handed to it completely: a slow caller may read them for seconds.
  *
  * @example
- * const connections = CallerConnections.create({ clock, maxCount: 2_400, onEnd })
+ * const connections = CallerConnections.create({ clock, maxCount: 2_400, onEnd, onLeave })
  * server.on('connection', (socket) => connections.add(socket))
  * const begun = connections.begin(req, res)
  * if (begun.type === 'owed' && (await begun.turn)) answer(req, res)
@@ -111,6 +118,12 @@
     const answers = new Map<ServerResponse, Owed>()
     this.#owed.set(socket, answers)
     this.#unused.add(socket)
+    const presence = ClientPresence.of(socket)
+    presence.onLeave(() => {
+      const unanswered = [...answers.keys()].filter((res) => !res.writableEnded)
+      if (presence.leftBy && unanswered.length > 0)
+        this.opts.onLeave(socket, presence.leftBy, unanswered)
+    })
     socket.once(
       'close',
       bindOwner(() => {
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -16,6 +16,7 @@
 import { reportFailure } from '../observe/failures.js'
 import { LISTEN_BACKLOG, type Listen } from '../sockets/sockets.js'
 import { CallerConnections } from './callerConnections.js'
+import type { ConnectionEnd } from './clientPresence.js'
 import { recordClientLimit } from './clientLimit.js'
 import { HeaderFields, ORDINARY_HEADER_FIELDS } from './headerFields.js'
 import { ownConnections } from './ownConnections.js'
@@ -56,6 +57,9 @@
  */
 const UNREAD_ANSWER_MS = 3_000
 
+/** Maximum number of requests in the log line about a caller that has left. */
+const MAX_LOGGED_REQUESTS = 8
+
 type DropReason = 'connection_ends' | 'pipelined'
 
 /**
@@ -71,6 +75,8 @@
   #acceptedCount = 0
   /** Response to the latest request of each connection. */
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>()
+  /** Callers of the requests that are handled. */
+  readonly #callers = new WeakMap<ServerResponse, Caller>()
   readonly #recordLimit: ReturnType<typeof recordClientLimit>
   #maxHeaderBytes = MAX_PARSED_HEADER_BYTES
   readonly #fields = new WeakMap<Duplex, HeaderFields>()
@@ -85,6 +91,9 @@
           unusedMs: Math.round(unusedMs),
         })
       },
+      onLeave: (socket, by, unanswered) => {
+        this.#recordLeave(socket, by, unanswered)
+      },
     })
     this.#server = createServer(
       {
@@ -237,6 +246,7 @@
         defer: (release) => exchange.defer(release),
       }),
     )
+    this.#callers.set(res, caller)
     exchange.id = caller.metadata.requestId
     node.requestsInProgress += 1
     node.opts.metrics.inProgress.set(node.requestsInProgress)
@@ -270,6 +280,29 @@
     this.#recordLimit('header_memory', socket.remoteAddress ?? '', { id, path })
   }
 
+  /** Records a caller that left while answers were owed to it. */
+  #recordLeave(
+    { remoteAddress: host }: Socket,
+    by: ConnectionEnd,
+    unanswered: readonly ServerResponse[],
+  ): void {
+    const { metrics, log, clock } = this.node.opts
+    const requests = unanswered.map((res) => {
+      const caller = this.#callers.get(res)
+      const state = caller?.state ?? 'turn'
+      metrics.callersLeft.inc({ state })
+      const afterMs = caller && Math.round(clock() - caller.arrivedAtMs)
+      return { id: caller?.metadata.requestId, state, afterMs }
+    })
+    log('caller_left', {
+      host,
+      by,
+      loopDelayMs: Math.round(this.node.loopDelayMs),
+      count: requests.length,
+      requests: requests.slice(0, MAX_LOGGED_REQUESTS),
+    })
+  }
+
   /** Records a request that doesn't run and gets no answer: its connection closes. */
   #recordDrop({ url: path, socket }: IncomingMessage, reason: DropReason): void {
     const { metrics, log } = this.node.opts
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -24,6 +24,12 @@
       labelNames: ['outcome'],
       registers,
     }),
+    callersLeft: new Counter({
+      name: 'wagtailway_gateway_callers_left_total',
+      help: 'Requests whose callers closed their connections before the answer, by what was done for them then',
+      labelNames: ['state'],
+      registers,
+    }),
     refusals: new Counter({
       name: 'wagtailway_gateway_refusals_total',
       help: 'Refused requests by reason',
--- a/packages/gateway/src/process/loopDelay.ts
+++ b/packages/gateway/src/process/loopDelay.ts
@@ -19,17 +19,19 @@
   #dueAtMs = performance.now() + INTERVAL_MS
   readonly #timer: NodeJS.Timeout
 
-  private constructor(onMeasured: (recentMs: number) => void) {
+  private constructor(onMeasured: (recentMs: number, latestMs: number) => void) {
     this.#timer = setInterval(() => {
       const delayMs = Math.max(0, performance.now() - this.#dueAtMs)
       this.#dueAtMs = performance.now() + INTERVAL_MS
       this.#recentMs += (delayMs - this.#recentMs) * LATEST_WEIGHT
-      onMeasured(this.#recentMs)
+      onMeasured(this.#recentMs, delayMs)
     }, INTERVAL_MS)
   }
 
-  /** @param onMeasured Receives the moving average after each measurement. */
-  static create(onMeasured: (recentMs: number) => void = () => undefined): LoopDelay {
+  /** @param onMeasured Receives the moving average and the latest delay, in milliseconds. */
+  static create(
+    onMeasured: (recentMs: number, latestMs: number) => void = () => undefined,
+  ): LoopDelay {
     return new LoopDelay(onMeasured)
   }
 
--- a/packages/gateway/src/process/relayConnections.ts
+++ b/packages/gateway/src/process/relayConnections.ts
@@ -46,7 +46,8 @@
 ): Promise<RelayConnections> {
   const { log, metrics } = node.opts
   const loopDelay = Loop.create(node.opts, 'loop delay').run(() =>
-    LoopDelay.create((recentMs) => {
+    LoopDelay.create((recentMs, latestMs) => {
+      node.loopDelayMs = latestMs
       metrics.loopDelaySeconds.set(recentMs / 1_000)
     }),
   )
