--- a/packages/standins/src/fleet/replicaStandin.ts
+++ b/packages/standins/src/fleet/replicaStandin.ts
@@ -91,6 +91,8 @@
  */
 export class ReplicaStandin {
   readonly runs: ReplicaRun[] = []
+  /** Ids of the requests that it is working on: those whose connection is still open. */
+  readonly openRuns = new Set<string>()
   behaviour: (req: IncomingMessage, body: string) => ReplicaBehaviour
   /** Times at which requests arrived, in milliseconds of `performance.now()`. */
   readonly arrivals: number[] = []
@@ -290,8 +292,9 @@
   ): Promise<void> {
     const { headers } = req
     const firstEvent = Number(headers['last-event-id'] ?? 0) + 1
+    const requestId = String(headers['x-request-id'])
     this.runs.push({
-      requestId: String(headers['x-request-id']),
+      requestId,
       path: req.url ?? '',
       model: firstValue(headers['x-model']),
       workspace: firstValue(headers['x-tenant']),
@@ -300,6 +303,8 @@
       body,
       atMs: performance.now(),
     })
+    this.openRuns.add(requestId)
+    res.once('close', () => this.openRuns.delete(requestId))
     if (behaviour === 'hang') return
     if (behaviour === 'lose') req.socket.resetAndDestroy()
     else if (headers['accept'] === 'text/event-stream') {
