Close every response of a connection that closes

What callers would have seen: 503 no_memory for good. Each request that was sent ahead on a connection and not yet begun to be answered when it closed kept the room for its head, and the memory of an answer that waited behind others, until the process ended.

They are released on the 'close' of the response, which the runtime emits only to the oldest one.

Change: CallerConnections emits it to the others when their connection closes.

--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -133,6 +133,8 @@
         this.#owed.delete(socket)
         this.#unused.delete(socket)
         this.#room.remove(socket)
+        // The runtime closes only the response that it is writing, the oldest.
+        for (const res of answers.keys()) if (!res.socket) res.emit('close')
       }),
     )
   }
@@ -223,6 +225,7 @@
 
 /** Ends a connection; what the caller still sends is dropped. */
 function end(socket: Socket): void {
+  if (socket.destroyed) return
   socket.end()
   socket.resume()
   const timer = setTimeout(() => socket.destroy(), LINGER_MS)
