Go on reading connections that take no more requests

What callers saw: nothing, they had left; a request followed by bytes that are no request ran at its server to the end, whether its caller was there or not.

Cause: after input that is no request, or more requests than are taken on one connection, the connection was paused until what was owed on it was written. A connection that isn't read doesn't tell of its end.

Evidence: callerLeft.spec, "with a request and bytes that are none", failed on all routes before; pipelined, badInputBehind and lateRequest pass as before.

--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -4,6 +4,7 @@
 import { bindOwner, type Clock } from '@wagtailway/core'
 import { ConnectionRoom } from '../memory/connectionRoom.js'
 import { ClientPresence, type ConnectionEnd } from './clientPresence.js'
+import { dropInput } from './dropInput.js'
 
 /**
  * Requests of one connection that are handled at a time. Answers go out in the order of the
@@ -12,7 +13,7 @@
 const MAX_HANDLED = 4
 
 /**
- * Requests that are owed an answer on one connection, from which it is read no further: with
+ * Requests that are owed an answer on one connection, from which no more are taken: with
  * those that came in one piece of data before, the rest is dropped and the connection ends.
  */
 const MAX_OWED = 32
@@ -172,13 +173,13 @@
   }
 
   /**
-   * Reads nothing more from a connection and closes it once what is owed on it is written.
+   * Takes no more requests from a connection and closes it once what is owed on it is written.
    * Returns false if nothing is owed.
    */
   endOnceAnswered(socket: Socket): boolean {
     if ((this.#owed.get(socket)?.size ?? 0) === 0) return false
+    if (!this.#ending.has(socket)) dropInput(socket)
     this.#ending.add(socket)
-    socket.pause()
     return true
   }
 
