Relay nothing for an instance that has closed its connection

What callers saw: nothing, they had left; a request that another instance relayed still reached a server.

A relay that is behind reads a request and the close behind it in two turns of its event loop, and passed the request on in the first.

Change: what an instance sends is passed on once its connection has been polled again, 256 KB of it at most are kept meanwhile.

Evidence: lateRelay.spec, three cases failed before; the specs of paths and of relayed connections pass.

--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http'
 import type { Socket } from 'node:net'
-import { bindOwner, runOwned } from '@wagtailway/core'
+import { bindOwner, nextPoll, runOwned } from '@wagtailway/core'
 import { ownConnections } from '../http/ownConnections.js'
 import { ResetDetector } from '../http/resetDetector.js'
 import { SmallServerGuard, type SmallServerLimits } from '../http/smallServerGuard.js'
@@ -22,6 +22,9 @@
 /** Time after which a backend server counts as not responding, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250
 
+/** Bytes of an instance that are kept until its connection has been polled again. */
+const MAX_KEPT_BYTES = 262_144
+
 /** Why a connection is not relayed. */
 export type RelayRefusal =
   | 'unknown_instance'
@@ -204,8 +207,8 @@
       )
     }
     socket.write('HTTP/1.1 200 OK\r\n\r\n')
-    passBytes(socket, upstream)
-    passBytes(upstream, socket, endMark?.toString())
+    passBytes(socket, upstream, { isRequester: true })
+    passBytes(upstream, socket, { endMark: endMark?.toString() })
     // The server stops working on a request once its connection has closed.
     socket.on(
       'end',
@@ -218,17 +221,24 @@
  * Passes bytes on. A connection that is reset resets the other one, so that a response whose
  * end is the end of its connection is not taken for complete.
  *
- * @param endMark Sent after the last byte if the connection ends normally.
+ * @param opts.endMark Sent after the last byte if the connection ends normally.
+ * @param opts.isRequester Whether nothing that came is passed on once the connection has ended.
  */
-function passBytes(from: Socket, to: Socket, endMark?: string): void {
+function passBytes(
+  from: Socket,
+  to: Socket,
+  opts: { endMark?: string | undefined; isRequester?: boolean },
+): void {
+  const { endMark, isRequester = false } = opts
   const detector = ResetDetector.create(from)
   const resume = bindOwner(() => from.resume())
-  const onData = bindOwner((chunk: Buffer) => {
+  const write = (chunk: Buffer): void => {
     // What comes behind the end of the other side is dropped, so that it passes its answer.
     if (!to.writable || to.write(chunk)) return
     from.pause()
     to.once('drain', resume)
-  })
+  }
+  const onData = bindOwner(isRequester ? writeAfterPoll(from, to, write) : write)
   // A paused connection would not notice its own end.
   to.once('close', resume)
   const onEnd = bindOwner(() => {
@@ -244,6 +254,32 @@
   from.on('data', onData).on('end', onEnd).on('error', onError).on('close', onClose)
 }
 
+/**
+ * Returns a listener that writes what a connection sends once it has been polled again: its
+ * end may lie unread behind a request, and then closes the other side before.
+ */
+function writeAfterPoll(
+  from: Socket,
+  to: Socket,
+  write: (chunk: Buffer) => void,
+): (chunk: Buffer) => void {
+  let kept: Buffer[] = []
+  let keptBytes = 0
+  const writeKept = (): void => {
+    const chunks = kept
+    kept = []
+    keptBytes = 0
+    for (const chunk of chunks) write(chunk)
+    if (!to.writableNeedDrain) from.resume()
+  }
+  return (chunk) => {
+    if (kept.length === 0) void nextPoll().then(bindOwner(writeKept))
+    kept.push(chunk)
+    keptBytes += chunk.length
+    if (keptBytes >= MAX_KEPT_BYTES) from.pause()
+  }
+}
+
 /**
  * Resets a connection. While one is being shut down, Node can't reset it, and would leave it
  * open for ever; all bytes are with the system then.
