Tell each request of a router that its caller has left

What callers saw: nothing, they had left; of several requests sent ahead on one connection a router went on with all but the first, and one that was behind sent on what its callers had given up.

Cause: the same as in the gateway, found by looking for res 'close' elsewhere.

Change: ClientPresence moves to the library; the router's context hears of a leave from it, and an attempt polls once more before it takes a slot.

--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -1,13 +1,13 @@
 /** The caller's side of one request: its body, its disconnection and its response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
+  ClientPresence,
   bindOwner,
   discardBody,
   nextPoll,
   readBlocks,
   type ByteBudget,
 } from '@wagtailway/core'
-import { ClientPresence } from '../http/clientPresence.js'
 import type { HeaderDialect, RequestMetadata } from '../model/requestMetadata.js'
 import type { Undo } from './exchange.js'
 
--- a/packages/gateway/src/http/callerConnections.ts
+++ b/packages/gateway/src/http/callerConnections.ts
@@ -1,9 +1,13 @@
 /** Connections of callers, and the answers that each of them still owes. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { bindOwner, type Clock } from '@wagtailway/core'
+import {
+  ClientPresence,
+  bindOwner,
+  type Clock,
+  type ConnectionEnd,
+} from '@wagtailway/core'
 import { ConnectionRoom } from '../memory/connectionRoom.js'
-import { ClientPresence, type ConnectionEnd } from './clientPresence.js'
 import { dropInput } from './dropInput.js'
 import { keepReading } from './keepReading.js'
 
--- a/packages/router/src/request/dispatch.ts
+++ b/packages/router/src/request/dispatch.ts
@@ -1,6 +1,7 @@
 /** Sends a request to a backend server and retries at another one where that is safe. */
 import {
   Err,
+  nextPoll,
   notRun,
   refuse,
   type Refusal,
@@ -65,6 +66,9 @@
 ): Promise<Dispatched<T>> {
   const { node, call: ctx, group } = opts
   if (!group || group.size === 0) return { outcome: Err(noBackendRefusal()) }
+  // The caller may have left before the process has read its request.
+  await nextPoll()
+  if (ctx.signal.aborted) return { outcome: Err(endedRefusal()) }
   const acquired = await acquireSlot(node, ctx, group, excluded)
   if (acquired.err) return { outcome: acquired }
   const slot = acquired.val
@@ -118,6 +122,10 @@
   return refuse('config_stale', 'not_run', message, RETRY_AFTER_MS)
 }
 
+function endedRefusal(): Refusal {
+  return notRun('deadline_exceeded', 'The request ended before it was sent.')
+}
+
 function noBackendRefusal(): Refusal {
   return notRun('no_backend', 'No backend server is live for this.', RETRY_AFTER_MS)
 }
--- a/packages/router/src/request/requestContext.ts
+++ b/packages/router/src/request/requestContext.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import {
+  ClientPresence,
   Err,
   Ok,
   classKey,
@@ -77,6 +78,9 @@
     if (!res.writableFinished) abortFor('caller_gone')
   }
   res.once('close', onClose)
+  const presence = ClientPresence.of(req.socket)
+  const undoOnLeave = presence.onLeave(onClose)
+  if (presence.leftBy !== undefined) onClose()
   return Ok({
     requestId,
     req,
@@ -101,6 +105,7 @@
     close: () => {
       clearTimeout(timer)
       res.off('close', onClose)
+      undoOnLeave()
     },
   })
 }
--- a/packages/gateway/src/http/clientPresence.ts
+++ b/packages/wagtailway/src/transfer/clientPresence.ts
@@ -1,6 +1,6 @@
 /** Whether the client of a connection is still there. */
 import type { Socket } from 'node:net'
-import { bindOwner } from '@wagtailway/core'
+import { bindOwner } from '../process/errorOwner.js'
 
 /**
  * How a connection ended: its client ended its sending side, as a close does, reset it, or this
