Soak: callers that leave in all forms, and what is done for them after

Callers now send one to six requests ahead on a connection and leave by a close, a reset or an end; half a second later at most three of their requests may reach replicas, and at most a quarter of the runs may go on, at gateways that the soak doesn't disturb.

--- a/packages/scenario/src/leavingCallers/leavingCaller.ts
+++ b/packages/scenario/src/leavingCallers/leavingCaller.ts
@@ -42,16 +42,16 @@
  * @example
  * leave(await openCaller(gateway.port), 'reset')
  */
-export async function openCaller(port: number): Promise<Socket> {
-  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+export async function openCaller(port: number, host = '127.0.0.1'): Promise<Socket> {
+  const socket = connect({ port, host, allowHalfOpen: true })
   socket.on('error', () => undefined)
-  await new Promise((resolve) => socket.once('connect', resolve))
+  await new Promise((resolve) => socket.once('connect', resolve).once('close', resolve))
   return socket
 }
 
 /** Leaves at once: what was written before and the end are with the system on return. */
 export function leave(socket: Socket, form: LeaveForm): void {
   if (form === 'close') socket.destroy()
-  else if (form === 'reset') socket.resetAndDestroy()
+  else if (form === 'reset' && !socket.destroyed) socket.resetAndDestroy()
   else socket.end()
 }
--- a/packages/scenario/src/soak/runSoak.ts
+++ b/packages/scenario/src/soak/runSoak.ts
@@ -25,6 +25,7 @@
 import type { CurrentTrait, SoakContext } from './soakFault.js'
 import { FAULT_NAMES, planFaults } from './soakFaults.js'
 import { SoakGateway } from './soakGateway.js'
+import { LEAVER_ID, LEAVER_RUN_MS, sendLeavers } from './soakLeavers.js'
 import { LARGE_PATH, LARGE_RESPONSE_BYTES, MAX_BODY_BYTES } from './soakLoad.js'
 
 export interface SoakOptions {
@@ -105,6 +106,7 @@
       id,
       responseBytes: ({ url }) =>
         url?.startsWith(LARGE_PATH) ? LARGE_RESPONSE_BYTES : 0,
+      responseMs: ({ url }) => (url?.includes(LEAVER_ID) === true ? LEAVER_RUN_MS : 0),
       onCrash: () => {
         restartLater(id)
       },
@@ -205,6 +207,12 @@
     const callers = Array.from({ length: CALLER_COUNT }, (_, i) =>
       runCaller(i, gateways, calls, stop),
     )
+    const leaving = sendLeavers({
+      random: seededRandom(opts.seed),
+      gateways,
+      replicas,
+      stop,
+    })
     callers.push(sendBadRequests(gateways, badTrait, stop))
     callers.push(probeRevokedKeys(gateways, revokedKeys, keyProbes, stop))
     const { seed, faults: names = FAULT_NAMES, faultsMs, meanPauseMs } = opts
@@ -224,6 +232,7 @@
     const readyFindings = await checkReady(gateways, 'the faults')
     stop.isRequested = true
     await Promise.all(callers)
+    const leavers = await leaving
     const finalFindings = await checkServing(gateways)
     const downPeriods = new Map(
       gateways.map(({ opts: { name }, downPeriods }) => [name, downPeriods]),
@@ -243,6 +252,7 @@
           limitPeriods,
           coldPeriods,
           arrivals,
+          leavers,
           isUndisturbed,
         }),
         ...checkLost(calls, downPeriods),
--- a/packages/scenario/src/soak/soakCheck.ts
+++ b/packages/scenario/src/soak/soakCheck.ts
@@ -3,6 +3,7 @@
 import { eventIds, type FleetResponse } from '../fleet/fleetClient.js'
 import { worstWindow } from '../fleet/slidingWindow.js'
 import type { Period } from './soakGateway.js'
+import { LEAVE_BOUND_MS, type Leaver } from './soakLeavers.js'
 
 /** One call: a request and the response that its caller received. */
 export interface SoakCall {
@@ -90,6 +91,7 @@
   readonly coldPeriods?: readonly ColdPeriod[]
   /** Arrivals of requests at each replica, by the replica's id. */
   readonly arrivals: ReadonlyMap<string, readonly number[]>
+  readonly leavers?: readonly Leaver[]
   /**
    * Whether no fault disturbed the store or a gateway during a period. Only then do the
    * bounds on following the store apply.
@@ -122,6 +124,10 @@
 const MAX_RATE_FACTOR = 1.5
 const MAX_EXTRA_REQUESTS = 5
 
+/** Requests of callers that have left which may still reach replicas, and go on there. */
+const MAX_LATE_LEAVERS = 3
+const MAX_RUNNING_RATIO = 0.25
+
 /** Requests with the trait that may still reach a replica. */
 const MAX_LATE_RUNS = 3
 
@@ -146,6 +152,7 @@
     ...checkBadTraits(record),
     ...checkLimits(record),
     ...checkCold(record),
+    ...checkLeavers(record),
   ]
 }
 
@@ -258,6 +265,30 @@
   })
 }
 
+/** Checks that little is done for callers that have left. */
+function checkLeavers({ leavers = [], runs }: SoakRecord): string[] {
+  const counted = leavers.filter(({ isDisturbed }) => !isDisturbed)
+  const leftAt = new Map(
+    counted.flatMap(({ ids, leftAtMs }) => ids.map((id) => [id, leftAtMs] as const)),
+  )
+  const late = [...runs.values()].flat().filter(({ requestId, atMs }) => {
+    const leftAtMs = leftAt.get(requestId)
+    return leftAtMs !== undefined && atMs > leftAtMs + LEAVE_BOUND_MS
+  })
+  const runningCount = counted.flatMap(({ runningIds }) => runningIds).length
+  const stillRunning = counted.flatMap(({ stillRunningIds }) => stillRunningIds)
+  return [
+    ...(late.length > MAX_LATE_LEAVERS
+      ? [`${late.length} requests of callers that had left reached replicas`]
+      : []),
+    ...(stillRunning.length > runningCount * MAX_RUNNING_RATIO
+      ? [
+          `${stillRunning.length} of ${runningCount} requests ran on after their callers had left`,
+        ]
+      : []),
+  ]
+}
+
 /** Checks that replicas which name a rate limit get no more requests than it allows. */
 /** Requests to a cold replica count once all gateways may have learned that it is cold. */
 function checkCold({ coldPeriods = [], arrivals, isUndisturbed }: SoakRecord): string[] {
--- a/packages/standins/src/fleet/replicaStandin.ts
+++ b/packages/standins/src/fleet/replicaStandin.ts
@@ -52,7 +52,7 @@
   /** Time between events, in milliseconds. */
   readonly eventMs?: number
   /** Returns the time until the response of a request that is no stream, in milliseconds. */
-  readonly responseMs?: () => number
+  readonly responseMs?: (req: IncomingMessage) => number
   /** Returns the size of a response that is no stream, in bytes; spaces fill it up. */
   readonly responseBytes?: (req: IncomingMessage) => number
   /** Returns how to treat a request. */
@@ -312,7 +312,7 @@
     } else if (behaviour === 'crash') {
       this.#crashSoon()
     } else {
-      await this.#delayResponse()
+      await this.#delayResponse(req)
       this.#respond(req, res, behaviour)
     }
   }
@@ -323,8 +323,8 @@
     }, CRASH_DELAY_MS)
   }
 
-  async #delayResponse(): Promise<void> {
-    const delayMs = this.opts.responseMs?.() ?? 0
+  async #delayResponse(req: IncomingMessage): Promise<void> {
+    const delayMs = this.opts.responseMs?.(req) ?? 0
     if (delayMs > 0) await new Promise((resolve) => setTimeout(resolve, delayMs))
   }
 
