--- a/packages/scenario/src/leavingCallers/__tests__/callerLeft.spec.ts
+++ b/packages/scenario/src/leavingCallers/__tests__/callerLeft.spec.ts
@@ -222,3 +222,23 @@
     }
   })
 }
+
+describe('while the gateway stops, nothing is done for a caller that has left', () => {
+  for (const form of LEAVE_FORMS) {
+    it(`by ${form}`, async () => {
+      await startFleet()
+      const id = `stop-${form}`
+      const socket = await openCaller(gateway.port)
+      socket.write(heads('/plain/', id, MAX_HANDLED))
+      await waitUntil(() => openRuns(id).length === MAX_HANDLED)
+      const closed = closeFleet()
+      await sleep(STAY_MS)
+      assert.equal(openRuns(id).length, MAX_HANDLED)
+      leave(socket, form)
+      await sleep(BOUND_MS)
+      assert.deepEqual(openRuns(id), [])
+      socket.destroy()
+      await closed
+    })
+  }
+})
