--- a/packages/gateway/src/http/dropInput.ts
+++ b/packages/gateway/src/http/dropInput.ts
@@ -17,12 +17,13 @@
   // paused before: only the parser would start to read it again.
   process.nextTick(() => {
     socket.removeAllListeners('data')
+    let timer: NodeJS.Timeout | undefined
     socket.on('data', () => {
       socket.pause()
-      const timer = setTimeout(() => socket.resume(), READ_INTERVAL_MS)
-      socket.once('close', () => {
-        clearTimeout(timer)
-      })
+      timer = setTimeout(() => socket.resume(), READ_INTERVAL_MS)
+    })
+    socket.once('close', () => {
+      clearTimeout(timer)
     })
     socket.resume()
   })
