--- a/packages/scenario/src/fleet/__tests__/takenSocket.spec.ts
+++ b/packages/scenario/src/fleet/__tests__/takenSocket.spec.ts
@@ -118,6 +118,8 @@
     it(`for ${name}: the instance serves ${when} its release`, { todo }, async () => {
       const release = await hold(name)
       const gateway = await startProcess()
+      // The time in which the program is loaded doesn't count.
+      await waitUntil(() => eventsOf(gateway.lines, name).length > 0)
       await sleep(HELD_MS)
       assert.equal(gateway.isRunning, true)
       if (isLate) {
