--- a/packages/gateway/src/forward/caller.ts
+++ b/packages/gateway/src/forward/caller.ts
@@ -122,7 +122,6 @@
   #hasFailed = false
   #closesOnRefusal = false
   readonly #disconnectListeners: (() => void)[] = []
-  readonly #presence: ClientPresence
 
   private constructor(
     readonly req: IncomingMessage,
@@ -136,10 +135,10 @@
     const disconnect = (): void => {
       if (!res.writableFinished) this.#disconnect()
     }
-    this.#presence = ClientPresence.of(req.socket)
-    const undo = this.#presence.onLeave(disconnect)
+    const presence = ClientPresence.of(req.socket)
+    const undo = presence.onLeave(disconnect)
     res.on('close', bindOwner(disconnect)).on('close', undo)
-    this.#hasDisconnected = this.#presence.leftBy !== undefined
+    this.#hasDisconnected = presence.leftBy !== undefined
     // Without a listener, a write after the end would be an error of the process.
     res.on('error', () => res.destroy())
   }
--- a/packages/wagtailway/src/transfer/clientPresence.ts
+++ b/packages/wagtailway/src/transfer/clientPresence.ts
@@ -21,7 +21,7 @@
   #leftBy: ConnectionEnd | undefined
   readonly #listeners = new Set<() => void>()
 
-  private constructor(private readonly socket: Socket) {
+  private constructor(socket: Socket) {
     socket.once('end', () => {
       this.#leave('ended')
     })
@@ -49,8 +49,8 @@
   }
 
   /**
-   * Calls `listener` once the client leaves; the caller asks `leftBy` whether it already has.
-   * Returns what undoes that.
+   * Calls `listener` once the client leaves, and never if it already has: `leftBy` tells that.
+   * Returns what undoes it.
    */
   onLeave(listener: () => void): () => void {
     const owned = bindOwner(listener)
