Forget sessions that have expired while no rollout runs

The session of every request is noted, and expired ones were removed only when the sessions were reported, while a rollout runs.

Change: each record removes what has expired; the entries are in the order of their use, so that it costs a step for each session.

--- a/packages/gateway/src/rollout/recentSessions.ts
+++ b/packages/gateway/src/rollout/recentSessions.ts
@@ -35,14 +35,17 @@
   recordUse(service: string, sessionKey: string): void {
     const hash = hashOf(service, sessionKey)
     this.recordPeerUse(hash)
-    this.#lastLocalUseAtMs.delete(hash)
-    this.#lastLocalUseAtMs.set(hash, this.clock())
+    this.#record(this.#lastLocalUseAtMs, hash)
   }
 
   /** Records the use of a session that another entry instance reported, by its hash. */
   recordPeerUse(hash: number): void {
-    this.#lastUseAtMs.delete(hash)
-    this.#lastUseAtMs.set(hash, this.clock())
+    this.#record(this.#lastUseAtMs, hash)
+  }
+
+  /** Number of sessions that are remembered. */
+  get size(): number {
+    return this.#lastUseAtMs.size
   }
 
   wasOnOldVersion(service: string, sessionKey: string): boolean {
@@ -61,6 +64,13 @@
     return recent.slice(-MAX_REPORTED).map(([hash]) => hash)
   }
 
+  /** Records a use; what has expired goes then, as nobody may ask for sessions for days. */
+  #record(uses: Map<number, number>, hash: number): void {
+    uses.delete(hash)
+    uses.set(hash, this.clock())
+    this.#removeExpired(uses)
+  }
+
   /** Removes expired entries; they are in the order of their use, the oldest first. */
   #removeExpired(uses: Map<number, number>): void {
     const now = this.clock()
